Candidates learn settled views and yield at once when they can't win

Ruled out: lost messages and slow disks (the trace shows answered declines within 5 ms). Conclusion: views that came with a proof are known to be settled and teach candidates; whoever is declined by half of the voters releases its own vote.

--- a/src/core/core_node.cc
+++ b/src/core/core_node.cc
@@ -88,6 +88,7 @@
 
 void CoreNode::tick(MonotonicTime now) {
   membership_->tick(now, outbox_);
+  leadership_->noteSettled(follower_->settledView(), now, outbox_);
   leadership_->tick(now, outbox_);
   follower_->noteView(leadership_->view());
   if (leadership_->leads(now))
@@ -133,7 +134,7 @@
 void CoreNode::heard(const Address& from, const NewsAsk& ask, MonotonicTime now) {
   if (!leadership_->leads(now)) {
     NewsAnswer answer = follower_->relay(ask, now);
-    if (leadership_->view().epoch > answer.view.epoch) answer.view = leadership_->view();
+    if (!answer.proof && leadership_->view().epoch > answer.view.epoch) answer.view = leadership_->view();
     outbox_.send(from, std::move(answer));
     return;
   }
--- a/src/core/follower.cc
+++ b/src/core/follower.cc
@@ -98,6 +98,7 @@
     if (!answer.proof) nextAsk_ = now + milliseconds(100);  // not the primary any more
   }
   if (!answer.proof) return;
+  if (answer.view.epoch > settledView_.epoch) settledView_ = answer.view;
   install(answer, now, outbox);
   // The proof only counts if all that it speaks of is in force here.
   bool whole = have_.setup >= answer.now.setup && have_.keys >= answer.now.keys &&
@@ -109,9 +110,9 @@
 NewsAnswer Follower::relay(const NewsAsk& ask, MonotonicTime now) const {
   NewsAnswer answer;
   answer.sentAt = ask.sentAt;
-  answer.view = view_;
   answer.now = have_;
   answer.proof = installed() && fresh(now);
+  answer.view = answer.proof ? settledView_ : view_;
   answer.age = proofAge(now);
   if (!answer.proof) return answer;
   if (have_.setup > ask.have.setup) answer.setup = setupText_;
@@ -123,6 +124,7 @@
 void Follower::lead(const ControlState& state, const View& view, MonotonicTime now,
                     Outbox& outbox) {
   noteView(view);
+  if (view.epoch > settledView_.epoch) settledView_ = view;
   NewsAnswer answer;
   answer.now = state.sections();
   answer.setup = state.setupText();
--- a/src/core/follower.h
+++ b/src/core/follower.h
@@ -49,6 +49,8 @@
   const Keys& keys() const { return keys_; }
   const Weights& weights() const { return weights_; }
   const View& view() const { return view_; }
+  /// The newest view that came with a proof, so that it is settled. Example: for candidates.
+  const View& settledView() const { return settledView_; }
   const std::string& setupText() const { return setupText_; }
   /// Whether a key is live here and not withdrawn. Example: `tenantOf(digest)`.
   const TenantId* tenantOf(const KeyDigest& digest) const;
@@ -69,7 +71,7 @@
   Props props_;
   Membership& membership_;
   Random& random_;
-  View view_;
+  View view_, settledView_;
   SectionVersions have_;
   Setup setup_;
   Keys keys_;
--- a/src/core/leadership.cc
+++ b/src/core/leadership.cc
@@ -126,6 +126,7 @@
   holdEpoch_ = epoch;
   promised_.clear();
   accepted_.clear();
+  declined_.clear();
   phase_ = LeaderPhase::kGathering;
   phaseSince_ = now;
   outbox.count("views.gathered");
@@ -154,6 +155,17 @@
   if (!answer.granted) {
     // A voter that promised a higher epoch elsewhere is only won back by a higher one.
     if (answer.promised > std::max(view_.epoch, holdEpoch_)) recapture_ = true;
+    if (phase_ != LeaderPhase::kGathering || settledHere_ || answer.epoch != wanted_.epoch) return;
+    declined_.insert(answer.voter);
+    if (majority(declined_, old_.voters) || declined_.size() * 2 >= old_.voters.size()) {
+      // It can't win now. It holds nothing, so its own vote is free for the other at once.
+      phase_ = LeaderPhase::kFollowing;
+      holdUntil_ = kNever;
+      renewals_.clear();
+      voter_.release(self());
+      nextTry_ = now + milliseconds(100 + static_cast<std::int64_t>(random_.below(500)));
+      outbox.count("views.yielded");
+    }
     return;
   }
   auto round = renewals_.find(answer.sentAt.microseconds);
@@ -289,6 +301,12 @@
   stepDown(phaseSince_, outbox, "the disk is suspect");
 }
 
+void Leadership::noteSettled(const View& view, MonotonicTime now, Outbox& outbox) {
+  if (view.epoch <= view_.epoch || view.primary == self()) return;
+  view_ = view;
+  if (settledHere_) stepDown(now, outbox, "a newer view is settled");
+}
+
 void Leadership::sawNewer(const SectionVersions& seen) {
   newerSeen_.setup = std::max(newerSeen_.setup, seen.setup);
   newerSeen_.keys = std::max(newerSeen_.keys, seen.keys);
--- a/src/core/leadership.h
+++ b/src/core/leadership.h
@@ -49,6 +49,8 @@
   bool written(const FileWritten& event, MonotonicTime now, Outbox& outbox);
   /// A front holds something newer that was never acknowledged: stamp over it.
   void sawNewer(const SectionVersions& seen);
+  /// Takes a view that is known to be settled. Example: one that came with a proof.
+  void noteSettled(const View& view, MonotonicTime now, Outbox& outbox);
   /// Steps down for good, with a suspect disk. Example: a write that stalls.
   void suspect(Outbox& outbox);
 
@@ -112,7 +114,7 @@
   bool recapture_ = false;    // a voter promised a higher epoch elsewhere
   Epoch holdEpoch_;           // the epoch that renewals name
   Epoch seen_;         // highest epoch heard
-  std::set<CoreId> promised_, accepted_;
+  std::set<CoreId> promised_, accepted_, declined_;
   MonotonicTime phaseSince_{}, nextTry_{}, nextRenewal_{};
   std::map<std::int64_t, std::set<CoreId>> renewals_;  // by send time
   MonotonicTime holdUntil_ = kNever;
--- a/src/core/voter.h
+++ b/src/core/voter.h
@@ -37,6 +37,10 @@
   bool grantedToOther(CoreId core, MonotonicTime now) const;
   /// Whether a copy of this epoch from this core may still be taken. Example: in the backup.
   bool allowsCopy(Epoch epoch, CoreId from) const;
+  /// This machine's own candidate gave up and holds nothing: its vote is free at once.
+  void release(CoreId core) {
+    if (grantedTo_ == core) grantedUntil_ = kNever;
+  }
   /// A failed or stalled disk: it votes for nothing more. Example: `voter.suspect();`
   void suspect() { suspect_ = true; }
 
