--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -28,6 +28,8 @@
 int traceCommand(const Words& words);
 /// Example: `rehearseCommand({"scenarios", "--seeds", "1-20"})`.
 int rehearseCommand(const Words& words);
+/// Example: `placeCommand({"placement.json"})`.
+int placeCommand(const Words& words);
 /// Example: `standinCommand({"engine", "--listen", "127.0.0.1:9001"})`.
 int standinCommand(const Words& words);
 
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -21,13 +21,14 @@
   int (*run)(const Words&);
   std::string_view help;
 };
-constexpr std::array<CommandRow, 8> kCommands{{
+constexpr std::array<CommandRow, 9> kCommands{{
     {"front", &frontCommand, "run a front: the callers' door, one of many"},
     {"core", &coreCommand, "run a core machine: control state, votes and holds"},
     {"setup", &setupCommand, "apply, change, show or stamp the setup; name weights; keys"},
     {"trace", &traceCommand, "follow one change through all daemons"},
     {"check", &checkCommand, "check a settings file and its props"},
     {"rehearse", &rehearseCommand, "run scenarios on simulated time, over seeds"},
+    {"place", &placeCommand, "solve placements in districts from constraints in a file"},
     {"standin", &standinCommand, "run a stand-in: engine, store, desk, platform, requester"},
     {"version", &versionCommand, "print the version"},
 }};
--- /dev/null
+++ b/src/app/place_command.cc
@@ -0,0 +1,38 @@
+// Placements from constraints in a file.
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+#include "app/commands.h"
+#include "place/place.h"
+#include "wire/json_fields.h"
+
+namespace peppergate {
+
+namespace po = boost::program_options;
+
+int placeCommand(const Words& words) {
+  po::options_description options("peppergate place FILE");
+  options.add_options()("help", "this text")
+      ("file", po::value<std::string>()->required(), "districts, engines, tenants and constraints, JSON");
+  po::variables_map values;
+  if (int code = parseWords(words, options, values, {"file"}); code >= 0) return code;
+  std::ifstream file(values["file"].as<std::string>());
+  std::stringstream text;
+  text << file.rdbuf();
+  auto placement = solvePlacement(text.str());
+  if (!placement.ok()) {
+    std::fprintf(stderr, "%s\n", std::string(placement.status().message()).c_str());
+    return kExitUsage;
+  }
+  if (!placement->possible) {
+    std::printf("%s\n", Json{{"possible", false}, {"conflict", placement->conflict}}.dump(2).c_str());
+    return kExitFailed;
+  }
+  std::printf("%s\n", Json{{"possible", true},
+                           {"engines", placement->engines},
+                           {"tenants", placement->tenants}}.dump(2).c_str());
+  return kExitGood;
+}
+
+}  // namespace peppergate
--- a/src/app/rehearse_command.cc
+++ b/src/app/rehearse_command.cc
@@ -2,6 +2,7 @@
 #include <atomic>
 #include <cstdio>
 #include <filesystem>
+#include <map>
 #include <mutex>
 #include <thread>
 
@@ -35,6 +36,7 @@
       ("path", po::value<std::string>()->required(), "a scenario, or a folder of them")
       ("seeds", po::value<std::string>()->default_value("1-3"), "FIRST-LAST, or one seed")
       ("jobs", po::value<unsigned>()->default_value(std::thread::hardware_concurrency()), "how many at a time")
+      ("bounds", po::bool_switch(), "print the worst of each bound that was seen")
       ("figures", po::bool_switch(), "print each run's figures");
   po::variables_map values;
   if (int code = parseWords(words, options, values, {"path"}); code >= 0) return code;
@@ -63,11 +65,15 @@
   }
   std::atomic<std::size_t> next{0}, failed{0};
   std::mutex mutex;
+  std::map<std::string, std::pair<double, std::string>> bounds;
   bool figures = values["figures"].as<bool>();
   auto work = [&] {
     for (std::size_t index = next++; index < jobs.size(); index = next++) {
       RunReport report = runScenario(*jobs[index].scenario, jobs[index].seed);
       std::lock_guard lock(mutex);
+      for (const auto& [name, value] : report.figures)
+        if (name.starts_with("bound.") && value >= bounds[name].first)
+          bounds[name] = {value, report.scenario + " seed " + std::to_string(report.seed)};
       if (!report.failures.empty()) {
         ++failed;
         std::printf("FAILED %s seed %llu\n", report.scenario.c_str(),
@@ -85,6 +91,9 @@
   for (unsigned index = 0; index < std::max(1U, values["jobs"].as<unsigned>()); ++index)
     threads.emplace_back(work);
   for (auto& thread : threads) thread.join();
+  if (values["bounds"].as<bool>())
+    for (const auto& [name, worst] : bounds)
+      std::printf("%s = %.3f s (%s)\n", name.c_str(), worst.first, worst.second.c_str());
   std::printf("%zu passed, %zu failed\n", jobs.size() - failed, failed.load());
   return failed == 0 ? kExitGood : kExitFailed;
 }
--- a/src/core/schemas.cc
+++ b/src/core/schemas.cc
@@ -110,6 +110,35 @@
   }
 })json";
 
+constexpr std::string_view kPlacementSchema = R"json({
+  "type": "object",
+  "required": ["districts", "engines"],
+  "properties": {
+    "districts": {"type": "array", "minItems": 1, "maxItems": 64, "uniqueItems": true,
+                  "items": {"type": "string", "minLength": 1}},
+    "engines": {"type": "array", "maxItems": 512, "items": {
+      "type": "object", "required": ["id"],
+      "properties": {"id": {"type": "string", "minLength": 1},
+                     "places": {"type": "integer", "minimum": 0}},
+      "additionalProperties": false}},
+    "tenants": {"type": "array", "maxItems": 512, "items": {
+      "type": "object", "required": ["id"],
+      "properties": {"id": {"type": "string", "minLength": 1},
+                     "usage": {"type": "integer", "minimum": 0}},
+      "additionalProperties": false}},
+    "constraints": {"type": "array", "maxItems": 512, "items": {
+      "type": "object", "required": ["name", "kind", "of"],
+      "properties": {
+        "name": {"type": "string", "minLength": 1},
+        "kind": {"enum": ["in", "not-in", "apart", "together", "at-most", "at-least"]},
+        "of": {"type": "array", "minItems": 1, "items": {"type": "string"}},
+        "district": {"type": "string"},
+        "count": {"type": "integer", "minimum": 0}},
+      "additionalProperties": false}}
+  },
+  "additionalProperties": false
+})json";
+
 struct Compiled {
   valijson::Schema schema;
   explicit Compiled(std::string_view text) {
@@ -124,14 +153,16 @@
   static const Compiled kChange(kChangeSchema);
   static const Compiled kStream(kStreamSchema);
   static const Compiled kEngineList(kEngineListSchema);
-  static const std::array kAll{&kChange, &kStream, &kEngineList};
+  static const Compiled kPlacement(kPlacementSchema);
+  static const std::array kAll{&kChange, &kStream, &kEngineList, &kPlacement};
   return kAll[static_cast<std::size_t>(name)]->schema;
 }
 
 }  // namespace
 
 std::string_view schemaFor(SchemaName schema) {
-  static constexpr std::array kTexts{kChangeSchema, kStreamSchema, kEngineListSchema};
+  static constexpr std::array kTexts{kChangeSchema, kStreamSchema, kEngineListSchema,
+                                     kPlacementSchema};
   return kTexts[static_cast<std::size_t>(schema)];
 }
 
--- a/src/core/schemas.h
+++ b/src/core/schemas.h
@@ -8,7 +8,7 @@
 
 namespace peppergate {
 
-enum class SchemaName : std::uint8_t { kChange, kStream, kEngineList };
+enum class SchemaName : std::uint8_t { kChange, kStream, kEngineList, kPlacement };
 
 /// Which field is wrong and how.
 struct FieldFault {
--- /dev/null
+++ b/src/place/place.h
@@ -0,0 +1,24 @@
+#pragma once
+// Solves placements of engines and tenants in districts from constraints in a file.
+#include <absl/status/statusor.h>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace peppergate {
+
+/// Where everything goes, or the names of the constraints that can't all be kept.
+struct Placement {
+  bool possible = false;
+  std::map<std::string, std::string> engines;  // engine to district
+  std::map<std::string, std::string> tenants;  // tenant to its home district
+  std::vector<std::string> conflict;
+};
+
+/// Reads a file's text and solves it; a wrong file is an error that names the field.
+/// Example: `solvePlacement(R"({"districts":[...],"engines":[...],"constraints":[...]})")`.
+absl::StatusOr<Placement> solvePlacement(std::string_view text);
+
+}  // namespace peppergate
--- a/src/sim/checker.cc
+++ b/src/sim/checker.cc
@@ -32,7 +32,15 @@
     failures_.push_back("never: " + what + " at " + std::to_string(inSeconds(world_.now() - MonotonicTime{})) + " s");
 }
 
+void Checker::bound(const std::string& name, double value) {
+  double& seen = figures_["bound." + name];
+  seen = std::max(seen, value);
+}
+
 void Checker::startedWith(const CallerStream& stream) {
+  for (const auto& change : world_.changes())
+    if (change.key == stream.key && change.outcome == "done" && stream.asked > change.done)
+      bound("withdrawn-key-allowed", inSeconds(stream.asked - change.done));
   for (const auto& change : world_.changes())
     if (change.key == stream.key && change.outcome == "done" &&
         stream.asked > change.done + kKeyBound)
@@ -48,6 +56,11 @@
     if (core.leadership().leads(world_.now() + process->clock)) ++leaders;
   }
   if (leaders > 1) fail("two-primaries");
+  if (leaders > 0) {
+    if (lastPrimary_ != kForever && world_.now() > MonotonicTime{})
+      bound("without-primary", inSeconds(world_.now() - lastPrimary_));
+    lastPrimary_ = world_.now();
+  }
   primaryAt_.emplace_back(world_.now(), leaders == 1);
 }
 
@@ -76,6 +89,9 @@
       for (auto& other : world_.processes())
         if (other->role == Role::kCore && other->disturbed > change.done - seconds(1))
           bound = kSetupBound + kFailoverExtra;
+      if (newest >= change.version && !touched &&
+          inForce_.insert({process->host, change.id}).second)
+        this->bound("setup-in-force", inSeconds(since));
       if (since > bound && since < bound + milliseconds(200) && !touched && newest < change.version)
         fail("setup-not-in-force");
     }
@@ -99,6 +115,10 @@
   for (const auto& [id, stream] : world_.callers().streams())
     for (const auto& told : stream.toldNotRun)
       if (began.contains(told)) fail("ran-after-told-no");
+  for (auto& engine : world_.engines()) {
+    bound("old-weights-start", inSeconds(engine->model->latestOldStart()));
+    bound("start-while-draining", inSeconds(engine->model->latestDrainedStart()));
+  }
   double worst = 0;
   for (int service = 0; service < 2; ++service)
     worst = std::max(worst, seconds[service] / std::max(1.0, firsts[service]));
--- a/src/sim/checker.h
+++ b/src/sim/checker.h
@@ -1,6 +1,7 @@
 #pragma once
 // Judges a run by what callers, engines and operators saw.
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,7 @@
   double served(MonotonicTime from, MonotonicTime to) const;
 
  private:
+  void bound(const std::string& name, double value);
   void judge(const Expectation& expectation);
   void watchVersions();
   void compareRuns();
@@ -40,6 +42,8 @@
   std::vector<std::string> failures_;
   std::map<std::string, double> figures_;
   std::vector<std::pair<MonotonicTime, bool>> primaryAt_;
+  std::set<std::pair<std::string, std::string>> inForce_;  // host and change
+  MonotonicTime lastPrimary_ = kForever;
 };
 
 }  // namespace peppergate
--- a/src/sim/engine_model.cc
+++ b/src/sim/engine_model.cc
@@ -91,6 +91,8 @@
   if (ask.weights != weights_) violation("other-weights");
   if (now - markedAt_ > props_.drainGrace && markedAt_ != kForever) violation("work-while-draining");
   auto newer = named_.upper_bound(weights_);
+  if (newer != named_.end()) latestOldStart_ = std::max(latestOldStart_, now - newer->second);
+  if (markedAt_ != kForever) latestDrainedStart_ = std::max(latestDrainedStart_, now - markedAt_);
   if (newer != named_.end() && now - newer->second > props_.weightsGrace)
     violation("old-weights-started");
   ++running_;
--- a/src/sim/engine_model.h
+++ b/src/sim/engine_model.h
@@ -104,6 +104,9 @@
   const std::set<std::string>& began() const { return began_; }
   std::uint64_t firstShots() const { return firstShots_; }
   std::uint64_t secondShots() const { return secondShots_; }
+  /// The latest start on outdated weights, and on a drained engine, since it was named or marked.
+  Duration latestOldStart() const { return latestOldStart_; }
+  Duration latestDrainedStart() const { return latestDrainedStart_; }
   const EngineId& id() const { return id_; }
   WeightsVersion weights() const { return weights_; }
   std::int64_t running() const { return running_; }
@@ -132,6 +135,7 @@
   MonotonicTime lastOrder_ = kNever;
   MonotonicTime markedAt_ = kForever;
   std::map<WeightsVersion, MonotonicTime> named_;
+  Duration latestOldStart_, latestDrainedStart_;
 };
 
 /// The text that a whole, right answer has at a piece. Example: checkers compare with it.
