--- a/src/core/core_node.cc
+++ b/src/core/core_node.cc
@@ -209,6 +209,7 @@
           {"phase", kPhases[static_cast<std::size_t>(leadership_->phase())]},
           {"leads", leadership_->leads(now)},
           {"diskSuspect", leadership_->isSuspect()},
+          {"diskStalled", leadership_->isStalled()},
           {"view",
            {{"epoch", view.epoch.value},
             {"primary", membership_->addressOf(view.primary).value},
--- a/src/core/leadership.cc
+++ b/src/core/leadership.cc
@@ -36,11 +36,12 @@
     if (record.role == Role::kCore) lastSeen_[record.core] = now;
   if (suspect_) return;
   for (const auto& [ticket, write] : writes_)
-    if (now - write.since > props_.syncTimeout) {
-      outbox.push(NoteState{"core: a write stalls, this disk is given up"});
-      suspect(outbox);
-      return;
+    if (now - write.since > props_.syncTimeout && !stalled_) {
+      stalled_ = true;  // until the write comes back whole
+      outbox.count("disk.stalled");
+      if (settledHere_ || phase_ != LeaderPhase::kFollowing) stepDown(now, outbox, "the disk stalls");
     }
+  if (stalled_) return;
   if (settledHere_ && !leads(now)) stepDown(now, outbox, "the hold ran out");
   // While it gathers it asks again, too: grants to the last primary may just be running out.
   bool renews = settledHere_ || phase_ == LeaderPhase::kGathering ||
--- a/src/core/leadership.h
+++ b/src/core/leadership.h
@@ -64,6 +64,7 @@
   /// The end of the primary's own hold. Example: for the status page.
   MonotonicTime holdUntil() const { return holdUntil_; }
   bool isSuspect() const { return suspect_; }
+  bool isStalled() const { return stalled_; }
   Epoch copyTag() const { return copy_.tag; }
 
  private:
@@ -130,6 +131,7 @@
   std::map<CoreId, MonotonicTime> failedRecruits_;
   std::size_t foundCores_ = 0;
   bool suspect_ = false;
+  bool stalled_ = false;
   bool started_ = false;
 };
 
--- a/src/core/leadership_copies.cc
+++ b/src/core/leadership_copies.cc
@@ -30,6 +30,7 @@
     return true;
   }
   if (suspect_) return true;
+  stalled_ = false;
   copy_ = {write.tag, write.state};
   outbox.push(DropOlder{"state", 3});
   if (queuedWrite_) {
@@ -66,7 +67,7 @@
                       Outbox& outbox) {
   seen_ = std::max(seen_, ask.epoch);
   bool fits = ask.recruiting ? ask.epoch >= copy_.tag : ask.epoch == copy_.tag;
-  if (suspect_ || !fits || !voter_.allowsCopy(ask.epoch, ask.from)) {
+  if (suspect_ || stalled_ || !fits || !voter_.allowsCopy(ask.epoch, ask.from)) {
     outbox.count("copies.declined");
     return;
   }
--- a/src/io/member_hub.cc
+++ b/src/io/member_hub.cc
@@ -113,9 +113,10 @@
     evbuffer_drain(input, kHead);
     std::string body(read.length, '\0');
     evbuffer_remove(input, body.data(), body.size());
-    auto message = decodeBody(read.kind, body);
+    bool whole = bodyIsWhole(read, body);
+    auto message = whole ? decodeBody(read.kind, body) : absl::DataLossError("bad sum");
     if (!message.ok()) {
-      fault(faultName(FrameFault::kBadBody));
+      fault(faultName(whole ? FrameFault::kBadBody : FrameFault::kBadSum));
       close(incoming);
       return;
     }
--- a/src/sim/callers.h
+++ b/src/sim/callers.h
@@ -49,6 +49,7 @@
   void lost(const std::string& host);
   /// Changes the traffic by a factor. Example: `callers.traffic(2)`.
   void traffic(double factor) { factor_ = factor; }
+  const std::string& flooding() const { return floodTenant_; }
   /// One tenant alone sends so many more streams a second. Example: `flood("tenant1", 100)`.
   void flood(const std::string& tenant, double rate);
   const std::map<std::uint64_t, CallerStream>& streams() const { return streams_; }
--- a/src/sim/checker.cc
+++ b/src/sim/checker.cc
@@ -144,9 +144,36 @@
 }
 
 double Checker::served(MonotonicTime from, MonotonicTime to) const {
+  return servedOf(from, to, [](const CallerStream&) { return true; });
+}
+
+double Checker::worstRankGap(MonotonicTime from, MonotonicTime to) const {
+  // How much better a worse rank was served than a better one; at most 0 when ranks are kept.
+  std::array<double, 4> served{};
+  for (std::size_t rank = 0; rank < served.size(); ++rank)
+    served[rank] = servedOf(from, to, [&](const CallerStream& stream) {
+      for (const auto& row : tenantRows(world_.scenario().profile))
+        if (row.name == stream.tenant) return row.rank == static_cast<int>(rank);
+      return false;
+    });
+  double gap = -1;
+  for (std::size_t rank = 1; rank < served.size(); ++rank)
+    gap = std::max(gap, served[rank] - served[rank - 1]);
+  return gap;
+}
+
+double Checker::goodput(MonotonicTime from, MonotonicTime to) const {
+  double whole = 0;
+  for (const auto& [id, stream] : world_.callers().streams())
+    if (stream.end == CallerEnd::kWhole && stream.ended >= from && stream.ended < to) ++whole;
+  return whole / std::max(1.0, inSeconds(to - from));
+}
+
+double Checker::servedOf(MonotonicTime from, MonotonicTime to,
+                         const std::function<bool(const CallerStream&)>& counts) const {
   double asked = 0, whole = 0;
   for (const auto& [id, stream] : world_.callers().streams()) {
-    if (stream.asked < from || stream.asked >= to) continue;
+    if (stream.asked < from || stream.asked >= to || !counts(stream)) continue;
     ++asked;
     if (stream.end == CallerEnd::kWhole) ++whole;
   }
@@ -245,6 +272,19 @@
       if (bytes > number) say("bytes after the heal", bytes);
       break;
     }
+    case Wanted::kRanks:
+      if (double gap = worstRankGap(from, to); gap > number) say("a worse rank was better served", gap);
+      break;
+    case Wanted::kOthers: {
+      double got = servedOf(from, to, [&](const CallerStream& stream) {
+        return stream.tenant != world_.callers().flooding();
+      });
+      if (got < number) say("the others were too little served", got);
+      break;
+    }
+    case Wanted::kGoodput:
+      if (double got = goodput(from, to); got < number) say("goodput", got);
+      break;
     case Wanted::kOvershoot:
       if (figures_["overshoot"] > number) say("links overshot", figures_["overshoot"]);
       break;
--- a/src/sim/checker.h
+++ b/src/sim/checker.h
@@ -1,5 +1,6 @@
 #pragma once
 // Judges a run by what callers, engines and operators saw.
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -28,9 +29,14 @@
   const std::map<std::string, double>& figures() const { return figures_; }
   /// The share of streams asked in a span that came whole. Example: `served(from, to)`.
   double served(MonotonicTime from, MonotonicTime to) const;
+  /// The same for some tenants only. Example: `servedOf(from, to, [](auto& s) { ... })`.
+  double servedOf(MonotonicTime from, MonotonicTime to,
+                  const std::function<bool(const CallerStream&)>& counts) const;
 
  private:
   void bound(const std::string& name, double value);
+  double worstRankGap(MonotonicTime from, MonotonicTime to) const;
+  double goodput(MonotonicTime from, MonotonicTime to) const;
   void judge(const Expectation& expectation);
   void watchVersions();
   void compareRuns();
--- a/src/sim/scenario.cc
+++ b/src/sim/scenario.cc
@@ -39,7 +39,7 @@
   Wanted wanted;
   bool number;
 };
-constexpr std::array<WantedRow, 13> kWanted{{
+constexpr std::array<WantedRow, 16> kWanted{{
     {"clean", Wanted::kClean, false},        {"served", Wanted::kServed, true},
     {"served-at-most", Wanted::kServedAtMost, true},
     {"done", Wanted::kDone, true},           {"declined", Wanted::kDeclined, true},
@@ -47,6 +47,8 @@
     {"primary", Wanted::kPrimary, false},    {"no-primary", Wanted::kNoPrimary, false},
     {"second-share", Wanted::kShare, true},  {"rung-changes", Wanted::kRungPace, true},
     {"heal-bytes", Wanted::kBytes, true},    {"overshoot", Wanted::kOvershoot, true},
+    {"ranks", Wanted::kRanks, true},         {"others", Wanted::kOthers, true},
+    {"goodput", Wanted::kGoodput, true},
 }};
 
 absl::Status wrong(int line, const std::string& what) {
--- a/src/sim/scenario.h
+++ b/src/sim/scenario.h
@@ -26,7 +26,7 @@
 
 enum class Wanted : std::uint8_t {
   kClean, kServed, kServedAtMost, kDone, kDeclined, kFetched, kFirstEvent, kPrimary, kNoPrimary,
-  kShare, kRungPace, kBytes, kOvershoot,
+  kShare, kRungPace, kBytes, kOvershoot, kRanks, kOthers, kGoodput,
 };
 
 /// One line "expect ...". Example: `expect served 0.9 from 20s to 30s`.
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -230,7 +230,8 @@
     std::span<const char> bytes(frame);
     FrameHead head = readFrameHead(1, bytes);
     auto message = decodeBody(head.kind, bytes.subspan(kFrameHeadSize));
-    if (message.ok()) deliver(*to, Arrived{sender, std::move(*message)});
+    if (message.ok() && bodyIsWhole(head, bytes.subspan(kFrameHeadSize)))
+      deliver(*to, Arrived{sender, std::move(*message)});
     else checker_->fail("frame-unreadable");
   });
 }
--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -2,6 +2,7 @@
 
 #include <avro.h>
 #include <openssl/sha.h>
+#include <xxhash.h>
 
 #include <array>
 #include <cstring>
@@ -232,11 +233,15 @@
   putNumber(frame, static_cast<std::uint16_t>(message.index()));
   putNumber(frame, mark);
   putNumber(frame, static_cast<std::uint32_t>(size));
+  putNumber(frame, std::uint32_t{0});
   frame.resize(kFrameHeadSize + size);
   avro_writer_t writer =
       avro_writer_memory(frame.data() + kFrameHeadSize, static_cast<std::int64_t>(size));
   avro_value_write(writer, &value.value);
   avro_writer_free(writer);
+  std::string sum;
+  putNumber(sum, XXH32(frame.data() + kFrameHeadSize, size, 0));
+  frame.replace(kFrameHeadSize - sum.size(), sum.size(), sum);
   return frame;
 }
 
@@ -244,6 +249,7 @@
   FrameHead head;
   head.kind = takeNumber<std::uint16_t>(bytes, 6);
   head.length = takeNumber<std::uint32_t>(bytes, 16);
+  head.sum = takeNumber<std::uint32_t>(bytes, 20);
   if (takeNumber<std::uint32_t>(bytes, 0) != kFrameMagic) head.fault = FrameFault::kBadMagic;
   else if (takeNumber<std::uint16_t>(bytes, 4) != kWireVersion)
     head.fault = FrameFault::kOtherWireVersion;
@@ -253,6 +259,10 @@
   return head;
 }
 
+bool bodyIsWhole(const FrameHead& head, std::span<const char> body) {
+  return body.size() == head.length && XXH32(body.data(), body.size(), 0) == head.sum;
+}
+
 absl::StatusOr<Message> decodeBody(std::uint16_t kind, std::span<const char> body) {
   if (kind >= kKinds) return absl::InvalidArgumentError(std::string(faultName(FrameFault::kUnknownKind)));
   AvroValue value(kind);
@@ -271,9 +281,9 @@
 }
 
 std::string_view faultName(FrameFault fault) {
-  static constexpr std::array<std::string_view, 7> kNames{
+  static constexpr std::array<std::string_view, 8> kNames{
       "none", "bad magic", "other wire version", "other fleet", "unknown kind", "too large",
-      "bad body"};
+      "bad body", "bad sum"};
   return kNames[static_cast<std::size_t>(fault)];
 }
 
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -12,17 +12,18 @@
 
 inline constexpr std::uint32_t kFrameMagic = 0x50475431;  // "PGT1"
 inline constexpr std::uint16_t kWireVersion = 1;
-inline constexpr std::size_t kFrameHeadSize = 4 + 2 + 2 + 8 + 4;
+inline constexpr std::size_t kFrameHeadSize = 4 + 2 + 2 + 8 + 4 + 4;
 inline constexpr std::size_t kLargestFrame = 4U << 20;
 
 enum class FrameFault : std::uint8_t {
-  kNone, kBadMagic, kOtherWireVersion, kOtherFleet, kUnknownKind, kTooLarge, kBadBody,
+  kNone, kBadMagic, kOtherWireVersion, kOtherFleet, kUnknownKind, kTooLarge, kBadBody, kBadSum,
 };
 
 struct FrameHead {
   FrameFault fault = FrameFault::kNone;
   std::uint16_t kind = 0;
   std::uint32_t length = 0;
+  std::uint32_t sum = 0;  // of the body; only what passes it is given to the Avro reader
 };
 
 /// The fleet's mark in each frame. Example: `fleetMark("hutline") != fleetMark("fjordsyn")`.
@@ -31,6 +32,8 @@
 std::string encodeFrame(std::uint64_t mark, const Message& message);
 /// Reads the head; a wrong one says why. Example: `readFrameHead(mark, bytes).fault`.
 FrameHead readFrameHead(std::uint64_t mark, std::span<const char> bytes);
+/// Whether a body is the one that was sent. Example: `bodyIsWhole(head, body)`.
+bool bodyIsWhole(const FrameHead& head, std::span<const char> body);
 /// Decodes a body of the given kind. Example: `decodeBody(head.kind, body)`.
 absl::StatusOr<Message> decodeBody(std::uint16_t kind, std::span<const char> body);
 /// The Avro schema of a kind, for docs and tests. Example: `schemaText(1)`.
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -43,6 +43,19 @@
   CHECK(readFrameHead(5, bad).fault == FrameFault::kTooLarge);
 }
 
+TEST(Wire, ADamagedBodyIsSeenBeforeItIsRead) {
+  std::string frame = encodeFrame(5, Message{ChangeAsk{{1}, "id", "{}"}});
+  FrameHead head = readFrameHead(5, frame);
+  std::string body = frame.substr(kFrameHeadSize);
+  CHECK(bodyIsWhole(head, body));
+  for (std::size_t place = 0; place < body.size(); ++place) {
+    std::string damaged = body;
+    damaged[place] = static_cast<char>(damaged[place] ^ 1);
+    CHECK_FALSE(bodyIsWhole(head, damaged));
+  }
+  CHECK_FALSE(bodyIsWhole(head, std::string_view(body).substr(1)));
+}
+
 TEST(Wire, BadBodiesNeverCrash) {
   Random random(9);
   std::string good = encodeFrame(5, Message{Shuffle{{}, {MemberRecord{}, MemberRecord{}}, {}, {}, true}});
