What is unanswered goes out again with each renewal; gathering waits for late grants

Cause: one lost request for acceptance (or copy) cost a whole try of 1 s and a back-off of up to 2.7 s; a renewal of the dead primary that came late bound one vote past the gathering's end. Ruled out: rival candidates (the traces show one candidate with three promises, then silence). Conclusion: requests are idempotent, so they are repeated instead of timed out.

--- a/src/core/leadership.cc
+++ b/src/core/leadership.cc
@@ -55,7 +55,11 @@
     case LeaderPhase::kGathering:
     case LeaderPhase::kCopying:
     case LeaderPhase::kAccepting:
-      if (now - phaseSince_ > props_.copyTimeout) giveUpPhase(now);
+      // Gathering waits longer: a late renewal of the last primary may still bind one vote, and
+      // a rival is noticed by its votes, not by time.
+      if (now - phaseSince_ >
+          props_.copyTimeout * (phase_ == LeaderPhase::kGathering ? 3 : 1))
+        giveUpPhase(now);
       break;
     case LeaderPhase::kLeading:
       if (batchState_ && now - batchSince_ > props_.copyTimeout && now >= nextTry_) {
@@ -142,6 +146,7 @@
   asked.insert(wanted_.voters.begin(), wanted_.voters.end());
   for (CoreId voter : asked)
     outbox.send(membership_.addressOf(voter), PromiseAsk{epoch, self(), now});
+  repeat(outbox);
   renewals_[now.microseconds];
   while (renewals_.size() > 8) renewals_.erase(renewals_.begin());
 }
@@ -228,9 +233,22 @@
   phase_ = LeaderPhase::kAccepting;
   phaseSince_ = now;
   accepted_.clear();
+  askAcceptance(outbox);
+}
+
+void Leadership::askAcceptance(Outbox& outbox) {
   std::set<CoreId> asked(old_.voters.begin(), old_.voters.end());
   asked.insert(wanted_.voters.begin(), wanted_.voters.end());
-  for (CoreId voter : asked) outbox.send(membership_.addressOf(voter), AcceptAsk{wanted_, false});
+  for (CoreId voter : asked)
+    if (!accepted_.contains(voter))
+      outbox.send(membership_.addressOf(voter), AcceptAsk{wanted_, false});
+}
+
+void Leadership::repeat(Outbox& outbox) {
+  // One lost message must not cost a whole try: what is unanswered goes out with each renewal.
+  if (phase_ == LeaderPhase::kAccepting) askAcceptance(outbox);
+  if (phase_ == LeaderPhase::kCopying && !backupSynced_) sendCopy(outbox, true);
+  if (phase_ == LeaderPhase::kLeading && batchState_ && !backupSynced_) sendCopy(outbox, false);
 }
 
 void Leadership::hear(const AcceptAnswer& answer, MonotonicTime now, Outbox& outbox) {
--- a/src/core/leadership.h
+++ b/src/core/leadership.h
@@ -82,6 +82,8 @@
   void gathered(MonotonicTime now, Outbox& outbox);
   void startCopies(MonotonicTime now, Outbox& outbox);
   void copiesDone(MonotonicTime now, Outbox& outbox);
+  void askAcceptance(Outbox& outbox);
+  void repeat(Outbox& outbox);
   void propose(MonotonicTime now, Outbox& outbox);
   void settled(MonotonicTime now, Outbox& outbox);
   void renew(MonotonicTime now, Outbox& outbox);
