--- a/src/app/setup_command.cc
+++ b/src/app/setup_command.cc
@@ -52,6 +52,7 @@
 struct Asked {
   po::variables_map values;
   std::vector<std::string> doors;
+  mutable bool unreachable = false;  // no daemon could say what is newest
   std::string text(const char* name) const {
     return values.count(name) > 0 ? values[name].as<std::string>() : std::string();
   }
@@ -64,6 +65,7 @@
     Json body = Json::parse(result.body, nullptr, false);
     if (result.status == 200 && body.is_object()) return body["sections"][section];
   }
+  asked.unreachable = true;
   return {};
 }
 
@@ -170,6 +172,10 @@
     if (row.name != verb) continue;
     Json change = row.make(asked);
     if (change.is_null()) return kExitUsage;
+    if (asked.unreachable) {
+      std::fprintf(stderr, "no answer from any daemon\n");
+      return kExitUnreachable;
+    }
     std::string changeId = asked.text("change-id");
     return sendChange(asked.doors, change, changeId.empty() ? freshChangeId() : changeId);
   }
--- a/src/core/follower.cc
+++ b/src/core/follower.cc
@@ -51,44 +51,37 @@
   return offered > mine || (offered != mine && !props_.guards(Guard::kUpward));
 }
 
-void Follower::install(const NewsAnswer& answer, MonotonicTime now, Outbox& outbox) {
-  // Each section goes only upward, and only with a text that reads well.
-  if (!answer.setup.empty() && newer(answer.now.setup, have_.setup)) {
-    auto setup = readSetup(answer.setup);
-    if (setup.ok()) {
-      setup_ = std::move(*setup);
-      setupText_ = answer.setup;
-      have_.setup = answer.now.setup;
-      record("setup", have_.setup, now, outbox);
-    } else {
-      outbox.count("installs.unreadable");
-    }
-  }
-  if (!answer.keys.empty() && newer(answer.now.keys, have_.keys)) {
-    auto keys = readKeys(answer.keys);
-    if (keys.ok()) {
-      keys_ = std::move(*keys);
-      keysText_ = answer.keys;
-      have_.keys = answer.now.keys;
-      record("keys", have_.keys, now, outbox);
-    } else {
-      outbox.count("installs.unreadable");
-    }
-  }
-  if (!answer.weights.empty() && newer(answer.now.weights, have_.weights)) {
-    auto weights = readWeights(answer.weights);
-    if (weights.ok()) {
-      // A daemon that just started can't know how long ago the weights were named.
-      bool first = have_.weights.epoch.value == 0;
-      if (weights->version > weights_.version) learned_[weights->version] = first ? kNever : now;
-      weights_ = std::move(*weights);
-      weightsText_ = answer.weights;
-      have_.weights = answer.now.weights;
-      record("weights", have_.weights, now, outbox);
-    } else {
-      outbox.count("installs.unreadable");
-    }
+template <class Reader, class Taker>
+void Follower::installSection(std::string_view name, const Offered& offered, Reader read,
+                              Taker take, MonotonicTime now, Outbox& outbox) {
+  // A section goes only upward, and only with a text that reads well.
+  if (offered.text.empty() || !newer(offered.version, offered.mine)) return;
+  auto section = read(offered.text);
+  if (!section.ok()) {
+    outbox.count("installs.unreadable");
+    return;
   }
+  take(std::move(*section));
+  offered.kept = offered.text;
+  offered.mine = offered.version;
+  record(std::string(name), offered.mine, now, outbox);
+}
+
+void Follower::takeWeights(Weights weights, MonotonicTime now) {
+  // A daemon that just started can't know how long ago the weights were named.
+  bool first = have_.weights.epoch.value == 0;
+  if (weights.version > weights_.version) learned_[weights.version] = first ? kNever : now;
+  weights_ = std::move(weights);
+}
+
+void Follower::install(const NewsAnswer& answer, MonotonicTime now, Outbox& outbox) {
+  installSection("setup", {answer.setup, answer.now.setup, have_.setup, setupText_}, readSetup,
+                 [this](Setup setup) { setup_ = std::move(setup); }, now, outbox);
+  installSection("keys", {answer.keys, answer.now.keys, have_.keys, keysText_}, readKeys,
+                 [this](Keys keys) { keys_ = std::move(keys); }, now, outbox);
+  installSection("weights", {answer.weights, answer.now.weights, have_.weights, weightsText_},
+                 readWeights, [&](Weights weights) { takeWeights(std::move(weights), now); }, now,
+                 outbox);
 }
 
 void Follower::hear(const NewsAnswer& answer, MonotonicTime now, Outbox& outbox) {
--- a/src/core/follower.h
+++ b/src/core/follower.h
@@ -67,6 +67,17 @@
 
  private:
   void ask(const Address& to, bool relayed, MonotonicTime now, Outbox& outbox);
+  /// A section as it was offered, and what is here of it.
+  struct Offered {
+    const std::string& text;
+    const SetupVersion& version;
+    SetupVersion& mine;
+    std::string& kept;
+  };
+  template <class Reader, class Taker>
+  void installSection(std::string_view name, const Offered& offered, Reader read, Taker take,
+                      MonotonicTime now, Outbox& outbox);
+  void takeWeights(Weights weights, MonotonicTime now);
   bool newer(const SetupVersion& offered, const SetupVersion& mine) const;
   void install(const NewsAnswer& answer, MonotonicTime now, Outbox& outbox);
   void record(std::string section, const SetupVersion& version, MonotonicTime now, Outbox& outbox);
