--- a/src/core/fetch_desk.cc
+++ b/src/core/fetch_desk.cc
@@ -115,7 +115,6 @@
     const PlanShare& share = plan_.shares.at(stream);
     rung = paced(kept, share.rung, share.bottleneck, now, outbox);
   }
-  changed_ = true;
   kept.rung = rung;
   kept.rate = setup.rungs.at(static_cast<std::size_t>(rung)).rate;
   outbox.count("fetch.begun");
@@ -156,10 +155,9 @@
     outbox.count("fetch.short");
   }
   fetches_.erase(found);
-  changed_ = true;
 }
 
-void FetchDesk::drop(StreamId stream) { changed_ = fetches_.erase(stream) > 0 || changed_; }
+void FetchDesk::drop(StreamId stream) { fetches_.erase(stream); }
 
 void FetchDesk::hear(const UsageNote& note, MonotonicTime now) {
   Others& others = others_[note.front];
--- a/src/core/fetch_desk.h
+++ b/src/core/fetch_desk.h
@@ -60,8 +60,6 @@
   /// What this front tells the others. Example: `outbox.send(to, desk.note(self, setup))`.
   UsageNote note(MemberId self, const Setup& setup);
 
-  /// Whether fetches began or ended since the last call. Example: a note is due.
-  bool changed() { return std::exchange(changed_, false); }
   const Plan& plan() const { return plan_; }
   /// What the plan may use of a link now. Example: for the status page.
   double capacity(const LinkId& link, MonotonicTime now) const;
@@ -92,7 +90,7 @@
   std::map<MemberId, Others> others_;
   std::map<std::pair<TenantId, LinkId>, Paced> rungs_;
   Plan plan_;
-  bool touched_ = false, changed_ = false;
+  bool touched_ = false;
   MonotonicTime nextRun_{}, lastRun_ = kNever;
   std::uint64_t rungChanges_ = 0;
 };
--- a/src/core/front_node.cc
+++ b/src/core/front_node.cc
@@ -47,9 +47,7 @@
     listTicket_ = outbox_.ticket();
     outbox_.push(CallWeb{*listTicket_, platform_, "GET", "/engines", {}, "", seconds(1)});
   }
-  // Fetches last tenths of a second: a note that waits for its turn tells of what is over.
-  bool told = fetches_->changed() || now >= nextUsage_;
-  if (told && follower_->installed()) {
+  if (now >= nextUsage_ && follower_->installed()) {
     nextUsage_ = now + seconds(0.5);
     UsageNote note = fetches_->note(membership_->self().member, follower_->setup());
     for (const auto& front : membership_->liveFronts())
