Rehearsals report how far fronts' levels of one crowded link differ

Cause: the design wants one common level for each crowded link, and nothing measured it. Before: no figure.

--- a/src/sim/checker.cc
+++ b/src/sim/checker.cc
@@ -49,6 +49,7 @@
 
 void Checker::watch() {
   watchVersions();
+  watchLevels();
   int leaders = 0;
   for (auto& process : world_.processes()) {
     if (!process->alive || process->frozen || process->role != Role::kCore) continue;
@@ -64,6 +65,29 @@
   primaryAt_.emplace_back(world_.now(), leaders == 1);
 }
 
+void Checker::watchLevels() {
+  // Fronts that share a crowded link should stand at one common level of it.
+  std::map<LinkId, std::pair<double, double>> range;
+  std::map<LinkId, int> fronts;
+  for (auto& process : world_.processes()) {
+    if (!process->alive || process->frozen || process->role != Role::kFront) continue;
+    const FetchDesk& desk = static_cast<FrontNode&>(*process->node).fetches();
+    if (desk.live() == 0) continue;
+    for (const auto& group : desk.plan().groups) {
+      if (group.ratio <= 1) continue;  // with room for all, each stands at its own top
+      auto [entry, fresh] = range.try_emplace(group.link, group.level, group.level);
+      entry->second.first = std::min(entry->second.first, group.level);
+      entry->second.second = std::max(entry->second.second, group.level);
+      ++fronts[group.link];
+    }
+  }
+  for (const auto& [link, levels] : range) {
+    if (fronts[link] < 2) continue;
+    levelSpread_ += levels.second - levels.first;
+    ++levelPairs_;
+  }
+}
+
 void Checker::watchVersions() {
   for (auto& process : world_.processes()) {
     if (!process->alive || process->role != Role::kFront) continue;
@@ -215,6 +239,8 @@
   figures_["fetch-excess"] = fetch.excess / count;
   figures_["fetch-seconds"] = fetch.took / count;
   figures_["fetch-rate"] = fetch.rates / count;
+  figures_["level-spread"] = levelSpread_ / std::max(1.0, levelPairs_);
+  figures_["level-pairs"] = levelPairs_;
   figures_["messages"] = static_cast<double>(world_.messages());
   for (const auto& expectation : world_.scenario().expectations) judge(expectation);
 }
--- a/src/sim/checker.h
+++ b/src/sim/checker.h
@@ -39,6 +39,7 @@
   double goodput(MonotonicTime from, MonotonicTime to) const;
   void judge(const Expectation& expectation);
   void watchVersions();
+  void watchLevels();
   void compareRuns();
   void acknowledgedStays();
 
@@ -50,6 +51,7 @@
   std::vector<std::pair<MonotonicTime, bool>> primaryAt_;
   std::set<std::pair<std::string, std::string>> inForce_;  // host and change
   MonotonicTime lastPrimary_ = kForever;
+  double levelSpread_ = 0, levelPairs_ = 0;
 };
 
 }  // namespace peppergate
