--- a/src/sim/scenario.h
+++ b/src/sim/scenario.h
@@ -13,7 +13,7 @@
 enum class Verb : std::uint8_t {
   kKill, kStart, kWipe, kReplace, kFreeze, kThaw, kCut, kHeal, kDisk, kDrain, kUndrain, kGone,
   kReturn, kWeights, kWithdraw, kStamp, kRace, kStorm, kLarge, kTraffic, kFlood, kLink, kReports,
-  kSeeds, kRestart, kReset, kNewWall, kGarble,
+  kSeeds, kRestart, kReset, kNewWall, kGarble, kPart,
 };
 
 /// One line "at TIME VERB WORDS". Example: `at 10s kill primary`.
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -76,7 +76,7 @@
     auto found = groups_.find(host);
     return found == groups_.end() ? 0 : found->second;
   };
-  return groupOf(one) == groupOf(other);
+  return groupOf(one) == groupOf(other) && !parted_.contains({one, other});
 }
 
 SimProcess* World::processAt(const Address& address) {
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -175,6 +175,7 @@
   std::vector<std::unique_ptr<SimEngine>> engines_;  // the store last
   std::map<std::string, int> groups_;
   int lastGroup_ = 0;
+  std::set<std::pair<std::string, std::string>> parted_;  // pairs that don't hear each other
   std::vector<std::shared_ptr<Run>> runs_;
   std::vector<SimChange> changes_;
   std::map<std::string, double> rackFetching_;
--- a/src/sim/world_actions.cc
+++ b/src/sim/world_actions.cc
@@ -108,10 +108,18 @@
         if (std::ranges::find(hosts, process->host) != hosts.end()) process->disturbed = now_;
       break;
     }
+    case Verb::kPart: {  // only these don't hear each other; all others hear them
+      auto hosts = hostsIn(words);
+      for (const auto& one : hosts)
+        for (const auto& other : hosts)
+          if (one != other) parted_.insert({one, other});
+      break;
+    }
     case Verb::kHeal:
       for (auto& process : processes_)
         if (groups_.contains(process->host)) process->disturbed = now_;
       groups_.clear();
+      parted_.clear();
       break;
     case Verb::kDisk: {
       DiskMode mode = words.back() == "slow"   ? DiskMode::kSlow
