A part with two voters of the last view serves on: caretakers, and a third voter's word

Cause: without three of four voters nobody gave proofs, so a core split two and two, or two lost cores, stopped all new streams for as long as it lasted, though nothing could be withdrawn. Change: a change is acknowledged once a majority of voters holds it; a core with grants of two voters, timed like a primary's, vouches for its part; live streams end where the proof is 4.5 s old; voters bind again for a whole hold after a leap of their clock; simulated clocks differ by 1 %. Ruled out: bindings on disk (a lost machine could never be unbound).

--- /dev/null
+++ b/src/core/caretaker.h
@@ -0,0 +1,67 @@
+#pragma once
+// Where no primary can be, two voters of four bound by a short hold vouch for their part.
+// See docs/design-caretakers.md.
+#include <map>
+#include <set>
+
+#include "core/follower.h"
+#include "core/leadership.h"
+
+namespace peppergate {
+
+/// Example: `caretaker.tick(now, outbox); if (caretaker.vouches(now)) follower.vouch(now);`
+class Caretaker {
+ public:
+  Caretaker(const Props& props, Voter& voter, Leadership& leadership, Membership& membership,
+            Follower& follower, Random& random, MonotonicTime started);
+
+  /// Looks for voters, asks for grants, renews, or makes room. Example: each tick.
+  void tick(MonotonicTime now, Outbox& outbox);
+  /// Another core asks for this voter's grant, or only who is there. Example: on a CaretakerAsk.
+  void ask(const Address& from, const CaretakerAsk& ask, MonotonicTime now, Outbox& outbox);
+  /// A voter's answer. Example: on a CaretakerAnswer.
+  void hear(const CaretakerAnswer& answer, MonotonicTime now, Outbox& outbox);
+  /// A candidate's question reached this core. Example: on a PromiseAsk of another core.
+  void candidateHeard(MonotonicTime now, Outbox& outbox);
+
+  /// Whether this core vouches for its part now. Example: see the class.
+  bool vouches(MonotonicTime now) const { return now < holdUntil_; }
+  /// Whether it is about to vouch, or does; then it doesn't stand. Example: in status pages.
+  bool wants() const { return wants_; }
+
+ private:
+  struct Round {
+    std::set<CoreId> voters;
+    bool intact = false;
+    bool allProven = true;
+  };
+  bool able() const;
+  bool proven() const { return follower_.primaryOrigin() > started_; }
+  void adoptOwnCopy(MonotonicTime now, Outbox& outbox);
+  void count(Round& round, CoreId voter, bool intact, bool isProven) const;
+  void sendRound(bool grant, MonotonicTime now, Outbox& outbox);
+  void quit(std::string_view why, Outbox& outbox);
+  void yield(MonotonicTime now, std::string_view why, Outbox& outbox);
+  std::set<CoreId> inSight(MonotonicTime now) const;
+  std::size_t needed() const;
+  CoreId self() const { return voter_.record().identity; }
+
+  Props props_;
+  Voter& voter_;
+  Leadership& leadership_;
+  Membership& membership_;
+  Follower& follower_;
+  Random& random_;
+  MonotonicTime started_;
+  MonotonicTime lookingSince_ = kForever, nextAsk_{}, nextNote_{}, yieldUntil_ = kNever;
+  MonotonicTime sightSince_ = kForever, mayYieldAgain_ = kNever;
+  MonotonicTime holdUntil_ = kNever;
+  Duration yieldFor_{};
+  std::map<std::int64_t, Round> rounds_;  // by the time of asking
+  std::map<CoreId, MonotonicTime> seen_;
+  SectionVersions highest_;               // of what granters told
+  bool wants_ = false;
+  bool vouching_ = false;
+};
+
+}  // namespace peppergate
--- a/src/core/core_node.cc
+++ b/src/core/core_node.cc
@@ -60,6 +60,8 @@
   leadership_ = std::make_unique<Leadership>(props, *voter_, *membership_, random_,
                                              loadCopy(found));
   follower_ = std::make_unique<Follower>(props, *membership_, random_);
+  caretaker_ = std::make_unique<Caretaker>(props, *voter_, *leadership_, *membership_, *follower_,
+                                           random_, now);
   desk_ = std::make_unique<OperatorDesk>(props, *membership_, *follower_);
   if (voterTorn(found)) leadership_->suspect(outbox_);
   if (foundCores > 0) leadership_->found(foundCores);
@@ -86,15 +88,23 @@
   }
 }
 
+void CoreNode::putInForce(MonotonicTime now) {
+  if (leadership_->names(now))
+    follower_->lead(leadership_->published(), leadership_->view(), now, outbox_);
+  else if (caretaker_->vouches(now))
+    follower_->vouch(now);
+}
+
 void CoreNode::tick(MonotonicTime now) {
+  voter_->notice(now);
   membership_->tick(now, outbox_);
   leadership_->noteSettled(follower_->settledView(), now, outbox_);
+  caretaker_->tick(now, outbox_);
+  leadership_->mayStand(!caretaker_->wants());
   leadership_->tick(now, outbox_);
   follower_->noteView(leadership_->view());
-  if (leadership_->leads(now))
-    follower_->lead(leadership_->published(), leadership_->view(), now, outbox_);
-  else
-    follower_->tick(now, outbox_);
+  putInForce(now);
+  if (!leadership_->names(now)) follower_->tick(now, outbox_);
   desk_->tick(now, outbox_);
   answerNews(now);
 }
@@ -102,9 +112,12 @@
 void CoreNode::arrived(const Arrived& event, MonotonicTime now) {
   const Address& from = event.from;
   const Message& message = event.message;
+  voter_->notice(now);
   if (auto* shuffle = std::get_if<Shuffle>(&message)) heard(*shuffle, now);
-  else if (auto* promise = std::get_if<PromiseAsk>(&message)) voter_->ask(from, *promise, now, outbox_);
-  else if (auto* promised = std::get_if<PromiseAnswer>(&message))
+  else if (auto* promise = std::get_if<PromiseAsk>(&message)) {
+    if (promise->candidate != voter_->record().identity) caretaker_->candidateHeard(now, outbox_);
+    voter_->ask(from, *promise, now, outbox_);
+  } else if (auto* promised = std::get_if<PromiseAnswer>(&message))
     leadership_->hear(*promised, now, outbox_);
   else if (auto* accept = std::get_if<AcceptAsk>(&message)) voter_->ask(from, *accept, now, outbox_);
   else if (auto* accepted = std::get_if<AcceptAnswer>(&message))
@@ -119,11 +132,29 @@
     leadership_->take(from, *change, now, outbox_);
   else if (auto* changed = std::get_if<ChangeAnswer>(&message)) desk_->hear(*changed, now, outbox_);
   else if (auto* hold = std::get_if<HoldAsk>(&message)) grantEngines(from, *hold, now);
+  else if (auto* holder = std::get_if<HolderAsk>(&message)) heard(from, *holder, now);
+  else if (auto* held = std::get_if<HolderAnswer>(&message)) leadership_->hear(*held, now, outbox_);
+  else if (auto* care = std::get_if<CaretakerAsk>(&message))
+    caretaker_->ask(from, *care, now, outbox_);
+  else if (auto* cared = std::get_if<CaretakerAnswer>(&message))
+    caretaker_->hear(*cared, now, outbox_);
+  else if (std::holds_alternative<CaretakerNote>(message))
+    follower_->noteCaretaker(from, now, outbox_);
   else outbox_.count("messages.unexpected");
-  if (leadership_->leads(now)) {
-    follower_->lead(leadership_->published(), leadership_->view(), now, outbox_);
-    answerNews(now);
-  }
+  putInForce(now);
+  if (leadership_->names(now)) answerNews(now);
+}
+
+void CoreNode::heard(const Address& from, const HolderAsk& ask, MonotonicTime now) {
+  if (leadership_->isSuspect()) return;
+  NewsAnswer news;
+  news.now = ask.now;
+  news.setup = ask.setup;
+  news.keys = ask.keys;
+  news.weights = ask.weights;
+  follower_->adopt(news, now, outbox_);
+  outbox_.send(from, HolderAnswer{ask.epoch, voter_->record().identity, ask.version,
+                                  follower_->have()});
 }
 
 void CoreNode::heard(const Shuffle& shuffle, MonotonicTime now) {
@@ -132,7 +163,7 @@
 }
 
 void CoreNode::heard(const Address& from, const NewsAsk& ask, MonotonicTime now) {
-  if (!leadership_->leads(now)) {
+  if (!leadership_->names(now)) {
     NewsAnswer answer = follower_->relay(ask, now);
     if (!answer.proof && leadership_->view().epoch > answer.view.epoch) answer.view = leadership_->view();
     outbox_.send(from, std::move(answer));
@@ -145,7 +176,7 @@
 }
 
 void CoreNode::answerNews(MonotonicTime now) {
-  if (!leadership_->leads(now)) {
+  if (!leadership_->names(now)) {
     askers_.clear();
     return;
   }
@@ -226,6 +257,8 @@
           {"district", membership_->self().district.value},
           {"phase", kPhases[static_cast<std::size_t>(leadership_->phase())]},
           {"leads", leadership_->leads(now)},
+          {"vouches", caretaker_->vouches(now)},
+          {"proofFrom", follower_->vouchedBy(now)},
           {"diskSuspect", leadership_->isSuspect()},
           {"diskStalled", leadership_->isStalled()},
           {"view",
--- a/src/core/core_node.h
+++ b/src/core/core_node.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <memory>
 
+#include "core/caretaker.h"
 #include "core/follower.h"
 #include "core/leadership.h"
 #include "core/operator_desk.h"
@@ -48,12 +49,15 @@
   const Leadership& leadership() const { return *leadership_; }
   const Voter& voter() const { return *voter_; }
   const Follower& follower() const { return *follower_; }
+  const Caretaker& caretaker() const { return *caretaker_; }
 
  private:
   void arrived(const Arrived& event, MonotonicTime now);
   void heard(const Address& from, const NewsAsk& ask, MonotonicTime now);
   void heard(const Shuffle& shuffle, MonotonicTime now);
   void tick(MonotonicTime now);
+  void heard(const Address& from, const HolderAsk& ask, MonotonicTime now);
+  void putInForce(MonotonicTime now);
   void answerNews(MonotonicTime now);
   void tellTheRest();
   void grantEngines(const Address& from, const HoldAsk& ask, MonotonicTime now);
@@ -74,6 +78,7 @@
   std::unique_ptr<Voter> voter_;
   std::unique_ptr<Leadership> leadership_;
   std::unique_ptr<Follower> follower_;
+  std::unique_ptr<Caretaker> caretaker_;
   std::unique_ptr<OperatorDesk> desk_;
   std::map<MemberId, Asker> askers_;
   std::map<EngineId, EngineGrant> engineGrants_;
--- a/src/core/follower.cc
+++ b/src/core/follower.cc
@@ -14,6 +14,17 @@
 }
 
 void Follower::tick(MonotonicTime now, Outbox& outbox) {
+  if (vouchedBy(now) != lastVoucher_) {
+    lastVoucher_ = vouchedBy(now);
+    outbox.count("proofs.by." + std::string(lastVoucher_));
+    outbox.push(NoteState{"proofs now from " + std::string(lastVoucher_)});
+  }
+  // Where no primary is heard, a caretaker of this part answers in its place.
+  bool noPrimary = now - primaryOrigin_ > props_.newsTimeout + milliseconds(200);
+  if (noPrimary && now - caretakerHeard_ < seconds(2) && now - askedCaretaker_ > props_.newsWait) {
+    askedCaretaker_ = now;
+    ask(caretaker_, true, now, outbox);
+  }
   if (now < nextAsk_) return;
   Address primary = membership_.addressOf(view_.primary);
   bool silent = waiting_ && now - askedPrimary_ > props_.newsTimeout;
@@ -104,8 +115,24 @@
   // The proof only counts if all that it speaks of is in force here.
   bool whole = have_.setup >= answer.now.setup && have_.keys >= answer.now.keys &&
                have_.weights >= answer.now.weights;
-  if (whole) proofOrigin_ = std::max(proofOrigin_, answer.sentAt - answer.age);
-  else outbox.count("news.partial");
+  if (!whole) {
+    outbox.count("news.partial");
+    return;
+  }
+  MonotonicTime origin = answer.sentAt - answer.age;
+  proofOrigin_ = std::max(proofOrigin_, origin);
+  if (!answer.vouched) primaryOrigin_ = std::max(primaryOrigin_, origin);
+}
+
+void Follower::noteCaretaker(const Address& from, MonotonicTime now, Outbox& outbox) {
+  if (from != caretaker_) outbox.count("caretakers.heard");
+  caretaker_ = from;
+  caretakerHeard_ = now;
+}
+
+std::string_view Follower::vouchedBy(MonotonicTime now) const {
+  if (now - proofOrigin_ >= props_.proofLimit) return "nobody";
+  return proofOrigin_ > primaryOrigin_ ? "caretaker" : "primary";
 }
 
 NewsAnswer Follower::relay(const NewsAsk& ask, MonotonicTime now) const {
@@ -113,12 +140,10 @@
   answer.sentAt = ask.sentAt;
   answer.now = have_;
   answer.proof = installed() && fresh(now);
+  answer.vouched = proofOrigin_ > primaryOrigin_;
   answer.view = answer.proof ? settledView_ : view_;
   answer.age = proofAge(now);
-  if (!answer.proof) return answer;
-  if (have_.setup > ask.have.setup) answer.setup = setupText_;
-  if (have_.keys > ask.have.keys) answer.keys = keysText_;
-  if (have_.weights > ask.have.weights) answer.weights = weightsText_;
+  if (answer.proof) fill(answer, ask.have);
   return answer;
 }
 
@@ -132,7 +157,7 @@
   answer.keys = state.keysText();
   answer.weights = state.weightsText();
   if (have_ != answer.now) install(answer, now, outbox);
-  proofOrigin_ = now;
+  proofOrigin_ = primaryOrigin_ = now;
 }
 
 bool Follower::withdraw(const KeyDigest& digest, Outbox& outbox) {
--- a/src/core/follower.h
+++ b/src/core/follower.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <string_view>
 
 #include "core/control_state.h"
 #include "core/membership.h"
@@ -30,6 +31,23 @@
   NewsAnswer relay(const NewsAsk& ask, MonotonicTime now) const;
   /// The primary itself: its own published state is in force here at once.
   void lead(const ControlState& state, const View& view, MonotonicTime now, Outbox& outbox);
+  /// Installs what is newer in texts that are known to last, without any proof.
+  /// Example: what a primary asks this voter to hold.
+  void adopt(const NewsAnswer& news, MonotonicTime now, Outbox& outbox) {
+    install(news, now, outbox);
+  }
+  /// This core vouches for its part under its hold. Example: `vouch(now)` in a caretaker.
+  void vouch(MonotonicTime now) { proofOrigin_ = std::max(proofOrigin_, now); }
+  /// A caretaker said where it is. Example: on a CaretakerNote.
+  void noteCaretaker(const Address& from, MonotonicTime now, Outbox& outbox);
+  /// Its newer sections for someone who has less. Example: `fill(answer, ask.have)`.
+  template <class Answer>
+  void fill(Answer& answer, const SectionVersions& have) const {
+    answer.now = have_;
+    if (have_.setup > have.setup) answer.setup = setupText_;
+    if (have_.keys > have.keys) answer.keys = keysText_;
+    if (have_.weights > have.weights) answer.weights = weightsText_;
+  }
   /// Applies a withdrawal at once and passes it on. Example: `withdraw(digest, outbox)`.
   bool withdraw(const KeyDigest& digest, Outbox& outbox);
   /// The tombstones to carry in shuffles. Example: `shuffle.withdrawn = recentWithdrawn()`.
@@ -43,6 +61,14 @@
   bool fresh(MonotonicTime now) const {
     return now - proofOrigin_ < props_.proofLimit || !props_.guards(Guard::kFreshness);
   }
+  /// When the newest proof of a primary itself began. Example: asked by caretakers.
+  MonotonicTime primaryOrigin() const { return primaryOrigin_; }
+  /// Whether a live stream may go on: its key may have been withdrawn since the last proof.
+  bool mayGoOn(MonotonicTime now) const {
+    return now - proofOrigin_ < props_.liveLimit || !props_.guards(Guard::kLiveStale);
+  }
+  /// Who stands behind the proof. Example: `"primary"`, `"caretaker"`, `"nobody"`.
+  std::string_view vouchedBy(MonotonicTime now) const;
   /// The age of the newest proof. Example: for the status page.
   Duration proofAge(MonotonicTime now) const { return now - proofOrigin_; }
   bool installed() const { return have_.setup.epoch.value != 0; }
@@ -93,7 +119,10 @@
   std::string setupText_, keysText_, weightsText_;
   std::set<KeyDigest> heardWithdrawn_;
   std::deque<KeyDigest> recentWithdrawn_;
-  MonotonicTime proofOrigin_ = kNever;
+  MonotonicTime proofOrigin_ = kNever, primaryOrigin_ = kNever;
+  Address caretaker_;
+  MonotonicTime caretakerHeard_ = kNever, askedCaretaker_ = kNever;
+  std::string_view lastVoucher_ = "nobody";
   std::map<WeightsVersion, MonotonicTime> learned_;
   MonotonicTime askedPrimary_ = kNever, askedRelay_ = kNever, nextAsk_{};
   bool waiting_ = false;
--- a/src/core/front_node.cc
+++ b/src/core/front_node.cc
@@ -108,6 +108,8 @@
     index_->hear(from, *put, outbox_);
   } else if (auto* ask = std::get_if<IndexAsk>(&message)) {
     index_->hear(from, *ask, outbox_);
+  } else if (std::holds_alternative<CaretakerNote>(message)) {
+    follower_->noteCaretaker(from, now, outbox_);
   } else if (auto* usage = std::get_if<UsageNote>(&message)) {
     fetches_->hear(*usage, now);
   } else {
@@ -159,6 +161,7 @@
           {"address", membership_->self().address.value},
           {"district", membership_->self().district.value},
           {"fresh", follower_->fresh(now)},
+          {"proofFrom", follower_->vouchedBy(now)},
           {"proofAgeMilliseconds", inMilliseconds(follower_->proofAge(now))},
           {"sections", toJson(follower_->have())},
           {"weights", follower_->weights().version.value},
--- a/src/core/leadership.cc
+++ b/src/core/leadership.cc
@@ -43,6 +43,16 @@
     }
   if (stalled_) return;
   if (settledHere_ && !leads(now)) stepDown(now, outbox, "the hold ran out");
+  // Who can't reach a majority holds no votes for long: a caretaker of its part may need them.
+  std::set<CoreId> answered = promised_;
+  answered.insert(declined_.begin(), declined_.end());
+  if (phase_ == LeaderPhase::kGathering && !settledHere_ && now - phaseSince_ > seconds(0.7) &&
+      !majority(answered, old_.voters)) {
+    phase_ = LeaderPhase::kFollowing;
+    voter_.release(self());
+    nextTry_ = now + milliseconds(200 + static_cast<std::int64_t>(random_.below(600)));
+    outbox.count("views.hopeless");
+  }
   // While it gathers it asks again, too: grants to the last primary may just be running out.
   bool renews = settledHere_ || phase_ == LeaderPhase::kGathering ||
                 phase_ == LeaderPhase::kCopying || phase_ == LeaderPhase::kAccepting;
@@ -91,7 +101,7 @@
     started_ = true;
     nextTry_ = now + props_.hold + milliseconds(static_cast<std::int64_t>(random_.below(600)));
   }
-  if (now < nextTry_) return;
+  if (now < nextTry_ || !mayStand_) return;
   if (foundCores_ > 0 && view_.epoch.value == 0) {
     std::vector<CoreId> cores;
     for (const auto& record : membership_.live())
@@ -249,6 +259,7 @@
   if (phase_ == LeaderPhase::kAccepting) askAcceptance(outbox);
   if (phase_ == LeaderPhase::kCopying && !backupSynced_) sendCopy(outbox, true);
   if (phase_ == LeaderPhase::kLeading && batchState_ && !backupSynced_) sendCopy(outbox, false);
+  if (settledHere_ && heldState_ && !majority(holders_, view_.voters)) tellHolders(true, outbox);
 }
 
 void Leadership::hear(const AcceptAnswer& answer, MonotonicTime now, Outbox& outbox) {
@@ -283,6 +294,8 @@
   unconfirmed_ = view_.base != view_.epoch || view_.backup.value == 0;
   published_ = batchState_ && !unconfirmed_ ? *batchState_ : copy_.state;
   hasPublished_ = true;
+  named_ = named_ && held(published_);
+  if (!named_) askHolders(published_, outbox);
   outbox.count("views.settled");
   outbox.push(NoteState{"core: leads view " + std::to_string(view_.epoch.value) +
                         (unconfirmed_ ? " without a confirmed backup" : " with its backup")});
@@ -295,7 +308,8 @@
 }
 
 void Leadership::stepDown(MonotonicTime now, Outbox& outbox, std::string_view why) {
-  settledHere_ = standing_ = recapture_ = false;
+  settledHere_ = standing_ = recapture_ = named_ = false;
+  heldState_.reset();
   holdEpoch_ = {};
   phase_ = LeaderPhase::kFollowing;
   batchState_.reset();
--- a/src/core/leadership.h
+++ b/src/core/leadership.h
@@ -43,6 +43,7 @@
   void hear(const AcceptAnswer& answer, MonotonicTime now, Outbox& outbox);
   void hear(const Address& from, const CopyAsk& ask, MonotonicTime now, Outbox& outbox);
   void hear(const CopyAnswer& answer, MonotonicTime now, Outbox& outbox);
+  void hear(const HolderAnswer& answer, MonotonicTime now, Outbox& outbox);
   /// Takes an operator's change. Example: `leadership.take(from, ask, now, outbox);`
   void take(const Address& from, const ChangeAsk& ask, MonotonicTime now, Outbox& outbox);
   /// Ends a write; true if the ticket was one of the copies'. Example: on FileWritten.
@@ -56,6 +57,20 @@
 
   /// Whether this core leads under its hold. Example: `leads(now)` before each proof.
   bool leads(MonotonicTime now) const;
+  /// Whether it may name its state in proofs, too: a majority of the voters holds it.
+  /// Example: `names(now)` before each proof.
+  bool names(MonotonicTime now) const { return leads(now) && named_; }
+  /// Whether it may stand for election now; a caretaker in charge says no. Example: each tick.
+  void mayStand(bool may) { mayStand_ = may; }
+  /// The copy on this disk, if this core is a member of the view with a copy made for it.
+  /// Example: `intactCopy(voter.record().accepted)`.
+  const ControlState* intactCopy(const View& view) const;
+  /// Whether anything acknowledged in this life is known for certain. Example: a former primary.
+  bool hasPublished() const { return hasPublished_; }
+  /// Whether the phase leaves room for a caretaker. Example: `idle()` in its tick.
+  bool idle() const { return phase_ == LeaderPhase::kFollowing && !settledHere_; }
+  /// Whether so many of these voters are a majority. Example: `majority(granted, view.voters)`.
+  static bool majority(const std::set<CoreId>& yes, const std::vector<CoreId>& voters);
   /// What was acknowledged, for fronts. Example: `published().sections()`.
   const ControlState& published() const { return published_; }
   /// The newest view that this core knows of. Example: `view().primary`.
@@ -97,7 +112,9 @@
   std::vector<CoreId> wantedVoters(MonotonicTime now);
   void refuseWaiting(ChangeOutcome outcome, Outbox& outbox);
   void answerChange(const Address& to, ChangeAnswer answer, Outbox& outbox);
-  static bool majority(const std::set<CoreId>& yes, const std::vector<CoreId>& voters);
+  void askHolders(const ControlState& state, Outbox& outbox);
+  void tellHolders(bool whole, Outbox& outbox);
+  bool held(const ControlState& state) const;
   CoreId self() const { return voter_.record().identity; }
 
   Props props_;
@@ -118,6 +135,10 @@
   Epoch holdEpoch_;           // the epoch that renewals name
   Epoch seen_;         // highest epoch heard
   std::set<CoreId> promised_, accepted_, declined_;
+  std::set<CoreId> holders_;       // voters that surely have heldState_
+  std::optional<ControlState> heldState_;
+  bool named_ = false;             // a majority holds what is published
+  bool mayStand_ = true;
   MonotonicTime phaseSince_{}, nextTry_{}, nextRenewal_{};
   std::map<std::int64_t, std::set<CoreId>> renewals_;  // by send time
   MonotonicTime holdUntil_ = kNever;
--- a/src/core/leadership_copies.cc
+++ b/src/core/leadership_copies.cc
@@ -149,7 +149,7 @@
     });
     return;
   }
-  if (!leads(now)) return;
+  if (!names(now)) return;
   ControlState draft = copy_.state;
   SetupVersion before = draft.version();
   if (newerSeen_ != SectionVersions{} && !draft.stampOver(newerSeen_, view_.epoch))
@@ -178,8 +178,14 @@
 void Leadership::finishBatch(MonotonicTime now, Outbox& outbox) {
   bool synced = backupSynced_ || !props_.guards(Guard::kBackupSync);
   if (!ownSynced_ || !synced || !batchState_) return;
+  if (props_.guards(Guard::kThirdVoter) && !held(*batchState_)) {
+    if (!heldState_ || heldState_->version() != batchState_->version())
+      askHolders(*batchState_, outbox);
+    if (!held(*batchState_)) return;
+  }
   if (!leads(now)) return;  // the tick steps down and answers "lost"
   published_ = *batchState_;
+  named_ = true;
   batchState_.reset();
   for (auto& [to, answer] : batch_) answerChange(to, answer, outbox);
   batch_.clear();
@@ -232,7 +238,8 @@
                     failedRecruits_.contains(view_.backup);
   if (unconfirmed_ || backupGone) wanted.backup = pickRecruit(now);
   bool same = wanted.backup == view_.backup && wanted.voters == view_.voters;
-  bool stuck = batchState_ && now - batchSince_ > props_.copyTimeout;
+  bool stuck = batchState_ && now - batchSince_ > props_.copyTimeout &&
+               !(ownSynced_ && backupSynced_);
   if (wanted.backup.value == 0 || (same && !unconfirmed_ && !stuck && !recapture_)) return;
   nextTry_ = now + milliseconds(200);
   unconfirmed_ = true;  // from here on nothing is acknowledged until a higher view is settled
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -124,16 +124,70 @@
 
 struct NewsAnswer {
   MonotonicTime sentAt;  // the asker's own stamp, sent back
-  bool proof = false;    // traceable to a primary under its hold
+  bool proof = false;    // traceable to a primary, or a caretaker, under its hold
+  bool vouched = false;  // to a caretaker, not to a primary
   Duration age;          // how old the proof was when it left
   View view;
   SectionVersions now;
   std::string setup, keys, weights;  // empty where the asker had the newest
-  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(sentAt) PEPPERGATE_FIELD(proof) PEPPERGATE_FIELD(age)
-                        PEPPERGATE_FIELD(view) PEPPERGATE_FIELD(now) PEPPERGATE_FIELD(setup)
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(sentAt) PEPPERGATE_FIELD(proof) PEPPERGATE_FIELD(vouched)
+                        PEPPERGATE_FIELD(age) PEPPERGATE_FIELD(view) PEPPERGATE_FIELD(now) PEPPERGATE_FIELD(setup)
                             PEPPERGATE_FIELD(keys) PEPPERGATE_FIELD(weights))
 };
 
+/// What both copies have synced, for the other voters: a change is acknowledged once a majority of
+/// the voters holds it.
+struct HolderAsk {
+  Epoch epoch;
+  SetupVersion version;
+  SectionVersions now;
+  std::string setup, keys, weights;  // empty where the voter surely has it
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(epoch) PEPPERGATE_FIELD(version) PEPPERGATE_FIELD(now)
+                        PEPPERGATE_FIELD(setup) PEPPERGATE_FIELD(keys) PEPPERGATE_FIELD(weights))
+};
+
+struct HolderAnswer {
+  Epoch epoch;
+  CoreId voter;
+  SetupVersion version;
+  SectionVersions have;
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(epoch) PEPPERGATE_FIELD(voter) PEPPERGATE_FIELD(version)
+                        PEPPERGATE_FIELD(have))
+};
+
+struct CaretakerAsk {  // to the voters of the last accepted view
+  View view;           // as the asker accepted it
+  CoreId caretaker;
+  MonotonicTime sentAt;
+  SectionVersions have;
+  bool grant = false;  // else it only looks who answers
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(view) PEPPERGATE_FIELD(caretaker) PEPPERGATE_FIELD(sentAt)
+                        PEPPERGATE_FIELD(have) PEPPERGATE_FIELD(grant))
+};
+
+struct CaretakerAnswer {
+  CoreId voter;
+  MonotonicTime sentAt;
+  bool granted = false;
+  bool votes = false;    // its disk is good
+  bool intact = false;   // it is a member of the view with a copy made for it
+  bool proven = false;   // it had a primary's proof in this life
+  CoreId grantedTo;      // who stands in the way, if one does
+  SectionVersions now;
+  std::string setup, keys, weights;  // where the asker has less
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(voter) PEPPERGATE_FIELD(sentAt) PEPPERGATE_FIELD(granted)
+                        PEPPERGATE_FIELD(votes) PEPPERGATE_FIELD(intact) PEPPERGATE_FIELD(proven)
+                            PEPPERGATE_FIELD(grantedTo) PEPPERGATE_FIELD(now)
+                                PEPPERGATE_FIELD(setup) PEPPERGATE_FIELD(keys)
+                                    PEPPERGATE_FIELD(weights))
+};
+
+struct CaretakerNote {  // whom to ask where no primary is heard
+  CoreId caretaker;
+  Epoch view;
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(caretaker) PEPPERGATE_FIELD(view))
+};
+
 enum class ChangeOutcome : std::uint8_t {
   kDone = 0, kStale, kInvalid, kNotPrimary, kNoBackup, kTooLarge, kLost, kUnsynced, kBusy,
 };
@@ -242,6 +296,7 @@
 using Message = std::variant<Shuffle, PromiseAsk, PromiseAnswer, AcceptAsk, AcceptAnswer, CopyAsk,
                              CopyAnswer, NewsAsk, NewsAnswer, ChangeAsk, ChangeAnswer, HoldAsk,
                              HoldAnswer, EngineListNews, EngineListAsk, PictureNote, IndexPut,
-                             IndexAsk, UsageNote>;
+                             IndexAsk, UsageNote, HolderAsk, HolderAnswer, CaretakerAsk,
+                             CaretakerAnswer, CaretakerNote>;
 
 }  // namespace peppergate
--- a/src/core/props.cc
+++ b/src/core/props.cc
@@ -18,7 +18,9 @@
 
 #define ROW(name, reload) PropRow{#name, &Props::name, reload}
 constexpr std::array kRows{
-    ROW(hold, false), ROW(holdRenewal, false), ROW(holdStop, false), ROW(copyTimeout, true),
+    ROW(hold, false), ROW(holdRenewal, false), ROW(holdStop, false), ROW(caretakerAfter, false),
+    ROW(caretakerLook, false), ROW(caretakerYield, false), ROW(liveLimit, false),
+    ROW(copyTimeout, true),
     ROW(syncTimeout, true), ROW(seatAfter, true), ROW(largestSetup, true),
     ROW(rememberedChanges, true), ROW(shuffleEvery, true), ROW(suspectAfter, true),
     ROW(deadAfter, true), ROW(viewSize, true), ROW(newsWait, true), ROW(newsTimeout, true),
@@ -58,13 +60,19 @@
   bool (*holds)(const Props&);
 };
 
-constexpr std::array<Inequality, 10> kInequalities{{
+constexpr std::array<Inequality, 13> kInequalities{{
     {"holdStop < hold", [](const Props& p) { return p.holdStop < p.hold; }},
     {"2 * holdRenewal < holdStop",
      [](const Props& p) { return p.holdRenewal * 2 < p.holdStop; }},
     {"newsWait + holdStop < proofLimit",
      [](const Props& p) { return p.newsWait + p.holdStop < p.proofLimit; }},
     {"proofLimit < 4 s", [](const Props& p) { return p.proofLimit < seconds(4); }},
+    {"proofLimit < liveLimit < 5 s",
+     [](const Props& p) { return p.proofLimit < p.liveLimit && p.liveLimit < seconds(5); }},
+    {"hold < caretakerAfter < proofLimit",
+     [](const Props& p) { return p.hold < p.caretakerAfter && p.caretakerAfter < p.proofLimit; }},
+    {"hold + caretakerLook <= caretakerAfter",
+     [](const Props& p) { return p.hold + p.caretakerLook <= p.caretakerAfter; }},
     {"newsWait < newsTimeout", [](const Props& p) { return p.newsWait < p.newsTimeout; }},
     {"engineHoldStop < engineHold",
      [](const Props& p) { return p.engineHoldStop < p.engineHold; }},
--- a/src/core/props.h
+++ b/src/core/props.h
@@ -16,12 +16,14 @@
 /// its loss; no flag or settings file can.
 enum class Guard : std::uint8_t {
   kFreshness, kBudget, kNoRepeat, kEngineHold, kEngineLife, kWall, kBackupSync, kPrimaryHold,
-  kUpward, kDrainList, kOldWeights, kHonestNo, kSyncFailure, kPieceOrder,
+  kUpward, kDrainList, kOldWeights, kHonestNo, kSyncFailure, kPieceOrder, kThirdVoter,
+  kProvenGrant, kEqualViews, kOneGrant, kLiveStale, kClockLeap,
 };
-inline constexpr std::array<std::string_view, 14> kGuardNames{
+inline constexpr std::array<std::string_view, 20> kGuardNames{
     "freshness", "budget", "no-repeat", "engine-hold", "engine-life", "wall", "backup-sync",
     "primary-hold", "upward", "drain-list", "old-weights", "honest-no", "sync-failure",
-    "piece-order"};
+    "piece-order", "third-voter", "proven-grant", "equal-views", "one-grant", "live-stale",
+    "clock-leap"};
 
 struct Props {
   std::uint32_t guardsOff = 0;
@@ -33,6 +35,10 @@
   Duration hold = seconds(1.2);
   Duration holdRenewal = seconds(0.3);
   Duration holdStop = seconds(0.9);
+  // Caretakers: who vouches where no primary can be.
+  Duration caretakerAfter = seconds(2);   // without a primary's proof
+  Duration caretakerLook = seconds(0.8);  // so long it looks for voters before it asks
+  Duration caretakerYield = seconds(3);   // so long it makes room for an election
   // Control state.
   Duration copyTimeout = seconds(1.0);
   Duration syncTimeout = seconds(1.0);
@@ -48,6 +54,7 @@
   Duration newsWait = seconds(0.7);
   Duration newsTimeout = seconds(1.0);
   Duration proofLimit = seconds(3.5);
+  Duration liveLimit = seconds(4.5);  // a live stream ends where the proof is older
   // Engine watch.
   Duration engineHold = seconds(3);
   Duration engineHoldStop = seconds(2.4);
--- a/src/core/shots.cc
+++ b/src/core/shots.cc
@@ -152,6 +152,10 @@
 void Streams::piece(Stream& stream, const ShotTurned& turned, MonotonicTime now,
                     Outbox& outbox) {
   stream.mayHaveRun = true;
+  if (!front_.follower.mayGoOn(now)) {  // a woken process hands out no piece on an old proof
+    giveUp(stream, 503, "stale", outbox);
+    return;
+  }
   bool foreign = !turned.echo.empty() && turned.echo != stream.requestId;
   if (!front_.props.guards(Guard::kPieceOrder)) stream.next = turned.piece;
   if (foreign || turned.piece != stream.next) {  // lost, repeated or another's: never passed on
--- a/src/core/streams.cc
+++ b/src/core/streams.cc
@@ -207,15 +207,18 @@
 void Streams::tick(MonotonicTime now, Outbox& outbox) {
   bool keysChanged = changesSeen_ != front_.follower.changesSeen();
   changesSeen_ = front_.follower.changesSeen();
-  std::vector<StreamId> late, cut, silent;
+  std::vector<StreamId> late, cut, silent, stale;
+  bool mayGoOn = front_.follower.mayGoOn(now);
   for (const auto& [id, stream] : streams_) {
     if (now >= stream.deadline) late.push_back(id);
     else if (keysChanged && front_.follower.tenantOf(stream.key) == nullptr) cut.push_back(id);
+    else if (!mayGoOn) stale.push_back(id);
     else if (stream.shot && !stream.firstCame && now - stream.sent > front_.props.firstPieceTimeout)
       silent.push_back(id);
   }
   for (StreamId id : late) giveUp(streams_.at(id), 504, "deadline", outbox);
   for (StreamId id : cut) giveUp(streams_.at(id), 403, "key-withdrawn", outbox);
+  for (StreamId id : stale) giveUp(streams_.at(id), 503, "stale", outbox);
   for (StreamId id : silent) again(streams_.at(id), "silent", now, outbox);
 }
 
--- a/src/core/voter.cc
+++ b/src/core/voter.cc
@@ -1,5 +1,7 @@
 #include "core/voter.h"
 
+#include <algorithm>
+
 #include "core/digest.h"
 #include "wire/json_fields.h"
 
@@ -25,6 +27,7 @@
     : props_(props), durable_(std::move(record)), quietUntil_(started + props.hold) {}
 
 bool Voter::grantedToOther(CoreId core, MonotonicTime now) const {
+  if (grantIsCaretakers_ && !props_.guards(Guard::kOneGrant)) return false;
   return now < quietUntil_ || (grantedTo_ != core && now < grantedUntil_);
 }
 
@@ -32,6 +35,28 @@
   if (now < quietUntil_) return;
   grantedTo_ = core;
   grantedUntil_ = now + props_.hold;
+  grantIsCaretakers_ = false;
+}
+
+void Voter::notice(MonotonicTime now) {
+  // After a stall or a leap of the clock it can't tell how much time really passed: what was
+  // granted then holds for one whole hold from now.
+  bool leapt = lastNotice_ != kNever && now - lastNotice_ > seconds(0.4);
+  if (leapt && lastNotice_ < grantedUntil_ && props_.guards(Guard::kClockLeap))
+    grantedUntil_ = std::max(grantedUntil_, now + props_.hold);
+  lastNotice_ = now;
+}
+
+bool Voter::grantCaretaker(CoreId core, const View& view, MonotonicTime now) {
+  const View& mine = durable_.accepted;
+  bool equal = mine.epoch == view.epoch && mine.primary == view.primary;
+  equal = (equal && !inFlight_) || !props_.guards(Guard::kEqualViews);
+  bool seat = std::ranges::find(mine.voters, durable_.identity) != mine.voters.end();
+  bool other = grantedToOther(core, now) && props_.guards(Guard::kOneGrant);
+  if (suspect_ || !equal || !seat || other || now < quietUntil_) return false;
+  grant(core, now);
+  grantIsCaretakers_ = true;
+  return true;
 }
 
 bool Voter::mayPromise(const PromiseAsk& ask, MonotonicTime now) const {
--- a/src/core/voter.h
+++ b/src/core/voter.h
@@ -41,6 +41,16 @@
   void release(CoreId core) {
     if (grantedTo_ == core) grantedUntil_ = kNever;
   }
+  /// Grants this core to vouch for its part, if nobody else holds a grant and the views are equal.
+  /// Example: `voter.grantCaretaker(core, view, now)`.
+  bool grantCaretaker(CoreId core, const View& view, MonotonicTime now);
+  /// Who holds a live grant; 0: nobody. Example: told with a decline.
+  CoreId grantedTo(MonotonicTime now) const { return now < grantedUntil_ ? grantedTo_ : CoreId{}; }
+  /// Whether its disk is good. Example: told with each answer to a caretaker.
+  bool votes() const { return !suspect_; }
+  /// Time passed: a clock that leapt between two ticks must not end a grant early.
+  /// Example: each tick, before anything else.
+  void notice(MonotonicTime now);
   /// A failed or stalled disk: it votes for nothing more. Example: `voter.suspect();`
   void suspect() { suspect_ = true; }
 
@@ -65,6 +75,8 @@
   MonotonicTime quietUntil_;  // after a start it grants nothing for one hold
   CoreId grantedTo_;
   MonotonicTime grantedUntil_ = kNever;
+  bool grantIsCaretakers_ = false;
+  MonotonicTime lastNotice_ = kNever;
   bool suspect_ = false;
 };
 
--- a/src/sim/checker.cc
+++ b/src/sim/checker.cc
@@ -54,7 +54,7 @@
   for (auto& process : world_.processes()) {
     if (!process->alive || process->frozen || process->role != Role::kCore) continue;
     auto& core = static_cast<CoreNode&>(*process->node);
-    if (core.leadership().leads(world_.now() + process->clock)) ++leaders;
+    if (core.leadership().leads(process->local(world_.now()))) ++leaders;
   }
   if (leaders > 1) fail("two-primaries");
   if (leaders > 0) {
@@ -156,7 +156,7 @@
     if (!process->alive || process->frozen || process->role != Role::kFront) continue;
     if (world_.now() - process->disturbed < seconds(12)) continue;
     const Follower& follower = static_cast<FrontNode&>(*process->node).follower();
-    if (!follower.fresh(world_.now() + process->clock)) continue;
+    if (!follower.fresh(process->local(world_.now()))) continue;
     for (const auto& change : world_.changes()) {
       if (change.outcome != "done") continue;
       if (!change.tenant.empty() && !follower.setup().tenants.contains({change.tenant}))
@@ -213,7 +213,7 @@
     for (auto& process : world_.processes())
       if (process->alive)
         std::fprintf(stderr, "%s %s\n", process->host.c_str(),
-                     process->node->status(world_.now() + process->clock).dump().c_str());
+                     process->node->status(process->local(world_.now())).dump().c_str());
   compareRuns();
   acknowledgedStays();
   std::vector<double> firsts;
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -103,7 +103,7 @@
   for (auto& process : processes_) {
     if (!process->alive || process->role != Role::kCore) continue;
     auto& node = static_cast<CoreNode&>(*process->node);
-    if (node.leadership().leads(now_ + process->clock)) return process.get();
+    if (node.leadership().leads(process->local(now_))) return process.get();
   }
   return nullptr;
 }
@@ -116,6 +116,7 @@
   process.disturbed = now_;
   // Each machine's boot clock stands somewhere else; only its own differences count.
   process.clock = seconds(1000 + 100000 * random_.fraction());
+  process.rate = 0.995 + 0.01 * random_.fraction();  // cheap clocks differ by about 1 %
   MemberRecord self;
   self.member = {random_.next() >> 1};
   self.address = process.address;
@@ -130,7 +131,7 @@
     }
     std::size_t founds = process.founds ? static_cast<std::size_t>(scenario_.cores) : 0;
     process.node = std::make_unique<CoreNode>(props_, self, seeds_, found, random_.next(),
-                                              now_ + process.clock, founds);
+                                              process.local(now_), founds);
   } else {
     process.node = std::make_unique<FrontNode>(props_, self, seeds_, Address{"10.0.3.1:80"},
                                                random_.next());
@@ -159,7 +160,7 @@
       process.held.push_back(event);
     return;
   }
-  process.node->step(event, now_ + process.clock);
+  process.node->step(event, process.local(now_));
   runCommands(process);
 }
 
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -25,7 +25,12 @@
   std::unique_ptr<Node> node;
   bool alive = false;
   bool frozen = false;
-  Duration clock;  // its boot clock's lead over the simulated time
+  Duration clock;    // where its boot clock stood when the simulated time was 0
+  double rate = 1;   // how fast its boot clock goes
+  /// Its own boot clock. Example: `process.local(world.now())`.
+  MonotonicTime local(MonotonicTime now) const {
+    return MonotonicTime{} + clock + (now - MonotonicTime{}) * rate;
+  }
   std::uint64_t life = 0;
   std::map<std::string, std::string> disk;
   DiskMode diskMode = DiskMode::kGood;
--- a/src/sim/world_commands.cc
+++ b/src/sim/world_commands.cc
@@ -80,7 +80,7 @@
     });
   };
   std::string host = hostAt(command.address);
-  if (now_ + process.clock >= command.writeBefore) {
+  if (process.local(now_) >= command.writeBefore) {
     answer(Duration{1}, {command.ticket, 0, {}});
     return;
   }
--- a/src/sim/world_engines.cc
+++ b/src/sim/world_engines.cc
@@ -24,7 +24,7 @@
   SimEngine& engine = *engines_[run->engine];
   run->engineLife = engine.life;
   runs_.push_back(run);
-  if (now_ + process.clock >= command.writeBefore) {
+  if (process.local(now_) >= command.writeBefore) {
     endRun(run, ShotTurn::kNotWritten);
     return;
   }
