--- a/src/app/rehearse_command.cc
+++ b/src/app/rehearse_command.cc
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "app/commands.h"
+#include "sim/random_day.h"
 #include "sim/runner.h"
 
 namespace peppergate {
@@ -24,16 +25,24 @@
 }
 
 struct Job {
-  const Scenario* scenario;
+  const Scenario* scenario;  // none: a drawn day
   std::uint64_t seed;
 };
 
+/// Prints a failing drawn day, cut down to what matters, as a scenario file.
+void printCutDown(const RandomDay& day, const RunReport& report) {
+  std::printf("---- the same failure with less ----\n%s----\n", cutDown(day, report).text().c_str());
+}
+
 }  // namespace
 
 int rehearseCommand(const Words& words) {
   po::options_description options("peppergate rehearse FILE|FOLDER");
   options.add_options()("help", "this text")
-      ("path", po::value<std::string>()->required(), "a scenario, or a folder of them")
+      ("path", po::value<std::string>()->default_value(""), "a scenario, or a folder of them")
+      ("days", po::bool_switch(), "draw a day of failures from each seed instead of a scenario")
+      ("requests", po::value<double>()->default_value(25), "streams a second of a drawn day")
+      ("print", po::bool_switch(), "print the drawn days, run nothing")
       ("seeds", po::value<std::string>()->default_value("1-3"), "FIRST-LAST, or one seed")
       ("jobs", po::value<unsigned>()->default_value(std::thread::hardware_concurrency()), "how many at a time")
       ("bounds", po::bool_switch(), "print the worst of each bound that was seen")
@@ -46,7 +55,20 @@
     return kExitUsage;
   }
   std::string path = values["path"].as<std::string>();
-  auto files = std::filesystem::is_directory(path) ? scenarioFiles(path) : std::vector{path};
+  bool days = values["days"].as<bool>();
+  DaySize size;
+  size.requests = values["requests"].as<double>();
+  if (days == !path.empty()) {
+    std::fprintf(stderr, "either a path or --days is needed\n");
+    return kExitUsage;
+  }
+  if (days && values["print"].as<bool>()) {
+    for (std::uint64_t seed = first; seed <= last; ++seed)
+      std::printf("%s\n", drawDay(seed, size).text().c_str());
+    return kExitGood;
+  }
+  std::vector<std::string> files;
+  if (!days) files = std::filesystem::is_directory(path) ? scenarioFiles(path) : std::vector{path};
   std::vector<Scenario> scenarios;
   for (const auto& file : files) {
     auto scenario = loadScenario(file);
@@ -59,6 +81,8 @@
   std::vector<Job> jobs;
   for (const auto& scenario : scenarios)
     for (std::uint64_t seed = first; seed <= last; ++seed) jobs.push_back({&scenario, seed});
+  if (days)
+    for (std::uint64_t seed = first; seed <= last; ++seed) jobs.push_back({nullptr, seed});
   if (jobs.empty()) {
     std::fprintf(stderr, "nothing to run at '%s'\n", path.c_str());
     return kExitUsage;
@@ -69,7 +93,9 @@
   bool figures = values["figures"].as<bool>();
   auto work = [&] {
     for (std::size_t index = next++; index < jobs.size(); index = next++) {
-      RunReport report = runScenario(*jobs[index].scenario, jobs[index].seed);
+      const Job& job = jobs[index];
+      RunReport report = job.scenario != nullptr ? runScenario(*job.scenario, job.seed)
+                                                 : runDay(drawDay(job.seed, size));
       std::lock_guard lock(mutex);
       for (const auto& [name, value] : report.figures)
         if (name.starts_with("bound.") && value >= bounds[name].first)
@@ -79,6 +105,8 @@
         std::printf("FAILED %s seed %llu\n", report.scenario.c_str(),
                     static_cast<unsigned long long>(report.seed));
         for (const auto& failure : report.failures) std::printf("    %s\n", failure.c_str());
+        if (job.scenario == nullptr && failed <= 3) printCutDown(drawDay(job.seed, size), report);
+        std::fflush(stdout);
       }
       if (!figures) continue;
       std::printf("%s seed %llu:", report.scenario.c_str(),
--- a/src/sim/engine_model.cc
+++ b/src/sim/engine_model.cc
@@ -201,6 +201,7 @@
   TenantWalls& walls = walls_[tenant];
   if (walls.newest == wall) return;
   walls.former.insert(walls.newest);
+  walls.former.erase(wall);  // a whole setup may name an earlier one again
   walls.newest = wall;
   walls.since = now;
 }
