A full disk is waited for; each call of the disk task fails in a test

Cause: want of space was taken for a failed sync, so one full hour took a core's vote until a restart; the order of work was claimed, not checked. Change: no space before the sync changes nothing, gives the aside file's space back and is tried again; the machine gives up its duties meanwhile (stalled). A failed sync stays final. The five calls of a write can each fail in tests: short writes, ENOSPC, EIO, power lost before the folder's sync. Before: suspect until restart.

--- a/src/io/disk_task.cc
+++ b/src/io/disk_task.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -21,30 +22,45 @@
   return absl::UnavailableError(std::string(what) + " " + path + ": " + strerror(errno));
 }
 
-absl::Status syncFolder(const std::string& folder) {
-  int descriptor = open(folder.c_str(), O_RDONLY | O_DIRECTORY);
+int openFile(const char* path, int flags, unsigned mode) { return open(path, flags, mode); }
+long writeSome(int descriptor, const void* data, std::size_t size) {
+  return ::write(descriptor, data, size);
+}
+constexpr FileCalls kSystemCalls{&openFile, &writeSome, &fsync, &close, &std::rename};
+
+bool noSpace() { return errno == ENOSPC || errno == EDQUOT; }
+
+absl::Status syncFolder(const FileCalls& calls, const std::string& folder) {
+  int descriptor = calls.openFile(folder.c_str(), O_RDONLY | O_DIRECTORY, 0);
   if (descriptor < 0) return fileError("open", folder);
-  int result = fsync(descriptor);
-  close(descriptor);
-  return result == 0 ? absl::OkStatus() : fileError("sync", folder);
+  int result = calls.syncFile(descriptor);
+  absl::Status status = result == 0 ? absl::OkStatus() : fileError("sync", folder);
+  calls.closeFile(descriptor);
+  return status;
 }
 
-absl::Status writeAside(const std::string& path, const std::string& content) {
-  int descriptor = open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
-  if (descriptor < 0) return fileError("create", path);
-  std::size_t done = 0;
-  while (done < content.size()) {
-    ssize_t count = ::write(descriptor, content.data() + done, content.size() - done);
-    if (count < 0) {
-      absl::Status status = fileError("write", path);
-      close(descriptor);
+absl::Status writeAside(const FileCalls& calls, const std::string& path,
+                        std::string_view content) {
+  int descriptor = calls.openFile(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+  if (descriptor < 0)
+    return noSpace() ? absl::ResourceExhaustedError("no space for " + path)
+                     : fileError("create", path);
+  while (!content.empty()) {
+    long count = calls.writeSome(descriptor, content.data(), content.size());
+    if (count < 0 && errno == EINTR) continue;
+    if (count <= 0) {  // a write of nothing is no way forward either
+      absl::Status status = count == 0 || noSpace()
+                                ? absl::ResourceExhaustedError("no space for " + path)
+                                : fileError("write", path);
+      calls.closeFile(descriptor);
       return status;
     }
-    done += static_cast<std::size_t>(count);
+    content.remove_prefix(static_cast<std::size_t>(count));
   }
-  bool synced = fsync(descriptor) == 0;
+  // After a failed sync nobody knows what the disk has: that is never taken for want of space.
+  bool synced = calls.syncFile(descriptor) == 0;
   absl::Status status = synced ? absl::OkStatus() : fileError("sync", path);
-  if (close(descriptor) != 0 && synced) status = fileError("close", path);
+  if (calls.closeFile(descriptor) != 0 && synced) status = fileError("close", path);
   return status;
 }
 
@@ -55,7 +71,7 @@
   fs::create_directories(folder, fault);
   if (fault) return absl::FailedPreconditionError("data folder " + folder + ": " + fault.message());
   std::string probe = folder + "/.probe";
-  if (absl::Status status = writeAside(probe, "probe"); !status.ok())
+  if (absl::Status status = writeAside(kSystemCalls, probe, "probe"); !status.ok())
     return absl::FailedPreconditionError("data folder can't be written: " +
                                          std::string(status.message()));
   fs::remove(probe, fault);
@@ -74,12 +90,24 @@
   return files;
 }
 
+const FileCalls& systemCalls() { return kSystemCalls; }
+
+absl::Status writeFile(const FileCalls& calls, const std::string& folder, const std::string& name,
+                       std::string_view content) {
+  std::string path = folder + "/" + name;
+  std::string aside = path + ".aside";
+  if (absl::Status status = writeAside(calls, aside, content); !status.ok()) {
+    std::error_code fault;
+    if (absl::IsResourceExhausted(status)) fs::remove(aside, fault);  // gives back its space
+    return status;
+  }
+  if (calls.renameFile(aside.c_str(), path.c_str()) != 0) return fileError("rename", path);
+  return syncFolder(calls, folder);
+}
+
 absl::Status DiskTask::writeNow(const std::string& folder, const std::string& name,
                                 const std::string& content) {
-  std::string path = folder + "/" + name;
-  if (absl::Status status = writeAside(path + ".aside", content); !status.ok()) return status;
-  if (rename((path + ".aside").c_str(), path.c_str()) != 0) return fileError("rename", path);
-  return syncFolder(folder);
+  return writeFile(kSystemCalls, folder, name, content);
 }
 
 DiskTask::DiskTask(std::string folder, Answer answer)
@@ -113,7 +141,7 @@
   wake_.notify_all();
 }
 
-absl::Status DiskTask::carryOut(const WriteFile& command) {
+absl::Status DiskTask::writeOnce(const WriteFile& command) {
   DiskFault fault = DiskFault::kNone;
   {
     std::unique_lock lock(mutex_);
@@ -127,6 +155,18 @@
   return writeNow(folder_, command.name, command.content);
 }
 
+absl::Status DiskTask::carryOut(const WriteFile& command) {
+  // Want of space changes nothing on the disk: the write is tried again until there is some. Till
+  // then the machine finds its disk stalled, gives up its duties, and takes them up again after.
+  while (true) {
+    absl::Status status = writeOnce(command);
+    if (!absl::IsResourceExhausted(status)) return status;
+    std::unique_lock lock(mutex_);
+    wake_.wait_for(lock, std::chrono::milliseconds(200));
+    if (stopping_) return status;
+  }
+}
+
 void DiskTask::carryOut(const DropOlder& command) {
   std::vector<std::string> names;
   std::error_code fault;
--- a/src/io/disk_task.h
+++ b/src/io/disk_task.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <variant>
 
@@ -18,6 +19,22 @@
 /// How the file layer is to fail in a rehearsal.
 enum class DiskFault : std::uint8_t { kNone, kSlow, kStall, kFull, kFailSync };
 
+/// The calls that writing a file is made of, so that a test can let each of them fail.
+struct FileCalls {
+  int (*openFile)(const char* path, int flags, unsigned mode);
+  long (*writeSome)(int descriptor, const void* data, std::size_t size);
+  int (*syncFile)(int descriptor);
+  int (*closeFile)(int descriptor);
+  int (*renameFile)(const char* from, const char* to);
+};
+/// The system's own. Example: `writeFile(systemCalls(), folder, "a", "b")`.
+const FileCalls& systemCalls();
+/// Writes aside, syncs, renames, syncs the folder; `kResourceExhausted` where there was no space
+/// and nothing was changed, any other error where the disk can't be trusted any more.
+/// Example: `writeFile(systemCalls(), "/var/lib/peppergate", "voter.1", text).ok()`.
+absl::Status writeFile(const FileCalls& calls, const std::string& folder, const std::string& name,
+                       std::string_view content);
+
 /// Example: `DiskTask disk(folder, [&](FileWritten done) { loop.post(...); });`
 class DiskTask {
  public:
@@ -42,6 +59,7 @@
   void work();
   void push(Job job);
   absl::Status carryOut(const WriteFile& command);
+  absl::Status writeOnce(const WriteFile& command);
   void carryOut(const DropOlder& command);
 
   std::string folder_;
--- /dev/null
+++ b/tests/disk_test.cc
@@ -0,0 +1,153 @@
+// The disk task's order of work, with each call failing in turn, and power lost in between.
+#include "io/disk_task.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <sstream>
+
+#include "core/core_node.h"
+#include "tests/testing.h"
+
+using namespace peppergate;
+
+namespace {
+
+namespace fs = std::filesystem;
+
+/// What the calls were and which of them fails; the calls themselves have no state of their own.
+struct Script {
+  std::vector<std::string> calls;
+  std::string failing;   // the call that fails, as "write", "sync 2", ...
+  int error = EIO;
+  std::size_t most = SIZE_MAX;  // bytes that one write takes
+  std::map<std::string, int> counts;
+};
+Script script;
+
+bool fails(const std::string& call) {
+  script.calls.push_back(call);
+  int count = ++script.counts[call];
+  bool now = script.failing == call || script.failing == call + " " + std::to_string(count);
+  if (now) errno = script.error;
+  return now;
+}
+
+int openFile(const char* path, int flags, unsigned mode) {
+  bool folder = (flags & O_DIRECTORY) != 0;
+  return fails(folder ? "open-folder" : "open") ? -1 : open(path, flags, mode);
+}
+long writeSome(int descriptor, const void* data, std::size_t size) {
+  return fails("write") ? -1 : write(descriptor, data, std::min(size, script.most));
+}
+int syncFile(int descriptor) { return fails("sync") ? -1 : fsync(descriptor); }
+int closeFile(int descriptor) {
+  int result = close(descriptor);
+  return fails("close") ? -1 : result;
+}
+int renameFile(const char* from, const char* to) {
+  return fails("rename") ? -1 : std::rename(from, to);
+}
+constexpr FileCalls kScripted{&openFile, &writeSome, &syncFile, &closeFile, &renameFile};
+
+std::string contentOf(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::string freshFolder() {
+  std::string pattern = fs::temp_directory_path() / "peppergate-disk-XXXXXX";
+  return mkdtemp(pattern.data());
+}
+
+}  // namespace
+
+TEST_GROUP(Disk) {
+  std::string folder = freshFolder();
+  void setup() override { script = {}; }
+  void teardown() override { fs::remove_all(folder); }
+};
+
+TEST(Disk, AsideIsSyncedBeforeTheNameAndTheFolderAfterIt) {
+  CHECK(writeFile(kScripted, folder, "state.1", "content").ok());
+  std::vector<std::string> wanted{"open", "write", "sync", "close", "rename", "open-folder",
+                                  "sync", "close"};
+  CHECK(script.calls == wanted);
+  STRCMP_EQUAL("content", contentOf(folder + "/state.1").c_str());
+}
+
+TEST(Disk, ShortWritesAreGoneOnWith) {
+  script.most = 3;
+  CHECK(writeFile(kScripted, folder, "state.1", "a longer content").ok());
+  STRCMP_EQUAL("a longer content", contentOf(folder + "/state.1").c_str());
+  CHECK_EQUAL(6, script.counts["write"]);
+}
+
+TEST(Disk, AFailureAtAnyStepIsNoYesAndLeavesTheOldFileWhole) {
+  for (const char* step : {"open", "write", "sync 1", "rename", "open-folder", "sync 2"}) {
+    CHECK(writeFile(systemCalls(), folder, "voter.1", "before").ok());
+    script = {};
+    script.failing = step;
+    auto status = writeFile(kScripted, folder, "voter.1", "after");
+    CHECK_TEXT(!status.ok(), step);
+    CHECK_TEXT(!absl::IsResourceExhausted(status), step);  // the disk is suspect
+    std::string now = contentOf(folder + "/voter.1");
+    bool named = script.counts["rename"] > 0 && script.failing != "rename";
+    CHECK_TEXT(now == (named ? "after" : "before"), step);  // whole, the one or the other
+  }
+}
+
+TEST(Disk, WantOfSpaceChangesNothingAndIsToldApart) {
+  CHECK(writeFile(systemCalls(), folder, "voter.1", "before").ok());
+  for (const char* step : {"open", "write", "write 2"}) {
+    script = {};
+    script.failing = step;
+    script.error = ENOSPC;
+    script.most = 2;
+    auto status = writeFile(kScripted, folder, "voter.1", "after");
+    CHECK_TEXT(absl::IsResourceExhausted(status), step);
+    STRCMP_EQUAL("before", contentOf(folder + "/voter.1").c_str());
+    CHECK_FALSE(fs::exists(folder + "/voter.1.aside"));
+  }
+  // A sync that fails for want of space is a failed sync: nobody knows what is on the disk.
+  script = {};
+  script.failing = "sync 1";
+  script.error = ENOSPC;
+  CHECK_FALSE(absl::IsResourceExhausted(writeFile(kScripted, folder, "voter.1", "after")));
+}
+
+TEST(Disk, PowerLostBetweenNameAndFolderLeavesOneOfTwoGoodStates) {
+  // Whichever of both names the folder has after the power came back, a core starts from it.
+  std::string older = sealed(R"({"tag":1,"state":"x"})"), newer = sealed(R"({"tag":2,"state":"y"})");
+  CHECK(writeFile(systemCalls(), folder, "state.1", older).ok());
+  script.failing = "open-folder";  // the power goes here
+  CHECK_FALSE(writeFile(kScripted, folder, "state.2", newer).ok());
+  auto withName = DiskTask::load(folder);
+  CHECK(withName.ok() && opened(withName->at("state.2")).has_value());
+  fs::rename(folder + "/state.2", folder + "/state.2.aside");  // the name did not last
+  auto without = DiskTask::load(folder);
+  CHECK(without.ok() && !without->contains("state.2") && opened(without->at("state.1")).has_value());
+  CHECK_FALSE(fs::exists(folder + "/state.2.aside"));
+}
+
+TEST(Disk, AFullDiskIsWaitedForAndAFailedSyncIsNot) {
+  std::promise<bool> first, second;
+  int answers = 0;
+  DiskTask disk(folder, [&](const FileWritten& written) {
+    (++answers == 1 ? first : second).set_value(written.synced);
+  });
+  disk.fault(DiskFault::kFull);
+  disk.write({{1}, "voter.1", "one"});
+  disk.fault(DiskFault::kNone);  // space comes back, before or after the first try
+  CHECK(first.get_future().get());
+  STRCMP_EQUAL("one", contentOf(folder + "/voter.1").c_str());
+  disk.fault(DiskFault::kFailSync);
+  disk.write({{2}, "voter.2", "two"});
+  CHECK_FALSE(second.get_future().get());
+}
