A leap of the clock binds engines' grants, too; a candidate's vote stays bound when it stops looking

Cause, by reading: a voter whose clock leapt could give an engine to another front early, and a core that began to stand while it asked as a caretaker could have freed the vote it stood with.

--- a/src/core/caretaker.cc
+++ b/src/core/caretaker.cc
@@ -27,7 +27,8 @@
   bool asked = !rounds_.empty();
   rounds_.clear();
   holdUntil_ = kNever;
-  if (asked) voter_.release(self());  // it vouches for nothing any more, so its vote is free
+  // It vouches for nothing any more, so its vote is free; a candidate's own vote stays bound.
+  if (asked && leadership_.idle()) voter_.release(self());
   wants_ = false;
   if (!vouching_) return;
   vouching_ = false;
--- a/src/core/core_node.cc
+++ b/src/core/core_node.cc
@@ -1,5 +1,7 @@
 #include "core/core_node.h"
 
+#include <algorithm>
+
 namespace peppergate {
 namespace {
 
@@ -88,6 +90,17 @@
   }
 }
 
+void CoreNode::noticeTime(MonotonicTime now) {
+  voter_->notice(now);
+  // After a leap of the clock engines' grants hold for a whole hold more, too.
+  bool leapt = lastNotice_ != kNever && now - lastNotice_ > seconds(0.4);
+  if (leapt && props_.guards(Guard::kClockLeap))
+    for (auto& [engine, grant] : engineGrants_)
+      if (lastNotice_ < grant.until + props_.engineHoldGap)
+        grant.until = std::max(grant.until, now + props_.engineHold);
+  lastNotice_ = now;
+}
+
 void CoreNode::putInForce(MonotonicTime now) {
   if (leadership_->names(now))
     follower_->lead(leadership_->published(), leadership_->view(), now, outbox_);
@@ -96,7 +109,7 @@
 }
 
 void CoreNode::tick(MonotonicTime now) {
-  voter_->notice(now);
+  noticeTime(now);
   membership_->tick(now, outbox_);
   leadership_->noteSettled(follower_->settledView(), now, outbox_);
   caretaker_->tick(now, outbox_);
@@ -112,7 +125,7 @@
 void CoreNode::arrived(const Arrived& event, MonotonicTime now) {
   const Address& from = event.from;
   const Message& message = event.message;
-  voter_->notice(now);
+  noticeTime(now);
   if (auto* shuffle = std::get_if<Shuffle>(&message)) heard(*shuffle, now);
   else if (auto* promise = std::get_if<PromiseAsk>(&message)) {
     if (promise->candidate != voter_->record().identity) caretaker_->candidateHeard(now, outbox_);
--- a/src/core/core_node.h
+++ b/src/core/core_node.h
@@ -57,6 +57,7 @@
   void heard(const Shuffle& shuffle, MonotonicTime now);
   void tick(MonotonicTime now);
   void heard(const Address& from, const HolderAsk& ask, MonotonicTime now);
+  void noticeTime(MonotonicTime now);
   void putInForce(MonotonicTime now);
   void answerNews(MonotonicTime now);
   void tellTheRest();
@@ -84,6 +85,7 @@
   std::map<MemberId, Asker> askers_;
   std::map<EngineId, EngineGrant> engineGrants_;
   SectionVersions told_;
+  MonotonicTime lastNotice_ = kNever;
   std::map<MemberId, SectionVersions> frontsHave_;  // as their questions said
   MonotonicTime started_;
   bool draining_ = false;
