--- a/src/core/control_state.h
+++ b/src/core/control_state.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "config/fleet_config.h"
 #include "core/messages.h"
 #include "core/props.h"
 #include "wire/json_fields.h"
@@ -42,6 +43,7 @@
   std::map<std::string, TenantClass> classes;
   std::map<TenantId, Tenant> tenants;
   double partBytesPerCharacter = 1000;
+  FleetConfig fleet;  // routes, services, tenants with keys; empty until one was taken
 };
 
 /// What a daemon reads out of the keys section.
@@ -54,6 +56,7 @@
 struct Weights {
   WeightsVersion version;
   std::string label;
+  std::map<ModelName, WeightsVersion> models;  // as named; a model not here has version 1
 };
 
 /// Reads a setup section; empty text gives an empty setup. Example: `readSetup(news.setup)`.
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -308,10 +308,56 @@
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(front) PEPPERGATE_FIELD(links) PEPPERGATE_FIELD(mixes))
 };
 
+/// What changed in the kept parts of one engine, by its watcher's word; whole: all that it keeps.
+struct PartNews {
+  EngineId engine;
+  std::uint64_t epoch = 0;  // the engine's own: a restart changes it
+  std::uint64_t from = 0, next = 0;  // numbers of the first change here and after the last
+  bool whole = false;
+  std::vector<std::string> salts, parts;  // of the same length, as are all below
+  std::vector<std::int64_t> tokens;       // kept now; 0: dropped
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(engine) PEPPERGATE_FIELD(epoch) PEPPERGATE_FIELD(from)
+                        PEPPERGATE_FIELD(next) PEPPERGATE_FIELD(whole) PEPPERGATE_FIELD(salts)
+                            PEPPERGATE_FIELD(parts) PEPPERGATE_FIELD(tokens))
+};
+
+/// The engine list as its lister has it, to every front; also as proof that it is still this one.
+struct RosterNews {
+  ListVersion version;  // the lister's view epoch, then its own count
+  Duration age;         // since the list was asked for
+  std::string list;     // empty: the same as before
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(version) PEPPERGATE_FIELD(age) PEPPERGATE_FIELD(list))
+};
+
+/// A front that lacks a list asks for it whole.
+struct RosterAsk {
+  ListVersion have;
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(have))
+};
+
+/// What one front saw of an engine in traffic: worth something to others, no verdict.
+struct EngineTrouble {
+  EngineId engine;
+  std::uint64_t failures = 0, answers = 0;  // since the last note
+  bool unreachable = false;                 // no connection came up
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(engine) PEPPERGATE_FIELD(failures) PEPPERGATE_FIELD(answers)
+                        PEPPERGATE_FIELD(unreachable))
+};
+
+/// How many requests a front has at each engine, so that others don't choose the same one.
+struct EngineUse {
+  MemberId front;
+  std::vector<EngineId> engines;
+  std::vector<std::int64_t> running, prefillTokens;
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(front) PEPPERGATE_FIELD(engines) PEPPERGATE_FIELD(running)
+                        PEPPERGATE_FIELD(prefillTokens))
+};
+
 using Message = std::variant<Shuffle, PromiseAsk, PromiseAnswer, AcceptAsk, AcceptAnswer, CopyAsk,
                              CopyAnswer, NewsAsk, NewsAnswer, ChangeAsk, ChangeAnswer, HoldAsk,
                              HoldAnswer, EngineListNews, EngineListAsk, PictureNote, IndexPut,
                              IndexAsk, UsageNote, HolderAsk, HolderAnswer, CaretakerAsk,
-                             CaretakerAnswer, CaretakerNote>;
+                             CaretakerAnswer, CaretakerNote, PartNews, RosterNews, RosterAsk,
+                             EngineTrouble, EngineUse>;
 
 }  // namespace peppergate
--- a/src/core/outbox.h
+++ b/src/core/outbox.h
@@ -9,6 +9,8 @@
 
 #include "core/messages.h"
 #include "core/types.h"
+#include "engines/engine.h"
+#include "requests/events.h"
 
 namespace peppergate {
 
@@ -86,7 +88,10 @@
   std::string text;
 };
 using Command = std::variant<Send, WriteFile, DropOlder, CallWeb, OpenShot, CancelShot, StartAnswer,
-                             SendPiece, EndAnswer, DeclineStream, AnswerWeb, NoteState>;
+                             SendPiece, EndAnswer, DeclineStream, AnswerWeb, NoteState, ListEngines,
+                             AskReport, OrderWeights, PollParts, ListParts, OpenAttempt,
+                             CancelAttempt, PauseAttempt, AnswerHead, AnswerBody, AnswerDone,
+                             RefuseRequest>;
 
 // ---- events ----
 struct Ticked {};
@@ -129,7 +134,9 @@
 };
 struct DrainAsked {};
 using Event = std::variant<Ticked, Arrived, FileWritten, WebAnswered, StreamAsked, CallerGone,
-                           ShotTurned, OperatorAsked, DrainAsked>;
+                           ShotTurned, OperatorAsked, DrainAsked, EnginesListed, ReportAnswered,
+                           OrderAnswered, PartsPolled, PartsListed, RequestArrived, RequestGone,
+                           ClientSlow, AttemptTurned>;
 
 /// Collects what a machine decides, with its counters. Example: `outbox.send(to, NewsAsk{});`
 class Outbox {
--- a/src/io/daemon.cc
+++ b/src/io/daemon.cc
@@ -84,6 +84,9 @@
     if (!owned.empty()) owned.mapped()->answer(command.status, command.headers, command.body);
   }
   void operator()(const NoteState& command) const { LOG(INFO) << command.text; }
+  /// What only routers do; see io/router_daemon.h.
+  template <class Other>
+  void operator()(const Other&) const { daemon.node_->outbox().count("commands.unknown"); }
 };
 
 Daemon::Daemon(Role role, DaemonSetup setup) : role_(role), setup_(std::move(setup)) {}
--- /dev/null
+++ b/src/io/http_client.h
@@ -0,0 +1,37 @@
+#pragma once
+// Calls and attempts to engines over kept connections, each used again only under hygiene.
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "io/dialect.h"
+#include "io/loop.h"
+
+namespace peppergate {
+
+/// A connection is kept only after an answer that ended by its own length, carried the id that was
+/// asked, and had nothing behind it. Example: `client.attempt(open, [](AttemptTurned turned) {...})`.
+class HttpClient {
+ public:
+  using AttemptTaker = std::function<void(AttemptTurned)>;
+  using CallTaker = std::function<void(const HttpAnswer&)>;
+  HttpClient(Loop& loop, const Dialect& dialect);
+  ~HttpClient();
+  /// Sends one attempt; its turns are told as they come, never from inside this call.
+  void attempt(const OpenAttempt& command, AttemptTaker taker);
+  /// Ends an attempt and its connection; nothing of it is told any more.
+  void cancel(AttemptId attempt);
+  /// Stops or goes on reading an attempt's answer. Example: for a client that reads slowly.
+  void pause(AttemptId attempt, bool paused);
+  /// A short call. Example: `client.call(dialect.call(poll), take)`.
+  void call(const HttpCall& call, CallTaker taker);
+  /// Connections opened since the start; kept ones now. Example: for the status page.
+  std::uint64_t opened() const;
+  std::size_t kept() const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace peppergate
--- /dev/null
+++ b/src/io/http_door.h
@@ -0,0 +1,40 @@
+#pragma once
+// The clients' door: HTTP/1.1 read strictly, answers passed on as they come.
+#include <absl/status/status.h>
+
+#include <functional>
+#include <memory>
+
+#include "io/dialect.h"
+#include "io/loop.h"
+
+namespace peppergate {
+
+/// Example: `HttpDoor door(loop, dialect, {onRequest, onGone, onSlow}); door.listen(address);`
+class HttpDoor {
+ public:
+  struct Hooks {
+    std::function<void(RequestArrived)> onRequest;
+    std::function<void(RequestId)> onGone;
+    std::function<void(ClientSlow)> onSlow;
+  };
+  HttpDoor(Loop& loop, const Dialect& dialect, Hooks hooks);
+  ~HttpDoor();
+  absl::Status listen(const Address& address);
+  /// What clients may send from now on. Example: with each new configuration.
+  void limits(const RequestLimits& limits);
+  void answer(const AnswerHead& command);
+  void answer(const AnswerBody& command);
+  void answer(const AnswerDone& command);
+  void answer(const RefuseRequest& command);
+  /// From now on each answer ends its connection, and idle ones end. Example: on SIGTERM.
+  void leave();
+  /// Open connections. Example: the process goes when there are none.
+  std::size_t connections() const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace peppergate
--- a/src/sim/world_commands.cc
+++ b/src/sim/world_commands.cc
@@ -28,6 +28,9 @@
       std::fprintf(stderr, "%9.3f %s: %s\n", inSeconds(world.now() - MonotonicTime{}),
                    process.host.c_str(), command.text.c_str());
   }
+  /// What only routers do has no place in this world.
+  template <class Other>
+  void operator()(const Other&) const { process.node->outbox().count("commands.unknown"); }
 };
 
 void World::runCommands(SimProcess& process) {
