--- a/src/core/core_node.cc
+++ b/src/core/core_node.cc
@@ -87,9 +87,16 @@
   } else if (std::holds_alternative<DrainAsked>(event)) {
     draining_ = true;
     membership_->leave(outbox_);
+  } else if (duties_) {
+    duties_->take(event, now, outbox_);
   }
 }
 
+void CoreNode::takeEngineDuties() {
+  duties_ = std::make_unique<EngineDuties>(props_, *membership_, random_,
+                                           "core-" + std::to_string(membership_->self().core.value));
+}
+
 void CoreNode::noticeTime(MonotonicTime now) {
   voter_->notice(now);
   // After a leap of the clock engines' grants hold for a whole hold more, too.
@@ -119,6 +126,10 @@
   putInForce(now);
   if (!leadership_->names(now)) follower_->tick(now, outbox_);
   desk_->tick(now, outbox_);
+  if (duties_)
+    duties_->tick({leadership_->names(now), caretaker_->vouches(now), leadership_->view().epoch,
+                   leadership_->holdUntil(), &follower_->weights()},
+                  now, outbox_);
   answerNews(now);
 }
 
@@ -154,7 +165,8 @@
     caretaker_->hear(*cared, now, outbox_);
   else if (std::holds_alternative<CaretakerNote>(message))
     follower_->noteCaretaker(from, now, outbox_);
-  else outbox_.count("messages.unexpected");
+  else if (!duties_ || !duties_->hear(from, message, now, outbox_))
+    outbox_.count("messages.unexpected");
   putInForce(now);
   if (leadership_->names(now)) answerNews(now);
 }
--- a/src/core/core_node.h
+++ b/src/core/core_node.h
@@ -8,6 +8,7 @@
 #include "core/follower.h"
 #include "core/leadership.h"
 #include "core/operator_desk.h"
+#include "engines/engine_duties.h"
 
 namespace peppergate {
 
@@ -45,6 +46,9 @@
   Json status(MonotonicTime now) const override;
   void reload(const Props& props) override { props_ = props; }
   bool drained(MonotonicTime) const override { return draining_; }
+  /// From now on the one in charge lists engines and orders weights. Example: in a fleet whose
+  /// routers are told of engines by the core.
+  void takeEngineDuties();
   /// For checkers and tests. Example: `core.leadership().leads(now)`.
   const Leadership& leadership() const { return *leadership_; }
   const Voter& voter() const { return *voter_; }
@@ -82,6 +86,7 @@
   std::unique_ptr<Follower> follower_;
   std::unique_ptr<Caretaker> caretaker_;
   std::unique_ptr<OperatorDesk> desk_;
+  std::unique_ptr<EngineDuties> duties_;
   std::map<MemberId, Asker> askers_;
   std::map<EngineId, EngineGrant> engineGrants_;
   SectionVersions told_;
--- a/src/io/daemon.cc
+++ b/src/io/daemon.cc
@@ -5,6 +5,7 @@
 #include <sys/random.h>
 
 #include "core/front_node.h"
+#include "requests/router_node.h"
 
 namespace peppergate {
 namespace {
@@ -17,6 +18,7 @@
 
 constexpr std::size_t kSlowCaller = 256 << 10;
 constexpr std::size_t kCallerTookEnough = 64 << 10;
+constexpr std::size_t kLargestPage = 8 << 20;  // a whole configuration in one body
 
 }  // namespace
 
@@ -81,12 +83,16 @@
   }
   void operator()(const AnswerWeb& command) const {
     auto owned = daemon.operators_.extract(command.ticket);
-    if (!owned.empty()) owned.mapped()->answer(command.status, command.headers, command.body);
+    if (owned.empty()) return;
+    AnswerWeb answer = daemon.doors_ ? daemon.doors_->operatorAnswer(command) : command;
+    owned.mapped()->answer(answer.status, answer.headers, answer.body);
   }
   void operator()(const NoteState& command) const { LOG(INFO) << command.text; }
-  /// What only routers do; see io/router_daemon.h.
+  /// What only daemons of another dialect do.
   template <class Other>
-  void operator()(const Other&) const { daemon.node_->outbox().count("commands.unknown"); }
+  void operator()(const Other& command) const {
+    if (daemon.doors_) daemon.doors_->carryOut(command);
+  }
 };
 
 Daemon::Daemon(Role role, DaemonSetup setup) : role_(role), setup_(std::move(setup)) {}
@@ -107,33 +113,52 @@
                                      });
   pages_ = std::make_unique<WebServer>(
       loop_, [this](std::shared_ptr<WebRequest> request) { operatorAsked(std::move(request)); });
-  if (role_ == Role::kCore) {
-    auto files = DiskTask::load(setup_.dataFolder);
-    if (!files.ok()) return files.status();
-    DiskFound found{*files};
-    if (identityOn(found).value == 0) {
-      std::string identity = identityFile({freshNumber()});
-      if (auto status = DiskTask::writeNow(setup_.dataFolder, "identity", identity); !status.ok())
-        return status;
-      found.files["identity"] = identity;
-    }
-    node_ = std::make_unique<CoreNode>(setup_.props, self, setup_.seeds, found, freshNumber(),
-                                       bootNow(), setup_.found);
-    disk_ = std::make_unique<DiskTask>(setup_.dataFolder, [this](const FileWritten& written) {
-      loop_.post([this, written] { step(written); });
-    });
-  } else {
-    node_ = std::make_unique<FrontNode>(setup_.props, self, setup_.seeds, setup_.platform,
-                                        freshNumber());
-    callers_ = std::make_unique<WebServer>(
-        loop_, [this](std::shared_ptr<WebRequest> request) { callerAsked(std::move(request)); });
-    auto limit = static_cast<std::size_t>(setup_.props.largestBody);
-    if (auto status = callers_->listen(setup_.callers, limit + 4096); !status.ok()) return status;
-  }
-  if (auto status = pages_->listen(setup_.pages, 2 << 20); !status.ok()) return status;
+  if (setup_.dialect)
+    doors_ = std::make_unique<DialectDoors>(loop_, *setup_.dialect,
+                                            [this](const Event& event) { step(event); });
+  absl::Status opened = role_ == Role::kCore ? openCore(self)
+                        : doors_             ? openRouter(self)
+                                            : openFront(self);
+  if (!opened.ok()) return opened;
+  if (!setup_.pages.value.empty())
+    if (auto status = pages_->listen(setup_.pages, kLargestPage); !status.ok()) return status;
   return hub_->listen();
 }
 
+absl::Status Daemon::openCore(const MemberRecord& self) {
+  auto files = DiskTask::load(setup_.dataFolder);
+  if (!files.ok()) return files.status();
+  DiskFound found{*files};
+  if (identityOn(found).value == 0) {
+    std::string identity = identityFile({freshNumber()});
+    if (auto status = DiskTask::writeNow(setup_.dataFolder, "identity", identity); !status.ok())
+      return status;
+    found.files["identity"] = identity;
+  }
+  node_ = std::make_unique<CoreNode>(setup_.props, self, setup_.seeds, found, freshNumber(),
+                                     bootNow(), setup_.found);
+  if (doors_) static_cast<CoreNode&>(*node_).takeEngineDuties();
+  disk_ = std::make_unique<DiskTask>(setup_.dataFolder, [this](const FileWritten& written) {
+    loop_.post([this, written] { step(written); });
+  });
+  return absl::OkStatus();
+}
+
+absl::Status Daemon::openFront(const MemberRecord& self) {
+  node_ = std::make_unique<FrontNode>(setup_.props, self, setup_.seeds, setup_.platform,
+                                      freshNumber());
+  callers_ = std::make_unique<WebServer>(
+      loop_, [this](std::shared_ptr<WebRequest> request) { callerAsked(std::move(request)); });
+  return callers_->listen(setup_.callers,
+                          static_cast<std::size_t>(setup_.props.largestBody) + 4096);
+}
+
+absl::Status Daemon::openRouter(const MemberRecord& self) {
+  node_ = std::make_unique<RouterNode>(setup_.props, self, setup_.seeds, setup_.regions,
+                                       freshNumber());
+  return doors_->listen(setup_.callers);
+}
+
 void Daemon::step(const Event& event) {
   node_->step(event, bootNow());
   carryOut();
@@ -172,10 +197,32 @@
     rehearse(std::move(request));
     return;
   }
+  if (answerReady(request)) return;
   TicketId ticket{++lastTicket_};
   operators_[ticket] = request;
   request->onGone = [this, ticket] { operators_.erase(ticket); };
-  step(OperatorAsked{ticket, request->method, request->path, request->body});
+  std::optional<OperatorAsked> call;
+  if (doors_)
+    call = doors_->operatorCall(ticket, request->method, request->path, request->headers,
+                                request->body);
+  if (call) step(*call);
+  else step(OperatorAsked{ticket, request->method, request->path, request->body});
+}
+
+bool Daemon::answerReady(const std::shared_ptr<WebRequest>& request) {
+  if (!doors_ || role_ != Role::kFront || request->path != doors_->dialect().readyPath())
+    return false;
+  bool ready = static_cast<RouterNode&>(*node_).ready(bootNow());
+  request->answer(ready ? 200 : 503, {}, "");
+  return true;
+}
+
+void Daemon::noteConfig() {
+  if (!doors_ || role_ != Role::kFront) return;
+  const Follower& follower = static_cast<RouterNode&>(*node_).follower();
+  if (follower.changesSeen() == changesSeen_) return;
+  changesSeen_ = follower.changesSeen();
+  doors_->door().limits(follower.setup().fleet.limits);
 }
 
 void Daemon::rehearse(std::shared_ptr<WebRequest> request) {
@@ -199,6 +246,7 @@
 }
 
 void Daemon::watchSlowCallers() {
+  if (doors_) return;  // the door of another dialect tells of them itself
   // A caller that reads slowly slows its own stream only: its shot is read no further.
   for (auto& [stream, answering] : answering_) {
     auto shot = role_ == Role::kFront ? static_cast<FrontNode&>(*node_).shotOf(stream)
@@ -220,11 +268,13 @@
             << ", pages at " << setup_.pages.value;
   loop_.every(milliseconds(50), [this] {
     step(Ticked{});
+    noteConfig();
     watchSlowCallers();
     if (node_->drained(bootNow())) loop_.after(milliseconds(100), [this] { loop_.stop(); });
   });
   auto drain = [this] {
     LOG(INFO) << "draining";
+    if (doors_ && role_ == Role::kFront) doors_->door().leave();
     step(DrainAsked{});
   };
   loop_.onSignal(SIGTERM, drain);
--- a/src/io/daemon.h
+++ b/src/io/daemon.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "core/core_node.h"
+#include "io/dialect_doors.h"
 #include "io/disk_task.h"
 #include "io/member_hub.h"
 #include "io/web_client.h"
@@ -27,6 +28,10 @@
   std::string dataFolder;   // of a core
   std::size_t found = 0;    // a core that founds the fleet with so many cores
   bool rehearsal = false;   // faults may be asked for at the pages
+  // A daemon of another dialect than the product's own: its clients' door is at `callers`, the
+  // operators' calls come to `pages`, readiness is asked at `pages` too.
+  std::shared_ptr<const Dialect> dialect;
+  std::map<District, std::string> regions;  // of a router: each zone's
   Props props;
 };
 
@@ -56,6 +61,11 @@
   void operatorAsked(std::shared_ptr<WebRequest> request);
   void rehearse(std::shared_ptr<WebRequest> request);
   void watchSlowCallers();
+  absl::Status openCore(const MemberRecord& self);
+  absl::Status openFront(const MemberRecord& self);
+  absl::Status openRouter(const MemberRecord& self);
+  bool answerReady(const std::shared_ptr<WebRequest>& request);
+  void noteConfig();
 
   Role role_;
   DaemonSetup setup_;
@@ -65,6 +75,8 @@
   std::unique_ptr<DiskTask> disk_;
   std::unique_ptr<WebClient> client_;
   std::unique_ptr<WebServer> pages_, callers_;
+  std::unique_ptr<DialectDoors> doors_;  // of a daemon of another dialect
+  std::uint64_t changesSeen_ = 0;
   std::map<StreamId, Answering> answering_;
   std::map<TicketId, std::shared_ptr<WebRequest>> operators_;
   std::uint64_t lastStream_ = 0, lastTicket_ = std::uint64_t{1} << 40;
--- /dev/null
+++ b/src/io/dialect_doors.cc
@@ -0,0 +1,49 @@
+#include "io/dialect_doors.h"
+
+namespace peppergate {
+
+DialectDoors::DialectDoors(Loop& loop, const Dialect& dialect, Step step)
+    : dialect_(dialect),
+      step_(std::move(step)),
+      door_(loop, dialect,
+            {[this](RequestArrived arrived) { step_(std::move(arrived)); },
+             [this](RequestId request) { step_(RequestGone{request}); },
+             [this](ClientSlow slow) { step_(slow); }}),
+      client_(loop, dialect) {}
+
+absl::Status DialectDoors::listen(const Address& address) { return door_.listen(address); }
+
+void DialectDoors::carryOut(const OpenAttempt& command) {
+  client_.attempt(command, [this](AttemptTurned turned) { step_(std::move(turned)); });
+}
+
+template <class Command, class Reader>
+void DialectDoors::call(const Command& command, Reader reader) {
+  client_.call(dialect_.call(command),
+               [this, ticket = command.ticket, reader](const HttpAnswer& answer) {
+                 step_((dialect_.*reader)(ticket, answer));
+               });
+}
+
+void DialectDoors::carryOut(const ListEngines& command) { call(command, &Dialect::readList); }
+void DialectDoors::carryOut(const AskReport& command) { call(command, &Dialect::readReport); }
+void DialectDoors::carryOut(const OrderWeights& command) { call(command, &Dialect::readOrder); }
+void DialectDoors::carryOut(const PollParts& command) { call(command, &Dialect::readPoll); }
+void DialectDoors::carryOut(const ListParts& command) { call(command, &Dialect::readParts); }
+
+std::optional<OperatorAsked> DialectDoors::operatorCall(TicketId ticket, const std::string& method,
+                                                        const std::string& path,
+                                                        const Headers& headers,
+                                                        const std::string& body) {
+  auto call = dialect_.readOperator(ticket, method, path, headers, body);
+  if (!call) return std::nullopt;
+  operatorKinds_[ticket] = call->kind;
+  return std::move(call->asked);
+}
+
+AnswerWeb DialectDoors::operatorAnswer(const AnswerWeb& answer) {
+  auto kind = operatorKinds_.extract(answer.ticket);
+  return kind.empty() ? answer : dialect_.operatorAnswer(kind.mapped(), answer);
+}
+
+}  // namespace peppergate
--- /dev/null
+++ b/src/io/dialect_doors.h
@@ -0,0 +1,57 @@
+#pragma once
+// The sockets of a daemon that speaks a dialect: clients' door, engines' calls, operators' calls.
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "io/dialect.h"
+#include "io/http_client.h"
+#include "io/http_door.h"
+
+namespace peppergate {
+
+/// Example: `DialectDoors doors(loop, dialect, step); doors.listen(address); doors.carryOut(command);`
+class DialectDoors {
+ public:
+  using Step = std::function<void(const Event&)>;
+  DialectDoors(Loop& loop, const Dialect& dialect, Step step);
+  /// Opens the clients' door. Example: see the class.
+  absl::Status listen(const Address& address);
+  /// Carries out one command of the requests' or engines' kinds. Example: see the class.
+  template <class Other>
+  void carryOut(const Other&) { ++unknown_; }
+  void carryOut(const OpenAttempt& command);
+  void carryOut(const CancelAttempt& command) { client_.cancel(command.attempt); }
+  void carryOut(const PauseAttempt& command) { client_.pause(command.attempt, command.paused); }
+  void carryOut(const AnswerHead& command) { door_.answer(command); }
+  void carryOut(const AnswerBody& command) { door_.answer(command); }
+  void carryOut(const AnswerDone& command) { door_.answer(command); }
+  void carryOut(const RefuseRequest& command) { door_.answer(command); }
+  void carryOut(const ListEngines& command);
+  void carryOut(const AskReport& command);
+  void carryOut(const OrderWeights& command);
+  void carryOut(const PollParts& command);
+  void carryOut(const ListParts& command);
+  /// Takes an operator's call in the dialect's words; nothing if it is none of them.
+  std::optional<OperatorAsked> operatorCall(TicketId ticket, const std::string& method,
+                                            const std::string& path, const Headers& headers,
+                                            const std::string& body);
+  /// The product's answer, in the dialect's words where the call was. Example: before it is sent.
+  AnswerWeb operatorAnswer(const AnswerWeb& answer);
+  HttpDoor& door() { return door_; }
+  const HttpClient& client() const { return client_; }
+  const Dialect& dialect() const { return dialect_; }
+
+ private:
+  template <class Command, class Reader>
+  void call(const Command& command, Reader reader);
+
+  const Dialect& dialect_;
+  Step step_;
+  HttpDoor door_;
+  HttpClient client_;
+  std::map<TicketId, int> operatorKinds_;
+  std::uint64_t unknown_ = 0;
+};
+
+}  // namespace peppergate
--- /dev/null
+++ b/src/requests/router_node.cc
@@ -0,0 +1,177 @@
+#include "requests/router_node.h"
+
+namespace peppergate {
+
+RouterNode::RouterNode(const Props& props, MemberRecord self, std::vector<Address> seeds,
+                       std::map<District, std::string> regions, std::uint64_t seed)
+    : props_(props), random_(seed) {
+  membership_ = std::make_unique<Membership>(props_, self, std::move(seeds), random_);
+  follower_ = std::make_unique<Follower>(props_, *membership_, random_);
+  desk_ = std::make_unique<OperatorDesk>(props_, *membership_, *follower_);
+  lister_ = std::make_unique<Lister>(props_, *membership_, random_);
+  book_ = std::make_unique<EngineBook>(props_);
+  watch_ = std::make_unique<PartWatch>(props_, *membership_, index_);
+  fetches_ = std::make_unique<FetchDesk>(props_);
+  fetches_->regions(std::move(regions));
+  placement_ = std::make_unique<Placement>(props_, *book_, index_, *fetches_, random_);
+  requests_ = std::make_unique<Requests>(RequestParts{props_, *membership_, *follower_, *book_,
+                                                      index_, *placement_, random_});
+  membership_->carry([this](Shuffle& shuffle) {
+    shuffle.withdrawn = follower_->recentWithdrawn();
+    shuffle.engineList = lister_->version();
+  });
+}
+
+void RouterNode::step(const Event& event, MonotonicTime now) {
+  if (std::holds_alternative<Ticked>(event)) tick(now);
+  else if (auto* turned = std::get_if<AttemptTurned>(&event)) requests_->turn(*turned, now, outbox_);
+  else if (auto* asked = std::get_if<RequestArrived>(&event)) requests_->ask(*asked, now, outbox_);
+  else if (auto* arrival = std::get_if<Arrived>(&event)) arrived(*arrival, now);
+  else if (auto* gone = std::get_if<RequestGone>(&event))
+    requests_->gone(gone->request, now, outbox_);
+  else if (auto* slow = std::get_if<ClientSlow>(&event)) requests_->slow(*slow, outbox_);
+  else if (auto* page = std::get_if<OperatorAsked>(&event)) operatorAsked(*page, now);
+  else if (std::holds_alternative<DrainAsked>(event)) {
+    if (drainSince_ == kForever) drainSince_ = now;
+    membership_->leave(outbox_);
+  } else if (!answered(event, now)) {
+    outbox_.count("events.unexpected");
+  }
+}
+
+bool RouterNode::answered(const Event& event, MonotonicTime now) {
+  if (auto* polled = std::get_if<PartsPolled>(&event)) return watch_->polled(*polled, now, outbox_);
+  if (auto* listed = std::get_if<PartsListed>(&event)) return watch_->listed(*listed, now, outbox_);
+  if (auto* page = std::get_if<EnginesListed>(&event)) {
+    bool mine = lister_->listed(*page, now, outbox_);
+    takeList(now);
+    return mine;
+  }
+  return false;
+}
+
+void RouterNode::tick(MonotonicTime now) {
+  membership_->tick(now, outbox_);
+  follower_->tick(now, outbox_);
+  desk_->tick(now, outbox_);
+  lister_->tick(false, Epoch{}, now, outbox_);
+  takeList(now);
+  const FleetConfig& fleet = follower_->setup().fleet;
+  watch_->tick(*book_, fleet, now, outbox_);
+  placement_->tick(fleet, now, outbox_);
+  requests_->tick(now, outbox_);
+  tellOthers(now);
+}
+
+void RouterNode::takeList(MonotonicTime now) {
+  book_->confirmed(lister_->seen());
+  if (lister_->version() == bookVersion_) return;
+  bookVersion_ = lister_->version();
+  book_->take(lister_->engines(), bookVersion_, now);
+  book_->loading(lister_->loadingNow());
+  placement_->links(follower_->setup().fleet);
+  outbox_.count("lists.taken");
+}
+
+void RouterNode::tellOthers(MonotonicTime now) {
+  if (now < nextTell_ || !follower_->installed()) return;
+  nextTell_ = now + seconds(0.5);
+  auto use = book_->use(membership_->self().member);
+  auto troubles = book_->troubles();
+  UsageNote note = fetches_->note(membership_->self().member, follower_->setup(), now);
+  bool tellsLinks = !note.links.empty() || !note.mixes.empty();
+  for (const auto& front : membership_->liveFronts()) {
+    if (front.member == membership_->self().member) continue;
+    if (use) outbox_.send(front.address, *use);
+    if (tellsLinks) outbox_.send(front.address, note);
+    for (const auto& trouble : troubles) outbox_.send(front.address, trouble);
+  }
+}
+
+void RouterNode::arrived(const Arrived& event, MonotonicTime now) {
+  const Address& from = event.from;
+  const Message& message = event.message;
+  if (auto* shuffle = std::get_if<Shuffle>(&message)) {
+    for (const auto& digest : shuffle->withdrawn) follower_->withdraw(digest, outbox_);
+    membership_->hear(*shuffle, now, outbox_);
+  } else if (auto* news = std::get_if<NewsAsk>(&message)) {
+    outbox_.send(from, follower_->relay(*news, now));
+  } else if (auto* answer = std::get_if<NewsAnswer>(&message)) {
+    follower_->hear(from, *answer, now, outbox_);
+  } else if (auto* change = std::get_if<ChangeAnswer>(&message)) {
+    desk_->hear(*change, now, outbox_);
+  } else if (auto* roster = std::get_if<RosterNews>(&message)) {
+    lister_->hear(from, *roster, now, outbox_);
+    takeList(now);
+  } else if (auto* rosterAsk = std::get_if<RosterAsk>(&message)) {
+    lister_->hear(from, *rosterAsk, outbox_);
+  } else if (auto* parts = std::get_if<PartNews>(&message)) {
+    watch_->hear(from, *parts, now, outbox_);
+  } else if (auto* partAsk = std::get_if<PartAsk>(&message)) {
+    watch_->hear(from, *partAsk, now, outbox_);
+  } else if (auto* use = std::get_if<EngineUse>(&message)) {
+    book_->hear(*use, now);
+  } else if (auto* trouble = std::get_if<EngineTrouble>(&message)) {
+    book_->hear(*trouble, now);
+  } else if (auto* usage = std::get_if<UsageNote>(&message)) {
+    fetches_->hear(*usage, now);
+  } else if (std::holds_alternative<CaretakerNote>(message)) {
+    follower_->noteCaretaker(from, now, outbox_);
+  } else {
+    outbox_.count("messages.unexpected");
+  }
+}
+
+void RouterNode::operatorAsked(const OperatorAsked& asked, MonotonicTime now) {
+  if (asked.path == "/status") {
+    outbox_.push(AnswerWeb{asked.ticket, 200, {{"Content-Type", "application/json"}},
+                           status(now).dump()});
+  } else if (!desk_->take(asked, now, outbox_)) {
+    outbox_.push(AnswerWeb{asked.ticket, 404, {}, R"({"outcome":"no-such-page"})"});
+  }
+}
+
+void RouterNode::reload(const Props& props) {
+  props_ = props;
+  membership_->reload(props);
+  follower_->reload(props);
+  book_->reload(props);
+  fetches_->reload(props);
+}
+
+bool RouterNode::ready(MonotonicTime now) const {
+  return drainSince_ == kForever && follower_->setup().fleet.version.value != 0 &&
+         follower_->fresh(now) && book_->size() > 0;
+}
+
+bool RouterNode::drained(MonotonicTime now) const {
+  // The entry needs some checks to see that this machine leaves; until then requests still come.
+  if (drainSince_ == kForever) return false;
+  if (now - drainSince_ > props_.graceTime - seconds(0.8)) return true;
+  return requests_->live() == 0 && now - drainSince_ > seconds(3.2);
+}
+
+Json RouterNode::status(MonotonicTime now) const {
+  Json counters = Json::object();
+  for (const auto& [name, value] : outbox_.counters()) counters[name] = value;
+  return {{"role", "router"},
+          {"member", membership_->self().member.value},
+          {"address", membership_->self().address.value},
+          {"district", membership_->self().district.value},
+          {"ready", ready(now)},
+          {"fresh", follower_->fresh(now)},
+          {"proofFrom", follower_->vouchedBy(now)},
+          {"proofAgeMilliseconds", inMilliseconds(follower_->proofAge(now))},
+          {"sections", toJson(follower_->have())},
+          {"configVersion", follower_->setup().fleet.version.value},
+          {"engineList", lister_->version().value},
+          {"engineListAgeMilliseconds", inMilliseconds(now - lister_->seen())},
+          {"engines", book_->size()},
+          {"members", membership_->live().size()},
+          {"requests", requests_->live()},
+          {"draining", drainSince_ != kForever},
+          {"keptParts", index_.size()},
+          {"counters", counters}};
+}
+
+}  // namespace peppergate
--- /dev/null
+++ b/src/requests/router_node.h
@@ -0,0 +1,60 @@
+#pragma once
+// A data-plane machine for any number of services: member, follower, watcher of kept parts, and
+// the requests' way from the clients' door to an engine.
+#include <memory>
+
+#include "core/core_node.h"
+#include "core/fetch_desk.h"
+#include "engines/engine_book.h"
+#include "engines/lister.h"
+#include "prompts/part_watch.h"
+#include "prompts/placement.h"
+#include "requests/requests.h"
+
+namespace peppergate {
+
+/// Example: `RouterNode router(props, self, seeds, regions, 7);`
+class RouterNode final : public Node {
+ public:
+  RouterNode(const Props& props, MemberRecord self, std::vector<Address> seeds,
+             std::map<District, std::string> regions, std::uint64_t seed);
+
+  void step(const Event& event, MonotonicTime now) override;
+  Outbox& outbox() override { return outbox_; }
+  Json status(MonotonicTime now) const override;
+  void reload(const Props& props) override;
+  bool drained(MonotonicTime now) const override;
+  /// Whether clients' new connections are welcome. Example: asked by the platform each second.
+  bool ready(MonotonicTime now) const;
+  /// For checkers, tests and the shell. Example: `router.follower().setup().fleet.limits`.
+  const Follower& follower() const { return *follower_; }
+  const EngineBook& book() const { return *book_; }
+  const PartIndex& index() const { return index_; }
+  std::size_t live() const { return requests_->live(); }
+
+ private:
+  void tick(MonotonicTime now);
+  void arrived(const Arrived& event, MonotonicTime now);
+  bool answered(const Event& event, MonotonicTime now);
+  void takeList(MonotonicTime now);
+  void tellOthers(MonotonicTime now);
+  void operatorAsked(const OperatorAsked& asked, MonotonicTime now);
+
+  Props props_;
+  Random random_;
+  Outbox outbox_;
+  std::unique_ptr<Membership> membership_;
+  std::unique_ptr<Follower> follower_;
+  std::unique_ptr<OperatorDesk> desk_;
+  std::unique_ptr<Lister> lister_;
+  std::unique_ptr<EngineBook> book_;
+  PartIndex index_;
+  std::unique_ptr<PartWatch> watch_;
+  std::unique_ptr<FetchDesk> fetches_;
+  std::unique_ptr<Placement> placement_;
+  std::unique_ptr<Requests> requests_;
+  ListVersion bookVersion_;
+  MonotonicTime nextTell_{}, drainSince_ = kForever;
+};
+
+}  // namespace peppergate
