HTTP door and client on libevent's events, heads and chunks read strictly

The general data path needs exact framing, reading of idle connections and cuts that can't be taken for whole answers, which evhttp doesn't give.

--- /dev/null
+++ b/src/io/http_door_connection.cc
@@ -0,0 +1,282 @@
+#include "io/http_door_connection.h"
+
+#include <charconv>
+
+namespace peppergate {
+namespace {
+
+constexpr std::size_t kSlowAbove = 256U << 10, kFastBelow = 64U << 10;
+constexpr std::size_t kMostAhead = 64U << 10;  // bytes of later requests read before their turn
+constexpr std::size_t kKeptCapacity = 64U << 10;
+
+std::string numberText(std::uint64_t number, int base = 10) {
+  char digits[24];
+  auto end = std::to_chars(digits, digits + sizeof digits, number, base).ptr;
+  return {digits, end};
+}
+
+}  // namespace
+
+DoorConnection::DoorConnection(DoorRoom& room, int descriptor)
+    : room_(room), socket_(room.loop.base(), descriptor, *this) {}
+
+void DoorConnection::start() {
+  socket_.watchRead(true);
+  waitFor(DoorWait::kIdle);
+}
+
+void DoorConnection::waitFor(DoorWait wait) {
+  if (is_linked()) unlink();
+  waiting_ = wait;
+  if (wait == DoorWait::kNothing) return;
+  since = bootNow();
+  room_.waits[static_cast<std::size_t>(wait)].push_back(*this);
+}
+
+// The wait that fits what the connection is at; a wait of the same kind goes on.
+void DoorConnection::chooseWait() {
+  DoorWait wait = DoorWait::kNothing;
+  if (phase_ == Phase::kClosed) return;
+  if (phase_ == Phase::kLinger) wait = DoorWait::kLinger;
+  else if (socket_.waiting() > 0) wait = DoorWait::kWrite;
+  else if (phase_ == Phase::kHead) wait = rest_.empty() ? DoorWait::kIdle : DoorWait::kHead;
+  else if (phase_ == Phase::kBody) wait = DoorWait::kBody;
+  else if (phase_ == Phase::kAnswering && readEnded_) wait = DoorWait::kHalfClosed;
+  if (wait != waiting_) waitFor(wait);
+}
+
+void DoorConnection::readable() {
+  auto keep = shared_from_this();
+  auto result = socket_.read(room_.buffer);
+  if (result.outcome == HttpSocket::ReadOutcome::kNothing) return;
+  if (result.outcome == HttpSocket::ReadOutcome::kFailed) return failed();
+  if (result.outcome == HttpSocket::ReadOutcome::kEnd) return ended();
+  std::string_view bytes(room_.buffer.data(), result.size);
+  if (phase_ == Phase::kLinger || phase_ == Phase::kEnding) return;  // read away
+  // Behind an answer that was not written yet, what came ahead is taken first.
+  if (phase_ == Phase::kAnswering || (phase_ == Phase::kHead && dirty_ && !rest_.empty())) {
+    rest_ += bytes;
+    if (rest_.size() >= kMostAhead) socket_.watchRead(false);
+    return;
+  }
+  if (phase_ == Phase::kBody) waitFor(DoorWait::kBody);  // a body is bound by its pauses
+  take(bytes);
+  chooseWait();
+}
+
+void DoorConnection::ended() {
+  readEnded_ = true;
+  socket_.watchRead(false);
+  // A client may end its side and still wait for its answer.
+  if (phase_ == Phase::kAnswering || phase_ == Phase::kEnding) return chooseWait();
+  drop();
+}
+
+void DoorConnection::failed() {
+  RequestId gone = request_;
+  bool tell = phase_ == Phase::kAnswering;
+  drop();
+  if (tell && room_.hooks.onGone) room_.hooks.onGone(gone);
+}
+
+void DoorConnection::drop() {
+  if (phase_ == Phase::kClosed) return;
+  if (phase_ == Phase::kAnswering) room_.answering.erase(request_.value);
+  phase_ = Phase::kClosed;
+  waitFor(DoorWait::kNothing);
+  socket_.close();
+  room_.connections.erase(this);  // whoever called holds it
+}
+
+void DoorConnection::writable() {
+  auto keep = shared_from_this();
+  auto before = socket_.handed();
+  if (!socket_.flush()) return failed();
+  if (socket_.handed() != before && waiting_ == DoorWait::kWrite) waitFor(DoorWait::kWrite);
+  watchOutput();
+}
+
+void DoorConnection::flush() {
+  dirty_ = false;
+  if (phase_ == Phase::kClosed) return;
+  bool sent = pending_.empty() || socket_.send(pending_);
+  pending_.clear();
+  if (pending_.capacity() > kKeptCapacity) pending_.shrink_to_fit();
+  if (!sent) return failed();
+  if (phase_ == Phase::kHead && !rest_.empty()) {
+    std::string ahead = std::move(rest_);
+    rest_.clear();
+    scanner_ = {};
+    take(ahead);
+  }
+  if (phase_ == Phase::kHead || phase_ == Phase::kBody) {
+    if (readEnded_) closeAfterOutput(false);  // no further request can come
+    else socket_.watchRead(true);
+  }
+  watchOutput();
+}
+
+void DoorConnection::watchOutput() {
+  if (phase_ == Phase::kClosed) return;
+  std::size_t waiting = socket_.waiting() + pending_.size();
+  if (phase_ == Phase::kEnding && waiting == 0) {
+    if (!linger_ || readEnded_) return drop();
+    // Closing with unread bytes would reset, and the client might never see its answer.
+    phase_ = Phase::kLinger;
+    socket_.shutdownWrite();
+    socket_.watchRead(true);
+  }
+  bool slow = slow_ ? waiting > kFastBelow : waiting > kSlowAbove;
+  chooseWait();
+  if (phase_ != Phase::kAnswering || slow == slow_) return;
+  slow_ = slow;
+  if (room_.hooks.onSlow) room_.hooks.onSlow({request_, slow});
+}
+
+void DoorConnection::overdue() {
+  auto keep = shared_from_this();
+  switch (waiting_) {
+    case DoorWait::kIdle:
+      // Unread bytes would be a request on its way: that one is still taken.
+      if (!socket_.quiet()) return readable();
+      return drop();
+    case DoorWait::kHead:
+    case DoorWait::kBody:
+      return turnAway(408, "the request did not come in time");
+    case DoorWait::kHalfClosed:
+      waitFor(DoorWait::kHalfClosed);
+      if (socket_.takeError() != 0) failed();
+      return;
+    case DoorWait::kWrite:
+      return failed();
+    case DoorWait::kLinger:
+    case DoorWait::kNothing:
+      return drop();
+  }
+}
+
+void DoorConnection::answerHead(const WireHead& head) {
+  if (phase_ != Phase::kAnswering || headSent_) return;
+  headSent_ = true;
+  closeAfter_ = closeAfter_ || room_.leaving || !head_.keepAlive;
+  bool bare = head_.method == "HEAD" || head.status == 204 || head.status == 304;
+  if (bare) framing_ = BodyFraming::kNone;
+  else if (head.length) framing_ = BodyFraming::kLength;
+  else framing_ = head_.http10 ? BodyFraming::kUntilClose : BodyFraming::kChunked;
+  if (framing_ == BodyFraming::kUntilClose) closeAfter_ = true;
+  left_ = head.length.value_or(0);
+  pending_ += "HTTP/1.1 ";
+  pending_ += numberText(static_cast<std::uint64_t>(head.status));
+  pending_ += ' ';
+  pending_ += head.reason;
+  pending_ += "\r\n";
+  pending_ += room_.dialect.answerHeaders(head);
+  if (head.length && head.status != 204) {
+    pending_ += "Content-Length: ";
+    pending_ += numberText(*head.length);
+    pending_ += "\r\n";
+  } else if (framing_ == BodyFraming::kChunked) {
+    pending_ += "Transfer-Encoding: chunked\r\n";
+  }
+  if (closeAfter_) pending_ += "Connection: close\r\n";
+  else if (head_.http10) pending_ += "Connection: keep-alive\r\n";
+  if (!closeAfter_) {  // a second less than it is kept, so that none is sent to a closed one
+    auto told = static_cast<std::uint64_t>(std::max(inSeconds(room_.limits.idle) - 1, 1.0));
+    pending_ += "Keep-Alive: timeout=";
+    pending_ += numberText(told);
+    pending_ += "\r\n";
+  }
+  pending_ += "\r\n";
+  room_.flushSoon(*this);
+}
+
+void DoorConnection::answerBody(std::string_view bytes) {
+  if (phase_ != Phase::kAnswering || !headSent_ || bytes.empty()) return;
+  switch (framing_) {
+    case BodyFraming::kNone:
+      return;
+    case BodyFraming::kLength:
+      if (bytes.size() > left_) bytes = bytes.substr(0, left_);  // never more than was told
+      left_ -= bytes.size();
+      pending_ += bytes;
+      break;
+    case BodyFraming::kChunked:
+      pending_ += numberText(bytes.size(), 16);
+      pending_ += "\r\n";
+      pending_ += bytes;
+      pending_ += "\r\n";
+      break;
+    case BodyFraming::kUntilClose:
+      pending_ += bytes;
+      break;
+  }
+  room_.flushSoon(*this);
+}
+
+void DoorConnection::answerDone(bool whole) {
+  if (phase_ != Phase::kAnswering) return;
+  if (framing_ == BodyFraming::kLength && left_ > 0) whole = false;
+  if (whole && headSent_) {
+    if (framing_ == BodyFraming::kChunked) pending_ += "0\r\n\r\n";
+    return endAnswer();
+  }
+  // No last chunk, or fewer bytes than told: it can't be taken for whole. Where only the close
+  // would tell its end, it is reset.
+  room_.answering.erase(request_.value);
+  if (headSent_ && framing_ == BodyFraming::kUntilClose) {
+    socket_.close(true);
+    phase_ = Phase::kEnding;
+    return drop();
+  }
+  closeAfterOutput(false);
+}
+
+void DoorConnection::refuse(const RefuseRequest& refusal) {
+  if (phase_ != Phase::kAnswering) return;
+  if (headSent_) return answerDone(false);
+  writeRefusal(refusal, clientId_, closeAfter_ || room_.leaving || !head_.keepAlive);
+  endAnswer();
+}
+
+void DoorConnection::writeRefusal(const RefuseRequest& refusal, const std::string& clientId,
+                                  bool close) {
+  closeAfter_ = close;
+  pending_ += "HTTP/1.1 ";
+  pending_ += numberText(static_cast<std::uint64_t>(refusal.status));
+  pending_ += ' ';
+  pending_ += reasonOf(refusal.status);
+  pending_ += "\r\n";
+  pending_ += room_.dialect.refusalHeaders(refusal, clientId);
+  if (!refusal.kind.empty()) pending_ += "Content-Type: text/plain\r\n";
+  pending_ += "Content-Length: ";
+  pending_ += numberText(refusal.kind.empty() ? 0 : refusal.kind.size() + 1);
+  pending_ += close            ? "\r\nConnection: close\r\n\r\n"
+              : head_.http10 ? "\r\nConnection: keep-alive\r\n\r\n"
+                               : "\r\n\r\n";
+  if (!refusal.kind.empty() && head_.method != "HEAD") {
+    pending_ += refusal.kind;
+    pending_ += '\n';
+  }
+  room_.flushSoon(*this);
+}
+
+void DoorConnection::endAnswer() {
+  room_.answering.erase(request_.value);
+  slow_ = false;
+  if (closeAfter_) return closeAfterOutput(false);
+  phase_ = Phase::kHead;
+  headSent_ = false;
+  scanner_ = {};
+  head_ = {};
+  room_.flushSoon(*this);
+}
+
+void DoorConnection::closeAfterOutput(bool linger) {
+  phase_ = Phase::kEnding;
+  linger_ = linger || !rest_.empty();
+  rest_.clear();
+  waitFor(DoorWait::kNothing);
+  room_.flushSoon(*this);
+}
+
+}  // namespace peppergate
--- /dev/null
+++ b/src/io/http_socket.cc
@@ -0,0 +1,169 @@
+#include "io/http_socket.h"
+
+#include <errno.h>
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+#include <array>
+
+#include "io/member_hub.h"
+
+namespace peppergate {
+namespace {
+
+void setOption(int descriptor, int level, int name, int value) {
+  setsockopt(descriptor, level, name, &value, sizeof value);
+}
+
+// A machine without power says nothing: what was sent to it, or a probe, ends the connection.
+constexpr int kUserTimeoutMilliseconds = 3000;
+constexpr int kProbeAfterSeconds = 2;
+constexpr int kProbePaceSeconds = 1;
+constexpr int kProbes = 3;
+
+bool again(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
+
+}  // namespace
+
+HttpSocket::HttpSocket(event_base* base, int descriptor, HttpSocketOwner& owner)
+    : descriptor_(descriptor), owner_(owner) {
+  event_assign(&readEvent_, base, descriptor, EV_READ | EV_PERSIST, &HttpSocket::onRead, this);
+  event_assign(&writeEvent_, base, descriptor, EV_WRITE | EV_PERSIST, &HttpSocket::onWrite, this);
+}
+
+HttpSocket::~HttpSocket() {
+  close();
+  if (output_ != nullptr) evbuffer_free(output_);
+}
+
+int HttpSocket::connectTo(const Address& address) {
+  sockaddr_in place{};
+  if (!parseAddress(address.value, place)) {
+    errno = EINVAL;
+    return -1;
+  }
+  int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) return -1;
+  setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMilliseconds);
+  setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterSeconds);
+  setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kProbePaceSeconds);
+  setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+  if (connect(descriptor, reinterpret_cast<sockaddr*>(&place), sizeof place) == 0 ||
+      errno == EINPROGRESS)
+    return descriptor;
+  int error = errno;
+  ::close(descriptor);
+  errno = error;
+  return -1;
+}
+
+void HttpSocket::setAccepted(int descriptor) { setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1); }
+
+void HttpSocket::onRead(evutil_socket_t, short, void* socket) {
+  static_cast<HttpSocket*>(socket)->owner_.readable();
+}
+void HttpSocket::onWrite(evutil_socket_t, short, void* socket) {
+  static_cast<HttpSocket*>(socket)->owner_.writable();
+}
+
+void HttpSocket::watchRead(bool wanted) {
+  if (!open() || wanted == reading_) return;
+  reading_ = wanted;
+  if (wanted) event_add(&readEvent_, nullptr);
+  else event_del(&readEvent_);
+}
+
+void HttpSocket::watchWrite(bool wanted) {
+  if (!open() || wanted == writing_) return;
+  writing_ = wanted;
+  if (wanted) event_add(&writeEvent_, nullptr);
+  else event_del(&writeEvent_);
+}
+
+HttpSocket::ReadResult HttpSocket::read(std::span<char> into) {
+  if (!open()) return {ReadOutcome::kFailed, 0};
+  ssize_t size = recv(descriptor_, into.data(), into.size(), 0);
+  if (size > 0) return {ReadOutcome::kBytes, static_cast<std::size_t>(size)};
+  if (size == 0) return {ReadOutcome::kEnd, 0};
+  return {again(errno) ? ReadOutcome::kNothing : ReadOutcome::kFailed, 0};
+}
+
+bool HttpSocket::send(std::string_view text) {
+  if (!open()) return false;
+  if (waiting() == 0) {
+    ssize_t size = ::send(descriptor_, text.data(), text.size(), MSG_NOSIGNAL);
+    if (size < 0 && !again(errno)) return false;
+    if (size > 0) {
+      handed_ += static_cast<std::uint64_t>(size);
+      text.remove_prefix(static_cast<std::size_t>(size));
+    }
+  }
+  if (text.empty()) return true;
+  if (output_ == nullptr) output_ = evbuffer_new();
+  evbuffer_add(output_, text.data(), text.size());
+  watchWrite(true);
+  return true;
+}
+
+bool HttpSocket::flush() {
+  // Not evbuffer_write: a write to an ended connection would raise SIGPIPE there.
+  while (waiting() > 0) {
+    std::array<evbuffer_iovec, 16> parts;
+    int count = evbuffer_peek(output_, -1, nullptr, parts.data(), parts.size());
+    msghdr message{};
+    message.msg_iov = parts.data();
+    message.msg_iovlen = std::min<std::size_t>(static_cast<std::size_t>(count), parts.size());
+    ssize_t size = sendmsg(descriptor_, &message, MSG_NOSIGNAL);
+    if (size < 0 && again(errno)) return true;
+    if (size <= 0) return false;
+    handed_ += static_cast<std::uint64_t>(size);
+    evbuffer_drain(output_, static_cast<std::size_t>(size));
+  }
+  watchWrite(false);
+  return true;
+}
+
+void HttpSocket::dropOutput() {
+  if (output_ != nullptr) evbuffer_drain(output_, evbuffer_get_length(output_));
+  watchWrite(false);
+}
+
+std::size_t HttpSocket::waiting() const {
+  return output_ == nullptr ? 0 : evbuffer_get_length(output_);
+}
+
+bool HttpSocket::quiet() const {
+  char byte = 0;
+  return open() && recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && again(errno);
+}
+
+int HttpSocket::takeError() const {
+  int error = 0;
+  socklen_t size = sizeof error;
+  if (getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &size) != 0) return errno;
+  return error;
+}
+
+void HttpSocket::shutdownWrite() {
+  if (open()) shutdown(descriptor_, SHUT_WR);
+}
+
+void HttpSocket::close(bool reset) {
+  if (!open()) return;
+  watchRead(false);
+  watchWrite(false);
+  if (reset) {
+    linger hard{1, 0};
+    setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  }
+  ::close(descriptor_);
+  descriptor_ = -1;
+}
+
+}  // namespace peppergate
