Requests: attempts at most once, budget in buckets, resumed streams, times

Cause: clients' requests need one machine that decides what may be sent again. Change: Requests over small seams (Placer, EngineLedger, KeptParts, FleetFacts), AttemptBudget, rules of heads, services and urgency; props budgetShare and budgetSlack.

--- /dev/null
+++ b/src/requests/request_state.h
@@ -0,0 +1,131 @@
+#pragma once
+// The requests' tables, shared by the files that implement `Requests`; nobody else needs them.
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "engines/engine_book.h"
+#include "prompts/placement.h"
+#include "requests/attempt_budget.h"
+#include "requests/request_rules.h"
+#include "requests/requests.h"
+
+namespace peppergate {
+
+/// One engine's try at a request. A request has at most one at a time.
+struct LiveAttempt {
+  AttemptId id;
+  EngineId engine;
+  std::string salt;
+  std::int64_t toRead = 0;
+  MonotonicTime opened, writeBefore;
+  std::optional<WeightsVersion> expect;
+  bool written = false;
+  bool paid = false;     // out of the budget
+  bool resumed = false;  // it goes on behind events that the client has from this answer
+  bool first = false;    // its first event (or head, without a stream) came
+  std::shared_ptr<const WireHead> head;
+  bool failure = false;  // the head is an engine's failure, passed on as it is
+  std::optional<std::uint64_t> lastEvent;  // of this run
+};
+
+/// A client's request from its arrival to its one final answer.
+struct LiveRequest {
+  RequestArrived asked;
+  std::shared_ptr<const Route> route;
+  ServiceName service;
+  TenantId tenant;
+  MonotonicTime deadline, due, heard;
+  std::optional<LiveAttempt> attempt;
+  std::vector<EngineId> tried;
+  int sent = 0;               // attempts that are over and may have reached their engine
+  int unwritten = 0;          // attempts that never left
+  bool counted = false;       // its first attempt was counted for the budget
+  bool mayHaveRun = false;    // some attempt that is over may have run
+  bool answering = false;     // the client got a head
+  bool bytesPassed = false;   // and some of the body
+  bool lengthPassed = false;  // and the head told the body's length
+  bool slow = false;
+  std::optional<std::uint64_t> lastEvent;  // passed to the client
+  std::uint64_t largestStep = 0;           // between ids of events, as seen
+  std::optional<Duration> retryAfter;      // as an engine told it
+
+  bool stream() const { return route->kind == RouteKind::kStream; }
+};
+
+/// What an attempt needs before it can be sent.
+struct AttemptPlan {
+  Placed placed;
+  ServiceName service;
+  TenantId tenant;
+  int urgency = 5;
+  MonotonicTime writeBefore;
+  std::shared_ptr<const Route> route;
+  bool paid = false;
+};
+struct AttemptFault {
+  Hurdle hurdle = Hurdle::kNoEngine;
+  std::optional<Duration> comeBack = std::nullopt;
+};
+
+struct Requests::State {
+  explicit State(RequestParts parts) : parts(parts) {}
+
+  // requests.cc
+  void ask(RequestArrived arrived, MonotonicTime now, Outbox& outbox);
+  std::variant<AttemptPlan, AttemptFault> plan(LiveRequest& request, MonotonicTime now, Outbox& outbox);
+  void send(LiveRequest& request, AttemptPlan plan, MonotonicTime now, Outbox& outbox);
+  void giveUp(LiveRequest& request, AttemptFault fault, MonotonicTime now, Outbox& outbox);
+  void cut(LiveRequest& request, Outbox& outbox);
+  void finish(LiveRequest& request);
+  void release(LiveRequest& request, AttemptEnd how, MonotonicTime now);
+  void gone(RequestId id, MonotonicTime now, Outbox& outbox);
+
+  // request_turns.cc
+  void turn(AttemptTurned turned, MonotonicTime now, Outbox& outbox);
+  void head(LiveRequest& request, const AttemptTurned& turned, MonotonicTime now, Outbox& outbox);
+  void declined(LiveRequest& request, const AttemptTurned& turned, MonotonicTime now, Outbox& outbox);
+  void failed(LiveRequest& request, const AttemptTurned& turned, MonotonicTime now, Outbox& outbox);
+  void body(LiveRequest& request, AttemptTurned& turned, MonotonicTime now, Outbox& outbox);
+  enum class Order : std::uint8_t { kNext, kKnown, kWrong };
+  Order order(const LiveRequest& request, const AttemptTurned& turned) const;
+  void firstCame(LiveRequest& request, MonotonicTime now, Outbox& outbox);
+  void ended(LiveRequest& request, MonotonicTime now, Outbox& outbox);
+  void garbled(LiveRequest& request, MonotonicTime now, Outbox& outbox);
+  void broken(LiveRequest& request, AttemptEnd how, MonotonicTime now, Outbox& outbox);
+  void notWritten(LiveRequest& request, MonotonicTime now, Outbox& outbox);
+  void again(LiveRequest& request, std::string_view counter, AttemptFault otherwise, MonotonicTime now,
+             Outbox& outbox);
+
+  // request_times.cc
+  void arm(LiveRequest& request);
+  std::optional<MonotonicTime> silentAt(const LiveRequest& request) const;
+  void slow(const ClientSlow& slow, MonotonicTime now, Outbox& outbox);
+  void tick(MonotonicTime now, Outbox& outbox);
+  void due(LiveRequest& request, MonotonicTime now, Outbox& outbox);
+  void silent(LiveRequest& request, MonotonicTime now, Outbox& outbox);
+  void overdue(LiveRequest& request, MonotonicTime now, Outbox& outbox);
+
+  void refreshCaches();
+  std::shared_ptr<const Route> keepRoute(const Route* route);
+  BudgetTerms budgetTerms() const;
+  bool repeatable(const Route& route) const {
+    return route.repeatable() || !parts.props.guards(Guard::kNoRepeat);
+  }
+
+  RequestParts parts;
+  std::unordered_map<std::uint64_t, LiveRequest> requests;
+  std::unordered_map<std::uint64_t, std::uint64_t> attempts;  // attempt to its request
+  std::set<std::pair<MonotonicTime, std::uint64_t>> dues;
+  std::map<ServiceName, AttemptBudget> budgets;
+  FrontCount fronts;
+  MonotonicTime frontsSeen = kNever;
+  // Read out of the configuration that is in force:
+  std::uint64_t changes = 0;
+  bool cached = false;
+  std::unordered_map<const Route*, std::shared_ptr<const Route>> routes;
+  UrgencyTable urgencies;
+  std::uint64_t lastAttempt = 0;
+};
+
+}  // namespace peppergate
--- /dev/null
+++ b/src/requests/request_times.cc
@@ -0,0 +1,103 @@
+// What time does to requests: deadlines, silent engines, clients that read slowly.
+#include <algorithm>
+
+#include "requests/request_state.h"
+
+namespace peppergate {
+namespace {
+/// How soon a silent attempt is looked at again when no other engine could be had.
+constexpr Duration kLookAgain = milliseconds(250);
+constexpr Duration kFrontsEvery = seconds(1);
+}  // namespace
+
+/// When the attempt under way will have been silent for too long; nothing if silence is to be
+/// borne: a run that may not be repeated, an answer that can't be joined, a client that reads
+/// slowly itself.
+std::optional<MonotonicTime> Requests::State::silentAt(const LiveRequest& request) const {
+  if (!request.attempt || request.slow || !repeatable(*request.route)) return std::nullopt;
+  const LiveAttempt& attempt = *request.attempt;
+  if (attempt.failure || request.sent + 1 >= request.route->attempts) return std::nullopt;
+  if (!attempt.first) return request.heard + firstSilence(*request.route);
+  bool joinable = request.stream() && !request.lengthPassed &&
+                  (request.lastEvent || !request.bytesPassed);
+  if (!joinable) return std::nullopt;
+  return request.heard + eventSilence(*request.route);
+}
+
+/// Notes when the request has to be looked at next. What comes meanwhile only moves that back, so
+/// events of a stream don't touch the order; it is found out when the time has come.
+void Requests::State::arm(LiveRequest& request) {
+  auto silent = silentAt(request);
+  MonotonicTime due = silent ? std::min(*silent, request.deadline) : request.deadline;
+  std::uint64_t id = request.asked.request.value;
+  if (due == request.due) return;
+  dues.erase({request.due, id});
+  request.due = due;
+  dues.emplace(due, id);
+}
+
+void Requests::State::slow(const ClientSlow& slow, MonotonicTime now, Outbox& outbox) {
+  auto found = requests.find(slow.request.value);
+  if (found == requests.end() || found->second.slow == slow.slow) return;
+  LiveRequest& request = found->second;
+  request.slow = slow.slow;
+  request.heard = now;
+  if (request.attempt) outbox.push(PauseAttempt{request.attempt->id, slow.slow});
+  arm(request);
+}
+
+void Requests::State::tick(MonotonicTime now, Outbox& outbox) {
+  if (now - frontsSeen >= kFrontsEvery) {
+    frontsSeen = now;
+    fronts.see(parts.facts.liveFronts(), now);
+  }
+  while (!dues.empty() && dues.begin()->first <= now) {
+    LiveRequest& request = requests.at(dues.begin()->second);
+    dues.erase(dues.begin());
+    request.due = {};
+    due(request, now, outbox);
+  }
+}
+
+void Requests::State::due(LiveRequest& request, MonotonicTime now, Outbox& outbox) {
+  if (now >= request.deadline) return overdue(request, now, outbox);
+  auto at = silentAt(request);
+  if (at && *at <= now) return silent(request, now, outbox);
+  arm(request);
+}
+
+/// Another engine is found first; until there is one, the silent one may still answer.
+void Requests::State::silent(LiveRequest& request, MonotonicTime now, Outbox& outbox) {
+  LiveAttempt& attempt = *request.attempt;
+  bool hadFirst = attempt.first;
+  if (!hadFirst) parts.placer.dropped(request.asked.request);
+  auto planned = plan(request, now, outbox);
+  if (auto* next = std::get_if<AttemptPlan>(&planned)) {
+    outbox.count("attempts.again.silent");
+    outbox.push(CancelAttempt{attempt.id});
+    parts.ledger.ended(attempt.engine, AttemptEnd::kSilent, attempt.toRead, hadFirst, now);
+    attempts.erase(attempt.id.value);
+    request.attempt.reset();
+    ++request.sent;
+    request.mayHaveRun = true;
+    return send(request, std::move(*next), now, outbox);
+  }
+  outbox.count("attempts.silent_kept");
+  Duration limit = hadFirst ? eventSilence(*request.route) : firstSilence(*request.route);
+  request.heard = now + kLookAgain - limit;
+  arm(request);
+}
+
+void Requests::State::overdue(LiveRequest& request, MonotonicTime now, Outbox& outbox) {
+  outbox.count("requests.overdue");
+  if (request.attempt) {
+    bool silent = !request.attempt->head && request.attempt->written &&
+                  now - request.attempt->opened > firstSilence(*request.route);
+    outbox.push(CancelAttempt{request.attempt->id});
+    release(request, silent ? AttemptEnd::kSilent : AttemptEnd::kClientGone, now);
+    request.mayHaveRun = true;
+  }
+  giveUp(request, {Hurdle::kDeadline}, now, outbox);
+}
+
+}  // namespace peppergate
--- /dev/null
+++ b/src/requests/requests.cc
@@ -0,0 +1,247 @@
+#include "requests/requests.h"
+
+#include <algorithm>
+
+#include "requests/request_state.h"
+
+namespace peppergate {
+namespace {
+/// Attempts that never left cost their engine nothing, but a connection each is tried.
+constexpr int kLargestUnwritten = 6;
+/// Where a route tells no time at all.
+constexpr Duration kNoTimeout = seconds(60);
+
+MonotonicTime deadlineOf(const RequestArrived& asked, const Route& route, MonotonicTime now) {
+  Duration timeout = route.timeout.microseconds > 0 ? route.timeout : kNoTimeout;
+  return now + (asked.timeLeft ? std::min(*asked.timeLeft, timeout) : timeout);
+}
+
+const ServiceShare* shareOf(const Route& route, const ServiceName& service) {
+  auto found = std::ranges::find(route.services, service, &ServiceShare::service);
+  return found == route.services.end() || found->weight <= 0 ? nullptr : &*found;
+}
+}  // namespace
+
+Requests::Requests(RequestParts parts) : state_(std::make_unique<State>(parts)) {}
+Requests::~Requests() = default;
+void Requests::ask(RequestArrived arrived, MonotonicTime now, Outbox& outbox) {
+  state_->ask(std::move(arrived), now, outbox);
+}
+void Requests::turn(AttemptTurned turned, MonotonicTime now, Outbox& outbox) {
+  state_->turn(std::move(turned), now, outbox);
+}
+void Requests::gone(RequestId request, MonotonicTime now, Outbox& outbox) {
+  state_->gone(request, now, outbox);
+}
+void Requests::slow(const ClientSlow& slow, MonotonicTime now, Outbox& outbox) {
+  state_->slow(slow, now, outbox);
+}
+void Requests::tick(MonotonicTime now, Outbox& outbox) { state_->tick(now, outbox); }
+std::size_t Requests::live() const { return state_->requests.size(); }
+
+void Requests::State::ask(RequestArrived arrived, MonotonicTime now, Outbox& outbox) {
+  if (requests.contains(arrived.request.value)) return outbox.count("requests.doubled");
+  outbox.count("requests.asked");
+  LiveRequest request;
+  request.asked = std::move(arrived);
+  auto planned = plan(request, now, outbox);
+  if (auto* fault = std::get_if<AttemptFault>(&planned)) return giveUp(request, *fault, now, outbox);
+  std::uint64_t id = request.asked.request.value;
+  auto place = requests.emplace(id, std::move(request)).first;
+  outbox.count("attempts.first");
+  send(place->second, std::move(std::get<AttemptPlan>(planned)), now, outbox);
+}
+
+/// Everything that has to hold for one more attempt, as it is known now: each attempt is checked
+/// against the configuration in force at that moment, not at the request's arrival.
+std::variant<AttemptPlan, AttemptFault> Requests::State::plan(LiveRequest& request, MonotonicTime now,
+                                                    Outbox& outbox) {
+  if (!parts.facts.installed()) return AttemptFault{Hurdle::kNotInstalled};
+  MonotonicTime freshUntil = parts.facts.freshUntil(now);
+  if (freshUntil <= now) return AttemptFault{Hurdle::kStale};
+  refreshCaches();
+  const FleetConfig& config = parts.facts.config();
+  const Route* route = config.route(request.asked.host, request.asked.path);
+  if (!route) return AttemptFault{Hurdle::kNoRoute};
+  const TenantConfig* tenant = nullptr;
+  if (!route->open && !config.tenants.empty()) {
+    if (!request.asked.key.empty()) tenant = config.tenantOfKey(request.asked.key);
+    if (!tenant) return AttemptFault{Hurdle::kUnknownKey};
+  }
+  AttemptPlan plan;
+  if (tenant) plan.tenant = tenant->name;
+  if (!request.route) {
+    request.route = keepRoute(route);
+    request.deadline = deadlineOf(request.asked, *route, now);
+  } else {
+    // Once it may have run, both the route that it came on and today's have to allow another run.
+    bool mayHaveRun = request.mayHaveRun || request.attempt;
+    if (mayHaveRun && (route->kind != request.route->kind || !repeatable(*route) ||
+                       !repeatable(*request.route)))
+      return AttemptFault{Hurdle::kBroken};
+    if (request.answering && plan.tenant != request.tenant) return AttemptFault{Hurdle::kUnknownKey};
+  }
+  if (request.deadline - now < leastTime(*route)) return AttemptFault{Hurdle::kTooLate};
+  int sent = request.sent + (request.attempt ? 1 : 0);
+  if (sent >= std::max(1, std::min(route->attempts, request.route->attempts)) ||
+      request.unwritten >= kLargestUnwritten)
+    return AttemptFault{Hurdle::kNoAttemptsLeft};
+  const ServiceShare* share = shareOf(*route, request.service);
+  if (!share) share = chooseService(*route, request.asked.clientId);
+  if (!share) return AttemptFault{Hurdle::kNoRoute};
+  plan.paid = sent > 0;
+  if (plan.paid && parts.props.guards(Guard::kBudget) &&
+      !budgets[share->service].allows(budgetTerms(), now))
+    return AttemptFault{Hurdle::kOverBudget};
+
+  PlacementAsk ask;
+  ask.request = request.asked.request;
+  ask.route = route;
+  ask.service = share->service;
+  ask.model = request.asked.model;
+  ask.tenant = plan.tenant;
+  ask.isolated = tenant && tenant->isolated;
+  ask.parts = request.asked.parts;
+  ask.tokensIn = request.asked.tokensIn;
+  ask.tokensOut = request.asked.tokensOut;
+  ask.timeLeft = request.deadline - now;
+  ask.tried = request.tried;
+  auto placed = parts.placer.place(ask, config, parts.facts.weights(), now, outbox);
+  if (auto* refusal = std::get_if<PlaceRefusal>(&placed))
+    return AttemptFault{refusal->fault == PlaceFault::kFull ? Hurdle::kFull : Hurdle::kNoEngine,
+                     refusal->comeBack};
+  plan.placed = std::move(std::get<Placed>(placed));
+  plan.service = share->service;
+  plan.urgency =
+      urgencies.of(tenant ? tenant->urgency : UrgencyTable::kNoTenant, route->urgency);
+  plan.writeBefore = std::min(freshUntil, request.deadline);
+  plan.route = keepRoute(route);
+  return plan;
+}
+
+void Requests::State::send(LiveRequest& request, AttemptPlan plan, MonotonicTime now, Outbox& outbox) {
+  LiveAttempt attempt;
+  attempt.id = {++lastAttempt};
+  attempt.engine = plan.placed.engine;
+  attempt.salt = std::move(plan.placed.salt);
+  attempt.toRead = plan.placed.toRead;
+  attempt.expect = plan.placed.version;
+  attempt.opened = now;
+  attempt.writeBefore = plan.writeBefore;
+  attempt.paid = plan.paid;
+  attempt.resumed = request.answering;
+  request.service = std::move(plan.service);
+  request.tenant = std::move(plan.tenant);
+  request.route = std::move(plan.route);
+  request.heard = now;
+  request.tried.push_back(attempt.engine);
+  if (!request.counted) budgets[request.service].first(budgetTerms(), now);
+  if (plan.paid) budgets[request.service].take(now);
+  request.counted = true;
+
+  OpenAttempt open;
+  open.attempt = attempt.id;
+  open.request = request.asked.request;
+  open.wire = request.asked.wire;
+  open.clientId = request.asked.clientId;
+  open.address = std::move(plan.placed.address);
+  open.engine = attempt.engine;
+  open.stream = request.stream();
+  open.timeLeft = request.deadline - now;
+  open.resumeAfter = request.lastEvent ? request.lastEvent : request.asked.resumeAfter;
+  open.tenant = request.tenant;
+  open.salt = attempt.salt;
+  open.urgency = plan.urgency;
+  open.expect = attempt.expect;
+  open.collectFrom = std::move(plan.placed.collectFrom);
+  open.depositAt = std::move(plan.placed.depositAt);
+  open.connectTimeout = std::min(open.connectTimeout, open.timeLeft);
+  open.writeBefore = attempt.writeBefore;
+  parts.ledger.sent(attempt.engine, attempt.toRead);
+  attempts.emplace(attempt.id.value, request.asked.request.value);
+  if (attempt.resumed) outbox.count("streams.resumed");
+  outbox.count("attempts.opened");
+  AttemptId id = attempt.id;
+  request.attempt = std::move(attempt);
+  outbox.push(std::move(open));
+  if (request.slow) outbox.push(PauseAttempt{id, true});
+  arm(request);
+}
+
+/// The final answer of a request that no attempt is under way for. What may have run is never
+/// told "not run"; what was begun is cut.
+void Requests::State::giveUp(LiveRequest& request, AttemptFault fault, MonotonicTime now,
+                             Outbox& outbox) {
+  if (request.answering) return cut(request, outbox);
+  HurdleRow row = hurdleRow(fault.hurdle);
+  bool promise = row.status != 502 && row.status != 504;
+  if (request.mayHaveRun && promise && parts.props.guards(Guard::kHonestNo))
+    row = hurdleRow(fault.hurdle == Hurdle::kTooLate ? Hurdle::kDeadline : Hurdle::kBroken);
+  RefuseRequest refuse{request.asked.request, row.status, row.kind, std::nullopt};
+  if (row.status == 503) {
+    Duration left = request.route ? request.deadline - now
+                                  : request.asked.timeLeft.value_or(seconds(3));
+    auto forecast = fault.comeBack ? fault.comeBack : request.retryAfter;
+    refuse.retryAfter = comeBackAfter(forecast, left, parts.random);
+  }
+  outbox.count(row.refused);
+  outbox.push(refuse);
+  finish(request);
+}
+
+void Requests::State::cut(LiveRequest& request, Outbox& outbox) {
+  outbox.count("requests.cut");
+  outbox.push(AnswerDone{request.asked.request, false});
+  finish(request);
+}
+
+void Requests::State::finish(LiveRequest& request) {
+  std::uint64_t id = request.asked.request.value;
+  if (request.attempt) attempts.erase(request.attempt->id.value);
+  auto found = requests.find(id);
+  if (found == requests.end() || &found->second != &request) return;  // it was never taken in
+  dues.erase({request.due, id});
+  requests.erase(found);
+}
+
+/// The request lets go of its attempt; what still comes of that is not for it.
+void Requests::State::release(LiveRequest& request, AttemptEnd how, MonotonicTime now) {
+  const LiveAttempt& attempt = *request.attempt;
+  parts.ledger.ended(attempt.engine, how, attempt.toRead, attempt.first, now);
+  if (!attempt.first) parts.placer.dropped(request.asked.request);
+  attempts.erase(attempt.id.value);
+  request.attempt.reset();
+}
+
+void Requests::State::gone(RequestId id, MonotonicTime now, Outbox& outbox) {
+  auto found = requests.find(id.value);
+  if (found == requests.end()) return;
+  outbox.count("requests.gone");
+  LiveRequest& request = found->second;
+  if (request.attempt) {
+    outbox.push(CancelAttempt{request.attempt->id});
+    release(request, AttemptEnd::kClientGone, now);
+  }
+  finish(request);
+}
+
+void Requests::State::refreshCaches() {
+  if (cached && changes == parts.facts.changes()) return;
+  cached = true;
+  changes = parts.facts.changes();
+  routes.clear();
+  urgencies = UrgencyTable(parts.facts.config());
+}
+
+std::shared_ptr<const Route> Requests::State::keepRoute(const Route* route) {
+  auto& kept = routes[route];
+  if (!kept) kept = std::make_shared<const Route>(*route);
+  return kept;
+}
+
+BudgetTerms Requests::State::budgetTerms() const {
+  return {parts.props.budgetShare, parts.props.budgetWindow,
+          slackPart(parts.props.budgetSlack, fronts.most())};
+}
+
+}  // namespace peppergate
--- a/src/requests/requests.h
+++ b/src/requests/requests.h
@@ -1,24 +1,22 @@
 #pragma once
 // Clients' requests and their attempts at engines: what was promised, and what may have run.
-#include <map>
-#include <unordered_map>
+#include <memory>
 
-#include "core/budget.h"
-#include "core/follower.h"
-#include "core/membership.h"
 #include "core/outbox.h"
-#include "prompts/placement.h"
+#include "core/props.h"
+#include "core/random.h"
+#include "requests/fleet_facts.h"
+#include "requests/placer.h"
 
 namespace peppergate {
 
 /// What the requests need of the rest of the front.
 struct RequestParts {
   const Props& props;
-  Membership& membership;
-  Follower& follower;
-  EngineBook& book;
-  PartIndex& index;
-  Placement& placement;
+  const FleetFacts& facts;
+  EngineLedger& ledger;
+  KeptParts& kept;
+  Placer& placer;
   Random& random;
 };
 
@@ -28,13 +26,13 @@
   explicit Requests(RequestParts parts);
   ~Requests();
   /// A client's request: it is sent on, or refused at once. Example: see the class.
-  void ask(const RequestArrived& arrived, MonotonicTime now, Outbox& outbox);
+  void ask(RequestArrived arrived, MonotonicTime now, Outbox& outbox);
   /// An attempt went on. Example: its head came.
-  void turn(const AttemptTurned& turned, MonotonicTime now, Outbox& outbox);
+  void turn(AttemptTurned turned, MonotonicTime now, Outbox& outbox);
   /// The client went away: its attempt ends and nothing is sent again.
   void gone(RequestId request, MonotonicTime now, Outbox& outbox);
   /// The client reads slowly: its own attempt is read no further. Example: on ClientSlow.
-  void slow(const ClientSlow& slow, Outbox& outbox);
+  void slow(const ClientSlow& slow, MonotonicTime now, Outbox& outbox);
   /// Ends what is over its time; nothing here looks at every request. Example: each tick.
   void tick(MonotonicTime now, Outbox& outbox);
   std::size_t live() const;
