Fleet configuration: read, checked, amended and kept in the control state

Cause: operators' routes, services, tenants and limits had no place in the product. Change: readers and checks in src/config that name the wrong field; kinds replace, amend and model-version; the state shares its parts between copies and writes out only what changed.

--- a/src/config/fleet_config.h
+++ b/src/config/fleet_config.h
@@ -2,6 +2,7 @@
 // What the operators configured: routes, services, tenants, limits. Read from the setup section.
 #include <absl/status/statusor.h>
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -88,16 +89,32 @@
   Duration idle = seconds(15);
 };
 
+/// Hashes texts and views of texts alike, so that a look-up makes no copy.
+struct TextHash {
+  using is_transparent = void;
+  std::size_t operator()(std::string_view text) const {
+    return std::hash<std::string_view>{}(text);
+  }
+};
+template <class Value>
+using ByText = std::unordered_map<std::string, Value, TextHash, std::equal_to<>>;
+
+/// The routes of one host. A look-up tries each length that a prefix has, the longest first.
+struct HostRoutes {
+  std::vector<std::size_t> lengths;
+  ByText<std::size_t> byPrefix;  // indices of the configuration's routes
+};
+
 /// Example: `config.route("desk.example", "/a/b")` is the route with the longest prefix.
 struct FleetConfig {
   ConfigVersion version;  // 0: none was ever taken
   std::vector<Route> routes;
   std::map<ServiceName, ServiceConfig> services;
   std::map<TenantId, TenantConfig> tenants;
-  std::unordered_map<std::string, TenantId> keys;  // key to its tenant
+  ByText<TenantId> keys;  // key to its tenant
   RequestLimits limits;
-  // Indices of `routes` by host, longest prefix first.
-  std::unordered_map<std::string, std::vector<std::size_t>> byHost;
+  ByText<HostRoutes> byHost;  // hosts as `plainHost` writes them
+  std::optional<ServiceName> storeName;
 
   /// The route of a request; none means that no such route was configured. The host is compared
   /// without its port and in lower case. Example: see the class.
@@ -108,13 +125,20 @@
   const ServiceConfig* store() const;
 };
 
-/// Checks a whole configuration; the first fault names its field. Example:
-/// `checkFleetConfig(document)` is nothing for a good one.
+/// A host without its port, in lower case. Example: `plainHost("Desk.example:80")`.
+std::string plainHost(std::string_view host);
+
+/// Checks a whole configuration; the first fault names its field, e.g. "[routes][3][service]".
+/// Example: `checkFleetConfig(document)` is nothing for a good one.
 std::optional<FieldFault> checkFleetConfig(const Json& document);
-/// Reads a checked configuration. Example: `readFleetConfig(setup["fleet"])`.
+/// Reads a configuration, with the same checks. Example: `readFleetConfig(setup["fleet"])`.
 absl::StatusOr<FleetConfig> readFleetConfig(const Json& document);
-/// Applies named upserts and removals to a configuration. Example:
-/// `amendFleetConfig(config, {"version":9,"upsert":{"routes":[...]},"remove":{"routes":["r"]}})`.
-Json amendFleetConfig(const Json& config, const Json& amendment);
+/// Checks the shape of an amendment; what it makes of a configuration is checked by itself.
+/// Example: `checkFleetAmendment(amendment)` names "[upsert][routes][0][name]".
+std::optional<FieldFault> checkFleetAmendment(const Json& amendment);
+/// Applies a checked amendment: named removals, then upserts, which replace by name in place or
+/// append. Example: `amendFleetConfig(config,
+/// {"version":9,"upsert":{"routes":[...]},"remove":{"routes":["r"]}})`.
+Json amendFleetConfig(Json config, const Json& amendment);
 
 }  // namespace peppergate
--- /dev/null
+++ b/src/core/control_changes.cc
@@ -0,0 +1,220 @@
+#include "core/control_changes.h"
+
+#include <algorithm>
+#include <array>
+
+namespace peppergate {
+namespace {
+
+std::optional<ChangeAnswer> checkTenant(const Json& setup, const std::string& id,
+                                        const Json& tenant, std::uint64_t named) {
+  std::string place = "[tenants][" + id + "]";
+  const Json& templates = setup.at("templates");
+  std::string templateName = tenant.at("template");
+  if (!templates.contains(templateName))
+    return invalid(place + "[template]", "no template named '" + templateName + "'");
+  Json parameters = templates[templateName].value("defaults", Json::object());
+  parameters.update(tenant.at("parameters"));
+  for (const char* needed : {"rank", "wall"})
+    if (!parameters.contains(needed))
+      return invalid(place + "[parameters][" + needed + "]", "is needed and has no default");
+  if (parameters.value("weights", std::uint64_t{0}) > named)
+    return invalid(place + "[parameters][weights]", "is above the weights named so far");
+  if (parameters.value("topRung", std::size_t{0}) >= setup.at("rungs").size())
+    return invalid(place + "[parameters][topRung]", "there is no such rung");
+  return std::nullopt;
+}
+
+std::optional<ChangeAnswer> checkSetup(const Json& setup, std::uint64_t named) {
+  const Json& rungs = setup.at("rungs");
+  for (std::size_t index = 1; index < rungs.size(); ++index)
+    if (rungs[index]["rate"].get<double>() <= rungs[index - 1]["rate"].get<double>())
+      return invalid("[rungs][" + std::to_string(index) + "][rate]", "must rise rung by rung");
+  for (const auto& [name, entry] : setup.at("classes").items()) {
+    if (entry["floor"].get<std::size_t>() >= rungs.size())
+      return invalid("[classes][" + name + "][floor]", "there is no such rung");
+    if (entry["a"].get<double>() * entry["b"].get<double>() <= 0)
+      return invalid("[classes][" + name + "][a]", "worth must rise with the rate: a*b > 0");
+  }
+  for (const auto& [name, entry] : setup.at("templates").items())
+    if (!setup["classes"].contains(entry["class"].get<std::string>()))
+      return invalid("[templates][" + name + "][class]", "there is no such class");
+  for (const auto& [id, tenant] : setup.at("tenants").items())
+    if (auto wrong = checkTenant(setup, id, tenant, named)) return wrong;
+  return std::nullopt;
+}
+
+std::optional<ChangeAnswer> addKeys(Json& keys, const std::string& tenant, const Json& digests) {
+  for (const auto& digest : digests) {
+    std::string text = digest;
+    if (keys["withdrawn"].contains(text))
+      return invalid("[keys]", "a withdrawn key never comes back; make a new one");
+    if (keys["live"].contains(text) && keys["live"][text] != tenant)
+      return invalid("[keys]", "the key belongs to another tenant");
+    keys["live"][text] = tenant;
+  }
+  return std::nullopt;
+}
+
+std::optional<ChangeAnswer> applySetup(Json& body, const Json& change) {
+  if (!change.contains("setup")) return invalid("[setup]", "is needed");
+  Json setup = change["setup"];
+  if (!setup.contains("tenants")) setup["tenants"] = Json::object();
+  std::uint64_t named = body["weights"]["version"];
+  if (auto wrong = checkSetup(setup, named)) return wrong;
+  for (auto& [id, tenant] : setup["tenants"].items()) {
+    Json digests = tenant["parameters"].value("keys", Json::array());
+    if (auto wrong = addKeys(body["keys"], id, digests)) return wrong;
+    tenant["parameters"].erase("keys");
+  }
+  body["setup"] = setup;
+  return std::nullopt;
+}
+
+std::optional<ChangeAnswer> applyStamp(Json& body, const Json& change) {
+  for (const char* needed : {"template", "tenant", "parameters"})
+    if (!change.contains(needed)) return invalid(std::string("[") + needed + "]", "is needed");
+  std::string id = change["tenant"];
+  Json tenant = {{"template", change["template"]}, {"parameters", change["parameters"]}};
+  std::uint64_t named = body["weights"]["version"];
+  if (auto wrong = checkTenant(body["setup"], id, tenant, named)) return wrong;
+  Json digests = tenant["parameters"].value("keys", Json::array());
+  if (auto wrong = addKeys(body["keys"], id, digests)) return wrong;
+  tenant["parameters"].erase("keys");
+  body["setup"]["tenants"][id] = tenant;
+  return std::nullopt;
+}
+
+std::optional<ChangeAnswer> applyTemplate(Json& body, const Json& change) {
+  // One template anew, or changed; every tenant stamped from it has to fit it still.
+  for (const char* needed : {"template", "made"})
+    if (!change.contains(needed)) return invalid(std::string("[") + needed + "]", "is needed");
+  body["setup"]["templates"][change["template"].get<std::string>()] = change["made"];
+  return checkSetup(body["setup"], body["weights"]["version"]);
+}
+
+std::optional<ChangeAnswer> applyParameters(Json& body, const Json& change) {
+  // Some of one tenant's parameters; the others stay as they are.
+  std::string id = change.value("tenant", "");
+  if (!body["setup"]["tenants"].contains(id)) return invalid("[tenant]", "there is no such tenant");
+  if (!change.contains("parameters")) return invalid("[parameters]", "is needed");
+  Json& tenant = body["setup"]["tenants"][id];
+  tenant["parameters"].update(change["parameters"]);
+  Json digests = tenant["parameters"].value("keys", Json::array());
+  tenant["parameters"].erase("keys");
+  if (auto wrong = addKeys(body["keys"], id, digests)) return wrong;
+  return checkTenant(body["setup"], id, tenant, body["weights"]["version"]);
+}
+
+std::optional<ChangeAnswer> applyRevert(Json& body, const Json& change) {
+  // An earlier setup as a new version. Keys stay as they are: a withdrawn one never comes back.
+  std::string wanted = change.value("to", "");
+  std::string known;
+  for (const auto& earlier : body.value("earlier", Json::array())) {
+    if (earlier["version"] == wanted) {
+      body["setup"] = Json(earlier["setup"]);
+      return checkSetup(body["setup"], body["weights"]["version"]);
+    }
+    known += (known.empty() ? "" : ", ") + earlier["version"].get<std::string>();
+  }
+  return invalid("[to]", known.empty() ? "no earlier setup is kept" : "kept are " + known);
+}
+
+std::optional<ChangeAnswer> applyRemove(Json& body, const Json& change) {
+  std::string id = change.value("tenant", "");
+  if (!body["setup"]["tenants"].contains(id)) return invalid("[tenant]", "there is no such tenant");
+  body["setup"]["tenants"].erase(id);
+  for (auto& [digest, owner] : body["keys"]["live"].items())
+    if (owner == id) body["keys"]["withdrawn"][digest] = true;
+  for (const auto& [digest, gone] : body["keys"]["withdrawn"].items())
+    body["keys"]["live"].erase(digest);
+  return std::nullopt;
+}
+
+std::optional<ChangeAnswer> applyWeights(Json& body, const Json& change) {
+  if (!change.contains("label")) return invalid("[label]", "is needed");
+  std::uint64_t named = body["weights"]["version"];
+  body["weights"]["version"] = named + 1;
+  body["weights"]["label"] = change["label"];
+  return std::nullopt;
+}
+
+std::optional<ChangeAnswer> applyModelVersion(Json& body, const Json& change) {
+  for (const char* needed : {"model", "version"})
+    if (!change.contains(needed)) return invalid(std::string("[") + needed + "]", "is needed");
+  std::string model = change["model"];
+  auto wanted = change["version"].get<std::uint64_t>();
+  Json models = body["weights"].value("models", Json::object());
+  // A model that was never named has version 1; versions only rise.
+  if (wanted <= models.value(model, std::uint64_t{1})) return std::nullopt;
+  models[model] = wanted;
+  body["weights"]["models"] = std::move(models);
+  return std::nullopt;
+}
+
+std::optional<ChangeAnswer> applyKeyAdd(Json& body, const Json& change) {
+  if (!change.contains("digest")) return invalid("[digest]", "is needed");
+  std::string id = change.value("tenant", "");
+  if (!body["setup"]["tenants"].contains(id)) return invalid("[tenant]", "there is no such tenant");
+  return addKeys(body["keys"], id, Json::array({change["digest"]}));
+}
+
+std::optional<ChangeAnswer> applyKeyWithdraw(Json& body, const Json& change) {
+  if (!change.contains("digest")) return invalid("[digest]", "is needed");
+  std::string digest = change["digest"];
+  // A key never heard of is withdrawn all the same: the yes holds for it from now on.
+  body["keys"]["live"].erase(digest);
+  body["keys"]["withdrawn"][digest] = true;
+  return std::nullopt;
+}
+
+struct KindRow {
+  std::string_view kind;
+  Applier applier;
+};
+constexpr std::array<KindRow, 10> kKinds{{{"apply", &applySetup},
+                                         {"stamp", &applyStamp},
+                                         {"remove", &applyRemove},
+                                         {"weights", &applyWeights},
+                                         {"key-add", &applyKeyAdd},
+                                         {"key-withdraw", &applyKeyWithdraw},
+                                         {"template", &applyTemplate},
+                                         {"parameters", &applyParameters},
+                                         {"revert", &applyRevert},
+                                         {"model-version", &applyModelVersion}}};
+
+}  // namespace
+
+ChangeAnswer faultAnswer(ChangeOutcome outcome, std::string field, std::string detail) {
+  ChangeAnswer answer;
+  answer.outcome = outcome;
+  answer.field = std::move(field);
+  answer.detail = std::move(detail);
+  return answer;
+}
+
+ChangeAnswer invalid(std::string field, std::string detail) {
+  return faultAnswer(ChangeOutcome::kInvalid, std::move(field), std::move(detail));
+}
+
+Applier applierOf(std::string_view kind) {
+  auto row = std::ranges::find(kKinds, kind, &KindRow::kind);
+  return row == kKinds.end() ? nullptr : row->applier;
+}
+
+/// What a change would do, as patches of each section; keys are told by number only.
+std::string whatWouldChange(const Json& before, const Json& after) {
+  Json told{{"setup", Json::diff(before["setup"], after["setup"])},
+            {"weights", Json::diff(before["weights"], after["weights"])},
+            {"liveKeys", {before["keys"]["live"].size(), after["keys"]["live"].size()}},
+            {"withdrawnKeys",
+             {before["keys"]["withdrawn"].size(), after["keys"]["withdrawn"].size()}}};
+  std::string text = told.dump();
+  if (text.size() > 64 << 10) {
+    told["setup"] = std::to_string(told["setup"].size()) + " steps, too many to show";
+    text = told.dump();
+  }
+  return text;
+}
+
+}  // namespace peppergate
--- a/src/core/control_state.h
+++ b/src/core/control_state.h
@@ -2,10 +2,13 @@
 // The fleet's control state: setup, keys, weights; changed only through checked changes.
 #include <absl/status/statusor.h>
 
+#include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "config/fleet_config.h"
@@ -66,10 +69,34 @@
 /// Reads a weights section. Example: `readWeights(news.weights)`.
 absl::StatusOr<Weights> readWeights(const std::string& text);
 
-/// The whole state with the versions of its sections.
+/// A setup that a change replaced, as its text, without the fleet's configuration.
+struct EarlierSetup {
+  SetupVersion version;
+  std::shared_ptr<const std::string> text;
+};
+
+/// The changes that were taken last, by their ids. Example: `remembered.find("c1")`.
+class RememberedChanges {
+ public:
+  /// The version that a change made; none if it isn't remembered. Example: see the class.
+  const SetupVersion* find(const std::string& changeId) const;
+  /// Adds one and forgets the oldest beyond the limit. Example: `add("c1", version, 1000)`.
+  void add(const std::string& changeId, const SetupVersion& version, std::size_t limit);
+  /// All of them as a JSON list, oldest first. Example: in the state's text.
+  std::string text() const;
+
+ private:
+  std::deque<std::string> order_;
+  std::unordered_map<std::string, SetupVersion> versions_;
+};
+
+/// The whole state with the versions of its sections. A copy shares all parts with its original,
+/// and a change makes anew, and writes out once, only what it changes.
 /// Example: `state.apply(change, "id-1", Epoch{3}, props)` gives the outcome.
 class ControlState {
  public:
+  /// Example: an empty one, for copies that aren't there yet.
+  ControlState();
   /// The state of a fleet just founded. Example: `ControlState::founded(Epoch{1})`.
   static ControlState founded(Epoch epoch);
   /// Reads what `text` wrote. Example: `ControlState::parse(state.text())`.
@@ -88,16 +115,40 @@
   /// The versions of the sections. Example: `state.sections().keys`.
   SectionVersions sections() const { return sections_; }
   /// The sections' texts. Example: `state.setupText()`.
-  std::string setupText() const { return body_["setup"].dump(); }
-  std::string keysText() const { return body_["keys"].dump(); }
-  std::string weightsText() const { return body_["weights"].dump(); }
+  const std::string& setupText() const { return *setupText_; }
+  const std::string& keysText() const { return *keysText_; }
+  const std::string& weightsText() const { return *weightsText_; }
+  /// The version of the fleet's configuration; 0: none yet. Example: `configVersion().value`.
+  ConfigVersion configVersion() const { return fleetVersion_; }
   /// Everything, for files and copies. Example: `ControlState::parse(state.text())`.
   std::string text() const;
+  /// How much JSON was written out for this state and those it came from; tests bound it.
+  /// Example: `state.bytesWritten() < 1000` after a change of one key.
+  std::size_t bytesWritten() const { return bytesWritten_; }
 
  private:
-  Json body_;
+  using Text = std::shared_ptr<const std::string>;
+  using Fault = std::optional<ChangeAnswer>;
+  Text write(const Json& value);
+  void joinSetup();
+  void writeSections();
+  Fault checkBase(const std::string& kind, const Json& change) const;
+  Fault changeSections(const std::string& kind, const Json& change);
+  Fault changeFleet(const std::string& kind, Json& change);
+  std::string wouldBecome(const ControlState& next) const;
+  std::size_t size() const;
+  ChangeAnswer adopt(ControlState next, const std::string& changeId, Epoch epoch,
+                     const Props& props);
+
+  std::shared_ptr<const Json> body_;   // setup without the fleet's configuration, keys, weights
+  std::shared_ptr<const Json> fleet_;  // the configuration as it was sent; null: none yet
+  ConfigVersion fleetVersion_;
+  Text bareSetupText_, fleetText_, setupText_, keysText_, weightsText_;
+  std::vector<EarlierSetup> earlier_;
+  std::shared_ptr<RememberedChanges> remembered_;
   SetupVersion version_;
   SectionVersions sections_;
+  std::size_t bytesWritten_ = 0;
 };
 
 }  // namespace peppergate
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -206,8 +206,9 @@
   SetupVersion version;
   std::string field;   // which field was wrong, if one was
   std::string detail;
+  std::uint64_t newest = 0;  // of the fleet's configuration, when a change built on another one
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(ticket) PEPPERGATE_FIELD(outcome) PEPPERGATE_FIELD(version)
-                        PEPPERGATE_FIELD(field) PEPPERGATE_FIELD(detail))
+                        PEPPERGATE_FIELD(field) PEPPERGATE_FIELD(detail) PEPPERGATE_FIELD(newest))
 };
 
 struct HoldAsk {
--- a/src/core/props.h
+++ b/src/core/props.h
@@ -44,7 +44,7 @@
   Duration copyTimeout = seconds(1.0);
   Duration syncTimeout = seconds(1.0);
   Duration seatAfter = seconds(10);
-  std::int64_t largestSetup = 1 << 20;
+  std::int64_t largestSetup = 6 << 20;
   std::int64_t rememberedChanges = 1000;
   // Membership.
   Duration shuffleEvery = seconds(0.3);
