--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -20,6 +20,10 @@
 
 /// Example: `daemonCommand("front", {"--member", "127.0.0.1:7101"})`.
 int daemonCommand(std::string_view role, const Words& words);
+/// Runs a daemon by the settings file that the environment names. Example: `nodeCommand({})`.
+int nodeCommand(const Words& words);
+/// Checks such a settings file. Example: `checkNode("/etc/peppergate/node.toml")`.
+int checkNode(const std::string& file);
 /// Checks a settings file as a daemon would. Example: `checkCommand({"--settings", "a.ini"})`.
 int checkCommand(const Words& words);
 /// Example: `setupCommand({"show", "--at", "127.0.0.1:7201"})`.
--- a/src/app/daemon_command.cc
+++ b/src/app/daemon_command.cc
@@ -141,6 +141,7 @@
 }
 
 int checkCommand(const Words& words) {
+  if (words.size() == 2 && words[0] == "--node") return checkNode(words[1]);
   po::variables_map values;
   std::string file;
   if (int code = readAll(words, values, file); code >= 0) return code;
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -21,17 +21,20 @@
   int (*run)(const Words&);
   std::string_view help;
 };
-constexpr std::array<CommandRow, 9> kCommands{{
-    {"front", &frontCommand, "run a front: the callers' door, one of many"},
-    {"core", &coreCommand, "run a core machine: control state, votes and holds"},
-    {"setup", &setupCommand, "apply, change, show or stamp the setup; name weights; keys"},
-    {"trace", &traceCommand, "follow one change through all daemons"},
-    {"check", &checkCommand, "check a settings file and its props"},
-    {"rehearse", &rehearseCommand, "run scenarios on simulated time, over seeds"},
-    {"place", &placeCommand, "solve placements in districts from constraints in a file"},
-    {"standin", &standinCommand, "run a stand-in: engine, store, desk, platform, requester"},
-    {"version", &versionCommand, "print the version"},
-}};
+constexpr std::array kCommands{
+    CommandRow{"node", &nodeCommand, "run a daemon by the platform's settings file"},
+    CommandRow{"front", &frontCommand, "run a front: the callers' door, one of many"},
+    CommandRow{"core", &coreCommand, "run a core machine: control state, votes and holds"},
+    CommandRow{"setup", &setupCommand, "apply, change, show or stamp the setup; name weights; keys"},
+    CommandRow{"trace", &traceCommand, "follow one change through all daemons"},
+    CommandRow{"check", &checkCommand, "check a settings file and its props"},
+#ifndef PEPPERGATE_DAEMONS_ONLY
+    CommandRow{"rehearse", &rehearseCommand, "run scenarios on simulated time, over seeds"},
+    CommandRow{"place", &placeCommand, "solve placements in districts from constraints in a file"},
+    CommandRow{"standin", &standinCommand, "run a stand-in: engine, store, desk, platform, requester"},
+#endif
+    CommandRow{"version", &versionCommand, "print the version"},
+};
 
 void printHelp(std::FILE* to) {
   std::fprintf(to, "usage: peppergate COMMAND [FLAGS]\n\ncommands:\n");
--- a/src/core/props.h
+++ b/src/core/props.h
@@ -43,7 +43,10 @@
   Duration yesWait = seconds(1.45);  // for fronts whose proof may be of an older state
   Duration copyTimeout = seconds(1.0);
   Duration syncTimeout = seconds(1.0);
-  Duration seatAfter = seconds(10);
+  Duration seatAfter = seconds(10);  // a voter silent for so long loses its seat
+  std::int64_t backups = 1;          // that have a change on disk before the yes
+  std::int64_t voterSeats = 7;       // at most; 2 * backups + 1 have to fit
+  Duration applyWithin = seconds(2.1);  // after a yes no front acts on what it replaced
   std::int64_t largestSetup = 1 << 20;
   std::int64_t rememberedChanges = 1000;
   // Membership.
@@ -56,6 +59,7 @@
   Duration newsTimeout = seconds(1.0);
   Duration proofLimit = seconds(3.5);
   Duration liveLimit = seconds(4.5);  // a live stream ends where the proof is older
+  Duration withdrawWithin = seconds(5);  // after the yes a withdrawn key does nothing anywhere
   // Engine watch.
   Duration engineHold = seconds(3);
   Duration engineHoldStop = seconds(2.4);
@@ -69,10 +73,20 @@
   Duration sweepEvery = seconds(3);
   Duration oldWeightsLimit = seconds(16);
   double waveShare = 0.34;
+  Duration weightsWithin = seconds(12);  // after the yes requests start on new weights only
+  Duration leaseLength = seconds(3);     // of one who orders engines; no two within it
+  std::int64_t loadsAtOnce = 3;          // engines that load new weights at the same time
+  double listRate = 20;                  // calls a second to the engine list, by all together
+  Duration listLag = seconds(0.8);       // how far the engine list may be behind
+  Duration drainWithin = seconds(3);     // after an engine is listed as draining nothing is sent
   // Streams.
   double secondShotShare = 0.15;
   Duration budgetWindow = seconds(10);
+  double budgetShare = 0.15;  // of a service's first attempts within the window
+  double budgetSlack = 0;     // allowed on top of the share, by all fronts together
+  Duration connectTimeout = seconds(0.5);  // for a connection to an engine to come up
   Duration drainLimit = seconds(11);
+  Duration graceTime = seconds(8);  // from the word to leave until the process is killed
   Duration largestDeadline = seconds(60);
   Duration firstPieceTimeout = seconds(3);
   std::int64_t streamsLimit = 2000;
--- a/src/io/dialect.h
+++ b/src/io/dialect.h
@@ -71,6 +71,7 @@
   struct OperatorCall {
     OperatorAsked asked;  // in the product's own words
     int kind = 0;         // given back to `operatorAnswer`
+    std::optional<AnswerWeb> refused = {};  // can't be read: this is the answer, nothing is asked
   };
   virtual std::optional<OperatorCall> readOperator(TicketId ticket, const std::string& method,
                                                    const std::string& path, const Headers& headers,
