Index of kept parts with gaps, its watch by long polls, and moves booked link by link

Requests of a general data path need to know which engine keeps which part, and a fetch plan whose cost per request doesn't grow with streams or links. The index finds holders by part, the watch polls each engine from one front and tells the others, FetchDesk::join books by the levels of the last rerun. The solver's result type is renamed: two types named Placement clashed.

--- a/src/core/fetch_desk.cc
+++ b/src/core/fetch_desk.cc
@@ -8,27 +8,34 @@
 
 constexpr std::uint64_t kNotedStreams = 1ULL << 62;  // ids above it stand for many streams
 
-LinkId engineLink(const EngineId& engine) { return {"engine:" + engine.value}; }
 LinkId rackLink(const std::string& rack) { return {"rack:" + rack}; }
 
 }  // namespace
 
 void FetchDesk::links(const EngineList& list) {
-  std::map<LinkId, double> told;
-  for (const auto& [id, engine] : list.engines) told[engineLink(id)] = engine.link;
-  for (const auto& [rack, uplink] : list.racks) told[rackLink(rack)] = uplink;
+  std::map<LinkId, LinkTold> told;
+  for (const auto& [id, engine] : list.engines) told[linkOf(id)] = {engine.link, {}};
+  for (const auto& [rack, uplink] : list.racks) told[rackLink(rack)] = {uplink, {}};
+  links(told);
+}
+
+void FetchDesk::links(const std::map<LinkId, LinkTold>& told) {
   std::erase_if(books_, [&](const auto& entry) { return !told.contains(entry.first); });
-  for (const auto& [link, size] : told) {
+  std::erase_if(rungs_, [&](const auto& entry) { return !told.contains(entry.first.second); });
+  for (const auto& [link, is] : told) {
     auto [book, fresh] = books_.try_emplace(link);
-    book->second.told = size;
-    if (fresh) book->second.fraction = props_.capacityStart;
+    book->second.told = is.size;
+    book->second.district = is.district;
+    if (!fresh) continue;
+    book->second.fraction = props_.capacityStart;
+    book->second.common = is.size * props_.capacityStart;
   }
   touched_ = true;
 }
 
 std::vector<LinkId> FetchDesk::pathOf(const EngineList& list, const EngineId& source,
                                       const EngineId& engine) {
-  std::vector<LinkId> path{engineLink(source), engineLink(engine)};
+  std::vector<LinkId> path{linkOf(source), linkOf(engine)};
   auto from = list.engines.find(source);
   auto to = list.engines.find(engine);
   if (from == list.engines.end() || to == list.engines.end()) return path;
@@ -49,11 +56,11 @@
   return found->second.told * found->second.fraction * (1 - easedCut(found->second, now));
 }
 
-double FetchDesk::ownDemand(const LinkId& link, const Setup& setup) const {
+double FetchDesk::ownDemand(const LinkId& link) const {
   double demand = 0;
   for (const auto& [stream, fetch] : fetches_)
     if (std::ranges::find(fetch.want.links, link) != fetch.want.links.end())
-      demand += setup.rungs.at(static_cast<std::size_t>(fetch.want.topRung)).rate;
+      demand += fetch.topRate * pathCrossing(fetch.want.links);
   return demand;
 }
 
@@ -75,7 +82,7 @@
 
 std::optional<EngineId> FetchDesk::roomiest(std::span<const EngineId> holders,
                                             const EngineList& list, const EngineId& engine,
-                                            const Setup& setup, MonotonicTime now) {
+                                            const Setup&, MonotonicTime now) {
   std::optional<EngineId> best;
   double bestRoom = 0;
   for (const auto& holder : holders) {
@@ -83,7 +90,7 @@
     double room = 1e18;
     for (const auto& link : pathOf(list, holder, engine)) {
       double size = commonCapacity(link, now);
-      double own = ownDemand(link, setup);
+      double own = ownDemand(link);
       room = std::min(room, size - own - othersUse(link, size, own, now));
     }
     // The store is the last choice among equals: peers are nearer.
@@ -125,6 +132,7 @@
   }
   kept.rung = rung;
   kept.rate = setup.rungs.at(static_cast<std::size_t>(rung)).rate;
+  kept.topRate = setup.rungs.at(static_cast<std::size_t>(kept.want.topRung)).rate;
   outbox.count("fetch.begun");
   outbox.count("fetch.rung." + std::to_string(rung));
   return rung;
@@ -192,7 +200,7 @@
     if (tenantClass != setup.classes.end()) stream.tenantClass = tenantClass->second;
     stream.topRung = std::clamp<std::int64_t>(top, 0, last);
     stream.floorRung = std::clamp<std::int64_t>(floor, 0, stream.topRung);
-    stream.count = count;
+    stream.count = count * pathCrossing(path);  // as often as its moves count
     for (const auto& link : path) capacities[link] = commonCapacity(link, now);
     streams.push_back(std::move(stream));
   };
@@ -226,10 +234,15 @@
     touched_ = true;
     outbox.count("fetch.short");
   }
-  fetches_.erase(found);
+  drop(stream);
 }
 
-void FetchDesk::drop(StreamId stream) { fetches_.erase(stream); }
+void FetchDesk::drop(StreamId stream) {
+  auto found = fetches_.find(stream);
+  if (found == fetches_.end()) return;
+  if (found->second.joined) book(found->second, -1);
+  fetches_.erase(found);
+}
 
 void FetchDesk::hear(const UsageNote& note, MonotonicTime now) {
   Others& others = noted_[note.front];
@@ -262,18 +275,21 @@
     book.usedSinceRun = book.shortSinceRun = false;
   }
   plan_ = settleNow(setup, nullptr, now);
+  refreshBooks(now);
   outbox.count("fetch.reruns");
 }
 
-UsageNote FetchDesk::makeNote(MemberId self, const Setup& setup, MonotonicTime now) const {
+UsageNote FetchDesk::makeNote(MemberId self, MonotonicTime now) const {
   std::map<LinkId, LinkUsage> usages;
-  for (const auto& [stream, fetch] : fetches_)
+  for (const auto& [stream, fetch] : fetches_) {
+    double crossing = pathCrossing(fetch.want.links);
     for (const auto& link : fetch.want.links) {
       LinkUsage& usage = usages[link];
-      usage.rate += setup.rungs.at(static_cast<std::size_t>(fetch.rung)).rate;
-      usage.demand += setup.rungs.at(static_cast<std::size_t>(fetch.want.topRung)).rate;
+      usage.rate += fetch.rate * crossing;
+      usage.demand += fetch.topRate * crossing;
       ++usage.streams;
     }
+  }
   UsageNote note{self, {}, {}};
   for (const auto& [key, count] : mixes_) {
     const auto& [path, className, floor, top] = key;
@@ -296,8 +312,8 @@
   return note;
 }
 
-UsageNote FetchDesk::note(MemberId self, const Setup& setup, MonotonicTime now) {
-  UsageNote note = makeNote(self, setup, now);
+UsageNote FetchDesk::note(MemberId self, const Setup&, MonotonicTime now) {
+  UsageNote note = makeNote(self, now);
   for (auto& [link, book] : books_) book.missing = 0;  // told once
   self_ = self;
   hear(note, now);  // this front plans with just what it told the others
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -309,6 +309,7 @@
 };
 
 /// What changed in the kept parts of one engine, by its watcher's word; whole: all that it keeps.
+/// A salt that is the same as the one before it is left empty.
 struct PartNews {
   EngineId engine;
   std::uint64_t epoch = 0;  // the engine's own: a restart changes it
@@ -353,11 +354,18 @@
                         PEPPERGATE_FIELD(prefillTokens))
 };
 
+/// A front that lacks changes asks another for all that it knows of an engine.
+struct PartAsk {
+  EngineId engine;
+  std::uint64_t epoch = 0, next = 0;  // what the asker has
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(engine) PEPPERGATE_FIELD(epoch) PEPPERGATE_FIELD(next))
+};
+
 using Message = std::variant<Shuffle, PromiseAsk, PromiseAnswer, AcceptAsk, AcceptAnswer, CopyAsk,
                              CopyAnswer, NewsAsk, NewsAnswer, ChangeAsk, ChangeAnswer, HoldAsk,
                              HoldAnswer, EngineListNews, EngineListAsk, PictureNote, IndexPut,
                              IndexAsk, UsageNote, HolderAsk, HolderAnswer, CaretakerAsk,
                              CaretakerAnswer, CaretakerNote, PartNews, RosterNews, RosterAsk,
-                             EngineTrouble, EngineUse>;
+                             EngineTrouble, EngineUse, PartAsk>;
 
 }  // namespace peppergate
--- a/src/place/place.cc
+++ b/src/place/place.cc
@@ -100,7 +100,7 @@
 
 }  // namespace
 
-absl::StatusOr<Placement> solvePlacement(std::string_view text) {
+absl::StatusOr<PlacementSolution> solvePlacement(std::string_view text) {
   Json file = Json::parse(text, nullptr, false);
   if (file.is_discarded()) return wrong("<root>", "is no JSON");
   if (auto fault = checkSchema(SchemaName::kPlacement, file)) return wrong(fault->field, fault->detail);
@@ -117,7 +117,7 @@
       return wrong("[constraints][" + std::to_string(index) + "][name]", "stands twice");
     if (auto status = addConstraint(model, entry, index++); !status.ok()) return status;
   }
-  Placement placement;
+  PlacementSolution placement;
   z3::check_result result = model.solver.check();
   if (result == z3::unknown) return absl::DeadlineExceededError("the solver found no answer");
   if (result == z3::unsat) {
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -10,7 +10,7 @@
 namespace peppergate {
 
 /// Where everything goes, or the names of the constraints that can't all be kept.
-struct Placement {
+struct PlacementSolution {
   bool possible = false;
   std::map<std::string, std::string> engines;  // engine to district
   std::map<std::string, std::string> tenants;  // tenant to its home district
@@ -19,6 +19,6 @@
 
 /// Reads a file's text and solves it; a wrong file is an error that names the field.
 /// Example: `solvePlacement(R"({"districts":[...],"engines":[...],"constraints":[...]})")`.
-absl::StatusOr<Placement> solvePlacement(std::string_view text);
+absl::StatusOr<PlacementSolution> solvePlacement(std::string_view text);
 
 }  // namespace peppergate
--- /dev/null
+++ b/src/prompts/fetch_setup.cc
@@ -0,0 +1,54 @@
+#include "prompts/fetch_setup.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace peppergate {
+namespace {
+
+struct RungPart {
+  std::string_view name;
+  double part;  // of the smallest link
+};
+constexpr std::array kRungParts{RungPart{"thin", 1.0 / 32}, RungPart{"half", 1.0 / 16},
+                                RungPart{"most", 1.0 / 8}, RungPart{"whole", 1.0 / 4}};
+
+/// The lower the worth of a rate, the higher the rung under a common level.
+struct ClassPart {
+  std::string_view name;
+  int urgencyBelow;
+  double steepness;
+};
+constexpr std::array kClassParts{ClassPart{"urgent", 2, 1.0}, ClassPart{"usual", 6, 0.8},
+                                 ClassPart{"patient", 1000, 0.6}};
+
+}  // namespace
+
+std::string_view className(int urgency) {
+  return std::ranges::find_if(kClassParts, [&](const ClassPart& one) {
+           return urgency < one.urgencyBelow;
+         })->name;
+}
+
+Setup fetchSetup(const Setup& operators, const FleetConfig& fleet) {
+  Setup setup;
+  double link = 0;
+  for (const auto& [name, service] : fleet.services)
+    for (double told : {service.engine ? service.engine->linkMbps : 0,
+                        service.store ? service.store->linkMbps : 0})
+      if (told > 0) link = link > 0 ? std::min(link, megabytesOf(told)) : megabytesOf(told);
+  bool own = operators.rungs.size() > 1;
+  if (own) setup.rungs = operators.rungs;
+  else if (link > 0)
+    for (const auto& [name, part] : kRungParts) setup.rungs.push_back({std::string(name), link * part});
+  if (own) setup.classes = operators.classes;
+  if (setup.rungs.empty()) return setup;
+  // The worth of the lowest rung is 1 less the steepness, whatever the links' size.
+  double scale = std::sqrt(setup.rungs.front().rate);
+  for (const auto& [name, below, steepness] : kClassParts)
+    setup.classes.try_emplace(std::string(name), TenantClass{-steepness * scale, -0.5, 1, 0});
+  return setup;
+}
+
+}  // namespace peppergate
--- /dev/null
+++ b/src/prompts/part_watch.cc
@@ -0,0 +1,277 @@
+#include "prompts/part_watch.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "core/engine_list.h"
+
+namespace peppergate {
+namespace {
+
+constexpr Duration kScanEvery = milliseconds(500);  // of the list for engines that came or went
+constexpr Duration kCoalesce = milliseconds(100);   // news waits so long for more
+constexpr Duration kPollPause = milliseconds(100);  // after an answer: more changes in one call
+constexpr Duration kListGap = seconds(10);          // between two dear calls to one engine
+constexpr Duration kAskGap = seconds(3);            // between two questions about one engine
+constexpr Duration kAnswerWait = milliseconds(400); // for another front's picture, before a poll
+constexpr Duration kFirstWait = milliseconds(500), kLongestWait = seconds(2);
+constexpr int kStoreFailures = 2;  // then nothing is collected from the store any more
+
+}  // namespace
+
+PartWatch::PartWatch(const Props& props, Membership& membership, PartIndex& index)
+    : props_(props), membership_(membership), index_(index) {}
+
+void PartWatch::tick(EngineBook& book, const FleetConfig& config, MonotonicTime now,
+                     Outbox& outbox) {
+  std::vector<std::pair<EngineId, Address>> keepers;
+  if (now >= nextScan_)
+    for (const auto& [name, service] : config.services) {
+      if (service.store) keepers.emplace_back(storeId(), service.store->address);
+      if (!service.engine || service.engine->kvTokens <= 0) continue;
+      for (const EngineState* engine : book.of(name))
+        keepers.emplace_back(engine->listed.id, engine->listed.address);
+    }
+  tick(keepers, now, outbox);
+}
+
+void PartWatch::tick(const std::vector<std::pair<EngineId, Address>>& keepers, MonotonicTime now,
+                     Outbox& outbox) {
+  if (now >= nextScan_) assign(keepers, now, outbox);
+  for (auto& [engine, watched] : watched_)
+    if (watched.ticket.value == 0 && now >= watched.next) call(engine, watched, now, outbox);
+  flush(now, outbox);
+}
+
+void PartWatch::assign(const std::vector<std::pair<EngineId, Address>>& keepers,
+                       MonotonicTime now, Outbox& outbox) {
+  nextScan_ = now + kScanEvery;
+  auto fronts = membership_.liveFronts();
+  if (!ring_.isFor(fronts)) ring_ = Ring(fronts);
+  MemberId self = membership_.self().member;
+  std::set<EngineId> listed;
+  for (const auto& [engine, address] : keepers) {
+    listed.insert(engine);
+    auto owners = ring_.owners(engine, 2);
+    bool mine = !owners.empty() && owners[0] == self;
+    auto known = index_.known(engine);
+    if (!mine) {
+      watched_.erase(engine);
+      if (!known && !owners.empty()) ask(membership_.addressOf(owners[0]), engine, now, outbox);
+      continue;
+    }
+    auto [found, fresh] = watched_.try_emplace(engine);
+    Watched& watched = found->second;
+    if (fresh || watched.address != address) {
+      watched = Watched{};
+      watched.address = address;
+      outbox.count("parts.watched");
+      if (known) {
+        watched.since = watched.told = known->next;  // goes on where the watcher before left off
+      } else if (owners.size() > 1) {
+        ask(membership_.addressOf(owners[1]), engine, now, outbox);
+        watched.next = now + kAnswerWait;
+      }
+    }
+  }
+  std::erase_if(watched_, [&](const auto& entry) { return !listed.contains(entry.first); });
+  std::erase_if(asked_, [&](const auto& entry) { return !listed.contains(entry.first); });
+  if (keepers.empty()) return;  // no list yet
+  for (const auto& engine : index_.engines())
+    if (!listed.contains(engine)) index_.forget(engine);
+}
+
+void PartWatch::call(const EngineId& engine, Watched& watched, MonotonicTime now,
+                     Outbox& outbox) {
+  TicketId ticket = outbox.ticket();
+  open_[ticket] = engine;
+  watched.ticket = ticket;
+  if (watched.wantsList) {
+    watched.wantsList = false;
+    watched.listedAt = now;
+    outbox.count("parts.lists");
+    outbox.push(ListParts{ticket, watched.address});
+    return;
+  }
+  outbox.count("parts.polls");
+  outbox.push(PollParts{ticket, watched.address, watched.since});
+}
+
+PartNews PartWatch::newsOf(const EngineId& engine, const std::vector<PartChange>& changes) {
+  std::map<std::pair<std::string_view, std::string_view>, std::int64_t> last;  // by salt
+  for (const auto& change : changes)
+    last[{change.salt, change.part}] = std::max<std::int64_t>(0, change.tokens);
+  PartNews news;
+  news.engine = engine;
+  std::string_view salt;
+  for (const auto& [name, tokens] : last) {
+    if (name.first.empty()) continue;  // not made under any salt of ours
+    news.salts.emplace_back(name.first == salt ? std::string_view{} : name.first);
+    salt = name.first;
+    news.parts.emplace_back(name.second);
+    news.tokens.push_back(tokens);
+  }
+  return news;
+}
+
+PartWatch::Watched* PartWatch::answered(TicketId ticket, EngineId& engine) {
+  auto open = open_.find(ticket);
+  engine = std::move(open->second);
+  open_.erase(open);
+  auto found = watched_.find(engine);
+  if (found == watched_.end() || found->second.ticket != ticket) return nullptr;
+  found->second.ticket = {};
+  return &found->second;
+}
+
+bool PartWatch::polled(const PartsPolled& answer, MonotonicTime now, Outbox& outbox) {
+  EngineId engine;
+  if (!open_.contains(answer.ticket)) return false;
+  Watched* found = answered(answer.ticket, engine);
+  if (found == nullptr) return true;  // another front watches it by now
+  Watched& watched = *found;
+  if (answer.status != 200) {
+    failed(engine, watched, answer.status, now, outbox);
+    return true;
+  }
+  watched.failures = 0;
+  watched.next = now + kPollPause;
+  auto known = index_.known(engine);
+  if (known && known->epoch != answer.epoch && watched.since != 0) {
+    // It began anew: asked from the start, it tells everything if it has not lost any of it.
+    outbox.count("parts.otherEpoch");
+    watched.since = watched.told = 0;
+    watched.next = now;
+    PartNews empty;
+    empty.engine = engine;
+    empty.epoch = answer.epoch;
+    empty.whole = true;
+    index_.hear(empty);
+    tell(std::move(empty), now);
+    return true;
+  }
+  if (answer.lost) {
+    outbox.count("parts.lost");
+    watched.wantsList = now - watched.listedAt >= kListGap;
+    if (watched.wantsList) watched.next = now;
+  }
+  PartNews news = newsOf(engine, answer.changes);
+  news.epoch = answer.epoch;
+  news.from = watched.told;
+  news.next = watched.since = answer.next;
+  index_.hear(news);
+  if (news.parts.empty() && known) return true;  // others hear of the mark with the next change
+  watched.told = news.next;
+  tell(std::move(news), now);
+  return true;
+}
+
+bool PartWatch::listed(const PartsListed& answer, MonotonicTime now, Outbox& outbox) {
+  EngineId engine;
+  if (!open_.contains(answer.ticket)) return false;
+  Watched* found = answered(answer.ticket, engine);
+  if (found == nullptr) return true;
+  Watched& watched = *found;
+  if (answer.status != 200) {
+    failed(engine, watched, answer.status, now, outbox);
+    return true;
+  }
+  watched.failures = 0;
+  watched.next = now;
+  watched.since = watched.told = answer.next;
+  PartNews news = newsOf(engine, answer.held);
+  news.epoch = answer.epoch;
+  news.from = news.next = answer.next;
+  news.whole = true;
+  index_.hear(news);
+  tell(std::move(news), now);
+  return true;
+}
+
+void PartWatch::failed(const EngineId& engine, Watched& watched, int status, MonotonicTime now,
+                       Outbox& outbox) {
+  outbox.count(status == 429 ? "parts.tooMany" : "parts.failed");
+  Duration wait = kFirstWait * static_cast<double>(1 << std::min(watched.failures, 3));
+  watched.next = now + std::min(wait, kLongestWait);
+  ++watched.failures;
+  if (engine != storeId() || status == 429 || watched.failures != kStoreFailures) return;
+  // Nobody shall wait for a store that is down. It tells everything again once it is back.
+  watched.since = watched.told = 0;
+  PartNews empty;
+  empty.engine = engine;
+  empty.whole = true;
+  index_.hear(empty);
+  tell(std::move(empty), now);
+  outbox.push(NoteState{"the store of kept parts does not answer"});
+}
+
+void PartWatch::ask(const Address& whom, const EngineId& engine, MonotonicTime now,
+                    Outbox& outbox) {
+  auto [asked, fresh] = asked_.try_emplace(engine, now);
+  if (!fresh && now - asked->second < kAskGap) return;
+  asked->second = now;
+  auto known = index_.known(engine).value_or(PartMark{});
+  outbox.count("parts.asked");
+  outbox.send(whom, PartAsk{engine, known.epoch, known.next});
+}
+
+void PartWatch::hear(const Address& from, const PartNews& news, MonotonicTime now,
+                     Outbox& outbox) {
+  bool complete = index_.hear(news);
+  auto found = watched_.find(news.engine);
+  if (found != watched_.end()) {
+    // An answer to what this front asked before its first poll, or a former watcher's last word.
+    auto known = index_.known(news.engine);
+    if (found->second.ticket.value == 0 && known && found->second.since < known->next) {
+      found->second.since = found->second.told = known->next;
+      found->second.next = now;
+    }
+    return;
+  }
+  if (complete) return;
+  outbox.count("parts.gaps");
+  ask(from, news.engine, now, outbox);
+}
+
+void PartWatch::hear(const Address& from, const PartAsk& ask, MonotonicTime, Outbox& outbox) {
+  auto known = index_.known(ask.engine);
+  if (!known) return;
+  if (known->epoch == ask.epoch && known->next < ask.next) return;
+  outbox.count("parts.told");
+  outbox.send(from, index_.whole(ask.engine));
+}
+
+void PartWatch::tell(PartNews news, MonotonicTime now) {
+  auto [found, fresh] = pending_.try_emplace(news.engine, Pending{now, {}});
+  Pending& pending = found->second;
+  if (fresh || news.whole || pending.news.epoch != news.epoch) {
+    pending.news = std::move(news);
+    return;
+  }
+  // What comes later stands behind what came before, so the last word on a part counts.
+  pending.news.next = news.next;
+  if (pending.news.whole) pending.news.from = news.next;
+  for (std::size_t index = 0; index < news.parts.size(); ++index) {
+    pending.news.salts.push_back(std::move(news.salts[index]));
+    pending.news.parts.push_back(std::move(news.parts[index]));
+    pending.news.tokens.push_back(news.tokens[index]);
+  }
+}
+
+void PartWatch::flush(MonotonicTime now, Outbox& outbox) {
+  if (pending_.empty()) return;
+  auto fronts = membership_.liveFronts();
+  for (auto entry = pending_.begin(); entry != pending_.end();) {
+    if (now - entry->second.since < kCoalesce) {
+      ++entry;
+      continue;
+    }
+    for (const auto& front : fronts)
+      if (front.member != membership_.self().member)
+        outbox.send(front.address, entry->second.news);
+    entry = pending_.erase(entry);
+  }
+}
+
+}  // namespace peppergate
