--- /dev/null
+++ b/tests/http_testing.h
@@ -0,0 +1,224 @@
+#pragma once
+// Loopback sockets on a loop, and a dialect of the tests' own, for the HTTP door and client.
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "io/dialect.h"
+#include "io/http_parse.h"
+#include "io/loop.h"
+#include "io/member_hub.h"
+#include "tests/testing.h"
+
+namespace peppergate {
+
+/// Its names: X-Test-Id, X-Not-Run; events with lines "id: N" and "version: N".
+class TestDialect final : public Dialect {
+ public:
+  static std::string headerOf(const std::vector<std::pair<std::string, std::string>>& headers,
+                              std::string_view name) {
+    for (const auto& [one, value] : headers)
+      if (sameToken(one, name)) return value;
+    return {};
+  }
+  int readRequest(const std::shared_ptr<const WireRequest>& wire,
+                  RequestArrived& event) const override {
+    event.clientId = headerOf(wire->headers, "X-Test-Id");
+    return event.clientId == "unreadable" ? 422 : 0;
+  }
+  std::string attemptText(const OpenAttempt& attempt) const override {
+    const auto& wire = *attempt.wire;
+    std::string text = wire.method + " " + wire.target + " HTTP/1.1\r\nHost: engine\r\nX-Test-Id: " +
+                       attempt.clientId + "\r\n";
+    if (!wire.body.empty()) text += "Content-Length: " + std::to_string(wire.body.size()) + "\r\n";
+    return text + "\r\n" + wire.body;
+  }
+  bool readHead(const WireHead& head, const OpenAttempt& attempt,
+                AttemptTurned& turned) const override {
+    turned.notRun = !headerOf(head.headers, "X-Not-Run").empty();
+    return headerOf(head.headers, "X-Test-Id") == attempt.clientId;
+  }
+  StreamMark readEvent(std::string_view event) const override {
+    StreamMark mark;
+    if (auto at = event.find("id: "); at != event.npos)
+      mark.id = std::strtoull(event.data() + at + 4, nullptr, 10);
+    if (auto at = event.find("version: "); at != event.npos)
+      mark.newVersion = WeightsVersion{std::strtoull(event.data() + at + 9, nullptr, 10)};
+    return mark;
+  }
+  std::string answerHeaders(const WireHead& head) const override {
+    std::string text;
+    for (const auto& [name, value] : head.headers)
+      if (!isConnectionHeader(name)) text += name + ": " + value + "\r\n";
+    return text;
+  }
+  std::string refusalHeaders(const RefuseRequest&, const std::string& clientId) const override {
+    return clientId.empty() ? "" : "X-Test-Id: " + clientId + "\r\n";
+  }
+  HttpCall call(const ListEngines&) const override { return {}; }
+  HttpCall call(const AskReport&) const override { return {}; }
+  HttpCall call(const OrderWeights&) const override { return {}; }
+  HttpCall call(const PollParts&) const override { return {}; }
+  HttpCall call(const ListParts&) const override { return {}; }
+  EnginesListed readList(TicketId, const HttpAnswer&) const override { return {}; }
+  ReportAnswered readReport(TicketId, const HttpAnswer&) const override { return {}; }
+  OrderAnswered readOrder(TicketId, const HttpAnswer&) const override { return {}; }
+  PartsPolled readPoll(TicketId, const HttpAnswer&) const override { return {}; }
+  PartsListed readParts(TicketId, const HttpAnswer&) const override { return {}; }
+  std::optional<OperatorCall> readOperator(TicketId, const std::string&, const std::string&,
+                                           const Headers&, const std::string&) const override {
+    return std::nullopt;
+  }
+  AnswerWeb operatorAnswer(int, const AnswerWeb& answer) const override { return answer; }
+  std::string_view readyPath() const override { return "/ready"; }
+};
+
+/// A loop that runs until something is so; what never becomes so fails its test.
+class TestLoop {
+ public:
+  Loop& loop() { return loop_; }
+  event_base* base() { return loop_.base(); }
+  /// Example: `CHECK(loop.until([&] { return peer.ended(); }));`
+  template <class Condition>
+  bool until(Condition condition) {
+    MonotonicTime last = bootNow() + seconds(10);
+    while (!condition()) {
+      if (bootNow() > last) return false;
+      timeval longest{0, 200'000};
+      event_base_loopexit(base(), &longest);
+      event_base_loop(base(), EVLOOP_ONCE);
+    }
+    return true;
+  }
+  /// Deals with all that is due now and waits for nothing. Example: `loop.turn();`
+  void turn() {
+    for (int round = 0; round < 5; ++round) event_base_loop(base(), EVLOOP_NONBLOCK);
+  }
+
+ private:
+  Loop loop_;
+};
+
+inline Address addressOf(int descriptor) {
+  sockaddr_in place{};
+  socklen_t size = sizeof place;
+  getsockname(descriptor, reinterpret_cast<sockaddr*>(&place), &size);
+  return {"127.0.0.1:" + std::to_string(ntohs(place.sin_port))};
+}
+
+inline int bindLoopback() {
+  int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  sockaddr_in place{};
+  place.sin_family = AF_INET;
+  place.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  bind(descriptor, reinterpret_cast<sockaddr*>(&place), sizeof place);
+  return descriptor;
+}
+
+/// An address at which nobody listens. Example: `door.listen(freeAddress())`.
+inline Address freeAddress() {
+  int descriptor = bindLoopback();
+  Address address = addressOf(descriptor);
+  close(descriptor);
+  return address;
+}
+
+/// The far end of a connection; it gathers all that comes.
+class TestPeer {
+ public:
+  TestPeer(TestLoop& loop, int descriptor) : descriptor_(descriptor) {
+    readEvent_ = event_new(loop.base(), descriptor, EV_READ | EV_PERSIST, &TestPeer::onRead, this);
+    event_add(readEvent_, nullptr);
+  }
+  /// Example: `TestPeer client(loop, address);`
+  TestPeer(TestLoop& loop, const Address& address) : TestPeer(loop, connectTo(address)) {}
+  ~TestPeer() {
+    event_free(readEvent_);
+    if (descriptor_ >= 0) close(descriptor_);
+  }
+  TestPeer(const TestPeer&) = delete;
+  void send(std::string_view text) {
+    std::size_t sent = 0;
+    while (sent < text.size()) {
+      auto size = ::send(descriptor_, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
+      if (size <= 0) return;
+      sent += static_cast<std::size_t>(size);
+    }
+  }
+  void endWriting() { shutdown(descriptor_, SHUT_WR); }
+  void stopReading() { event_del(readEvent_); }
+  void readOn() { event_add(readEvent_, nullptr); }
+  /// Closes; a reset is seen at once. Example: `client.leave(true);`
+  void leave(bool reset) {
+    linger hard{reset ? 1 : 0, 0};
+    if (reset) setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    event_del(readEvent_);
+    close(descriptor_);
+    descriptor_ = -1;
+  }
+  bool has(std::string_view text) const { return got.find(text) != std::string::npos; }
+  std::string got;
+  bool ended = false, failed = false;
+
+ private:
+  static int connectTo(const Address& address) {
+    sockaddr_in place{};
+    parseAddress(address.value, place);
+    int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    connect(descriptor, reinterpret_cast<sockaddr*>(&place), sizeof place);
+    return descriptor;
+  }
+  static void onRead(evutil_socket_t descriptor, short, void* argument) {
+    auto& peer = *static_cast<TestPeer*>(argument);
+    char bytes[65536];
+    auto size = recv(descriptor, bytes, sizeof bytes, MSG_DONTWAIT);
+    if (size > 0) {
+      peer.got.append(bytes, static_cast<std::size_t>(size));
+      return;
+    }
+    (size == 0 ? peer.ended : peer.failed) = true;
+    event_del(peer.readEvent_);
+  }
+  int descriptor_;
+  event* readEvent_;
+};
+
+/// A listening place of the tests' own; whoever comes is put into `peers`.
+class TestListener {
+ public:
+  explicit TestListener(TestLoop& loop) : loop_(loop), descriptor_(bindLoopback()) {
+    listen(descriptor_, 64);
+    acceptEvent_ =
+        event_new(loop.base(), descriptor_, EV_READ | EV_PERSIST, &TestListener::onAccept, this);
+    event_add(acceptEvent_, nullptr);
+  }
+  ~TestListener() {
+    event_free(acceptEvent_);
+    close(descriptor_);
+  }
+  TestListener(const TestListener&) = delete;
+  Address address() const { return addressOf(descriptor_); }
+  /// True once the numbered peer has this text. Example: `listener.has(0, "GET ")`.
+  bool has(std::size_t peer, std::string_view text) const {
+    return peer < peers.size() && peers[peer]->has(text);
+  }
+  std::vector<std::unique_ptr<TestPeer>> peers;
+
+ private:
+  static void onAccept(evutil_socket_t descriptor, short, void* argument) {
+    auto& listener = *static_cast<TestListener*>(argument);
+    int accepted = accept4(descriptor, nullptr, nullptr, SOCK_CLOEXEC);
+    if (accepted >= 0)
+      listener.peers.push_back(std::make_unique<TestPeer>(listener.loop_, accepted));
+  }
+  TestLoop& loop_;
+  int descriptor_;
+  event* acceptEvent_;
+};
+
+}  // namespace peppergate
