HTTP client: tests over loopback sockets; a malformed head ends its attempt at once

A head that was whole but no answer was waited on until the connection ended: the reader took its used-up bytes for nothing left to judge. Run: peppergate_tests -g HttpClients (23) and -g HttpDoors (19), all pass.

--- a/src/io/http_answer.cc
+++ b/src/io/http_answer.cc
@@ -28,12 +28,16 @@
 }
 
 AnswerReader::Step AnswerReader::nextHead(std::string_view& bytes) {
+  auto bad = [this] {
+    phase_ = Phase::kBad;
+    return Step::kBad;
+  };
   while (!bytes.empty()) {
     if (!rest_.empty()) rest_ += bytes;
     std::string_view text = rest_.empty() ? bytes : std::string_view(rest_);
     HeadScanner::Found found = scanner_.scan(text);
     std::size_t size = found == HeadScanner::Found::kWhole ? scanner_.size() : text.size();
-    if (found == HeadScanner::Found::kBad || size > kLargestHead) break;
+    if (found == HeadScanner::Found::kBad || size > kLargestHead) return bad();
     if (found == HeadScanner::Found::kPartial) {
       if (rest_.empty()) rest_ = bytes;
       bytes = {};
@@ -44,15 +48,13 @@
     bytes.remove_prefix(bytes.size() - (text.size() - size));  // it ends in what came last
     rest_.clear();
     scanner_ = {};
-    if (fault != HeadFault::kNone || head_.status == 101) break;
+    if (fault != HeadFault::kNone || head_.status == 101) return bad();
     if (head_.status < 200) continue;
     phase_ = head_.framing == BodyFraming::kNone ? Phase::kWhole : Phase::kBody;
     left_ = head_.length.value_or(0);
     return Step::kHead;
   }
-  if (bytes.empty() && rest_.empty()) return Step::kMore;
-  phase_ = Phase::kBad;
-  return Step::kBad;
+  return Step::kMore;
 }
 
 AnswerReader::Step AnswerReader::nextBody(std::string_view& bytes, std::string& body) {
