--- a/src/core/props.h
+++ b/src/core/props.h
@@ -92,9 +92,6 @@
   std::int64_t streamsLimit = 2000;
   std::int64_t engineStreams = 32;
   std::int64_t largestBody = 256 << 10;
-  // Requests: attempts beyond the first, summed over the fleet.
-  double budgetShare = 0.15;  // of a service's first attempts within the window
-  double budgetSlack = 0;     // allowed on top of the share, by all fronts together
   // Fetch plan; the starting values that the design marks as free.
   double levelTolerance = 100;   // bytes a second times the unit below
   double rateUnit = 1e6;         // a rate of 1 is a megabyte a second
--- a/src/requests/router_node.cc
+++ b/src/requests/router_node.cc
@@ -14,8 +14,10 @@
   fetches_ = std::make_unique<FetchDesk>(props_);
   fetches_->regions(std::move(regions));
   placement_ = std::make_unique<Placement>(props_, *book_, index_, *fetches_, random_);
-  requests_ = std::make_unique<Requests>(RequestParts{props_, *membership_, *follower_, *book_,
-                                                      index_, *placement_, random_});
+  placement_->in(membership_->self().district);
+  facts_ = std::make_unique<FollowerFacts>(props_, *follower_, *membership_);
+  requests_ = std::make_unique<Requests>(
+      RequestParts{props_, *facts_, *book_, index_, *placement_, random_});
   membership_->carry([this](Shuffle& shuffle) {
     shuffle.withdrawn = follower_->recentWithdrawn();
     shuffle.engineList = lister_->version();
@@ -29,7 +31,7 @@
   else if (auto* arrival = std::get_if<Arrived>(&event)) arrived(*arrival, now);
   else if (auto* gone = std::get_if<RequestGone>(&event))
     requests_->gone(gone->request, now, outbox_);
-  else if (auto* slow = std::get_if<ClientSlow>(&event)) requests_->slow(*slow, outbox_);
+  else if (auto* slow = std::get_if<ClientSlow>(&event)) requests_->slow(*slow, now, outbox_);
   else if (auto* page = std::get_if<OperatorAsked>(&event)) operatorAsked(*page, now);
   else if (std::holds_alternative<DrainAsked>(event)) {
     if (drainSince_ == kForever) drainSince_ = now;
@@ -56,6 +58,8 @@
   desk_->tick(now, outbox_);
   lister_->tick(false, Epoch{}, now, outbox_);
   takeList(now);
+  takeChanges(now);
+  book_->tick(now);
   const FleetConfig& fleet = follower_->setup().fleet;
   watch_->tick(*book_, fleet, now, outbox_);
   placement_->tick(fleet, now, outbox_);
@@ -68,17 +72,25 @@
   if (lister_->version() == bookVersion_) return;
   bookVersion_ = lister_->version();
   book_->take(lister_->engines(), bookVersion_, now);
-  book_->loading(lister_->loadingNow());
+  book_->loading(lister_->loadingNow(), now);
   placement_->links(follower_->setup().fleet);
   outbox_.count("lists.taken");
 }
 
+void RouterNode::takeChanges(MonotonicTime now) {
+  if (follower_->changesSeen() == changesSeen_) return;
+  changesSeen_ = follower_->changesSeen();
+  placement_->take(follower_->setup());
+  placement_->links(follower_->setup().fleet);
+  placement_->named(follower_->weights(), now);
+}
+
 void RouterNode::tellOthers(MonotonicTime now) {
   if (now < nextTell_ || !follower_->installed()) return;
   nextTell_ = now + seconds(0.5);
   auto use = book_->use(membership_->self().member);
   auto troubles = book_->troubles();
-  UsageNote note = fetches_->note(membership_->self().member, follower_->setup(), now);
+  UsageNote note = placement_->note(membership_->self().member, now);
   bool tellsLinks = !note.links.empty() || !note.mixes.empty();
   for (const auto& front : membership_->liveFronts()) {
     if (front.member == membership_->self().member) continue;
@@ -112,9 +124,9 @@
   } else if (auto* use = std::get_if<EngineUse>(&message)) {
     book_->hear(*use, now);
   } else if (auto* trouble = std::get_if<EngineTrouble>(&message)) {
-    book_->hear(*trouble, now);
+    book_->hear(from, *trouble, now);
   } else if (auto* usage = std::get_if<UsageNote>(&message)) {
-    fetches_->hear(*usage, now);
+    placement_->hear(*usage, now);
   } else if (std::holds_alternative<CaretakerNote>(message)) {
     follower_->noteCaretaker(from, now, outbox_);
   } else {
--- a/src/requests/router_node.h
+++ b/src/requests/router_node.h
@@ -37,6 +37,7 @@
   void arrived(const Arrived& event, MonotonicTime now);
   bool answered(const Event& event, MonotonicTime now);
   void takeList(MonotonicTime now);
+  void takeChanges(MonotonicTime now);
   void tellOthers(MonotonicTime now);
   void operatorAsked(const OperatorAsked& asked, MonotonicTime now);
 
@@ -52,7 +53,9 @@
   std::unique_ptr<PartWatch> watch_;
   std::unique_ptr<FetchDesk> fetches_;
   std::unique_ptr<Placement> placement_;
+  std::unique_ptr<FollowerFacts> facts_;
   std::unique_ptr<Requests> requests_;
+  std::uint64_t changesSeen_ = 0;
   ListVersion bookVersion_;
   MonotonicTime nextTell_{}, drainSince_ = kForever;
 };
