--- a/src/core/props.cc
+++ b/src/core/props.cc
@@ -27,7 +27,9 @@
     ROW(proofLimit, false), ROW(engineHold, false), ROW(engineHoldStop, false),
     ROW(engineHoldGap, false), ROW(engineHoldRenewal, false), ROW(probeEvery, true),
     ROW(probeTimeout, true), ROW(pictureLimit, true), ROW(orderTimeout, true),
-    ROW(listEvery, true), ROW(sweepEvery, true), ROW(oldWeightsLimit, true), ROW(waveShare, true),
+    ROW(listEvery, true), ROW(listRate, true), ROW(loadsAtOnce, true),
+    ROW(weightsWithin, true), ROW(leaseLength, false),
+    ROW(sweepEvery, true), ROW(oldWeightsLimit, true), ROW(waveShare, true),
     ROW(secondShotShare, true), ROW(budgetWindow, true), ROW(drainLimit, true),
     ROW(largestDeadline, true), ROW(firstPieceTimeout, true), ROW(streamsLimit, true),
     ROW(engineStreams, true), ROW(largestBody, true), ROW(levelTolerance, true),
@@ -60,7 +62,7 @@
   bool (*holds)(const Props&);
 };
 
-constexpr std::array<Inequality, 14> kInequalities{{
+constexpr std::array<Inequality, 16> kInequalities{{
     {"holdStop < hold", [](const Props& p) { return p.holdStop < p.hold; }},
     {"2 * holdRenewal < holdStop",
      [](const Props& p) { return p.holdRenewal * 2 < p.holdStop; }},
@@ -79,6 +81,10 @@
     {"engineHoldStop < engineHold",
      [](const Props& p) { return p.engineHoldStop < p.engineHold; }},
     {"engineHoldGap >= 3 s", [](const Props& p) { return p.engineHoldGap >= seconds(3); }},
+    {"0 < listRate, 1 <= loadsAtOnce",
+     [](const Props& p) { return p.listRate > 0 && p.loadsAtOnce >= 1; }},
+    {"leaseLength < weightsWithin",
+     [](const Props& p) { return p.leaseLength < p.weightsWithin; }},
     {"suspectAfter < deadAfter",
      [](const Props& p) { return p.suspectAfter < p.deadAfter; }},
     {"0 <= secondShotShare < 0.2",
--- a/src/core/props.h
+++ b/src/core/props.h
@@ -66,6 +66,10 @@
   Duration pictureLimit = seconds(5);
   Duration orderTimeout = seconds(4);
   Duration listEvery = seconds(0.5);
+  double listRate = 10;  // calls a second that the platform takes from all daemons together
+  std::int64_t loadsAtOnce = 3;  // engines that load new weights without slowing each other
+  Duration weightsWithin = seconds(12);  // from the naming until no engine starts on older ones
+  Duration leaseLength = seconds(3);  // orders of two holders to one engine are this far apart
   Duration sweepEvery = seconds(3);
   Duration oldWeightsLimit = seconds(16);
   double waveShare = 0.34;
--- /dev/null
+++ b/src/engines/engine_book.cc
@@ -0,0 +1,194 @@
+// The book's entries, its estimates of load, and what fronts tell each other.
+#include "engines/engine_book.h"
+
+#include <algorithm>
+
+namespace peppergate {
+namespace {
+
+constexpr Duration kToldLasts = seconds(2);
+constexpr Duration kNotedLasts = seconds(2);
+constexpr Duration kOtherSettles = seconds(1);  // a list this young may still hold the old engine
+constexpr double kSmoothing = 0.2;
+
+void smooth(double& mean, double value) {
+  mean = mean == 0 ? value : mean + kSmoothing * (value - mean);
+}
+
+void lower(std::int64_t& count, std::int64_t by) { count = std::max<std::int64_t>(0, count - by); }
+
+}  // namespace
+
+void EngineBook::take(const std::vector<Engine>& engines, ListVersion version, MonotonicTime now) {
+  std::set<EngineId> listed;
+  for (const auto& engine : engines) {
+    listed.insert(engine.id);
+    auto [entry, added] = engines_.try_emplace(engine.id);
+    EngineState& state = entry->second;
+    if (added || engine.warmupLeft == Duration{}) state.warmUntil = now + engine.warmupLeft;
+    state.listed = engine;
+    for (const auto& [model, weights] : engine.models)
+      state.models[model] = std::max(state.models[model], weights);
+    if (now - state.otherAt > kOtherSettles && state.otherAt != kNever) {
+      state.otherAt = kNever;  // listed again by a later list
+      state.restUntil = now;
+    }
+  }
+  std::erase_if(engines_, [&](const auto& entry) { return !listed.contains(entry.first); });
+  version_ = version;
+  listedAt_ = now;
+  byService_.clear();
+  for (auto& [id, state] : engines_) byService_[state.listed.service].engines.push_back(&state);
+  for (auto& [id, state] : engines_) {
+    state.othersRunning = state.othersPrefillTokens = 0;
+    state.lastResortUntil = kNever;
+  }
+  for (const auto& [front, noted] : noted_) addNoted(noted.use, 1);
+  loading(loading_, now);
+}
+
+void EngineBook::loading(const std::vector<EngineId>& engines, MonotonicTime now) {
+  loading_ = engines;
+  for (auto& [id, state] : engines_) state.loading = std::ranges::find(engines, id) != engines.end();
+  for (auto& [name, service] : byService_) chooseLastResort(service, now);
+}
+
+void EngineBook::confirmed(MonotonicTime when) { listedAt_ = std::max(listedAt_, when); }
+
+const std::vector<EngineState*>& EngineBook::of(const ServiceName& service) const {
+  static const std::vector<EngineState*> kNone;
+  auto found = byService_.find(service);
+  return found == byService_.end() ? kNone : found->second.engines;
+}
+
+EngineState* EngineBook::find(const EngineId& engine) {
+  auto found = engines_.find(engine);
+  return found == engines_.end() ? nullptr : &found->second;
+}
+
+const EngineState* EngineBook::find(const EngineId& engine) const {
+  auto found = engines_.find(engine);
+  return found == engines_.end() ? nullptr : &found->second;
+}
+
+double EngineBook::queueTokens(const EngineState& engine) const {
+  auto noted = static_cast<double>(engine.ownPrefillTokens + engine.othersPrefillTokens);
+  if (!engine.told) return noted;
+  // Its waiting requests are of a middling size as far as this front knows. It can't be less than
+  // what this front itself sent there without a first event.
+  double told = static_cast<double>(engine.told->waiting) * prefillMean_ +
+                static_cast<double>(engine.tokensSinceTold);
+  return std::max(noted, told);
+}
+
+double EngineBook::running(const EngineState& engine, MonotonicTime now) const {
+  auto noted = static_cast<double>(engine.ownRunning + engine.othersRunning);
+  if (!engine.told) return noted;
+  double weight = 1 - inSeconds(now - engine.toldAt) / inSeconds(kToldLasts);
+  if (weight <= 0) return noted;
+  auto told = static_cast<double>(engine.told->running + engine.told->waiting +
+                                  engine.sentSinceTold - engine.endedSinceTold);
+  return std::max(static_cast<double>(engine.ownRunning), weight * told + (1 - weight) * noted);
+}
+
+void EngineBook::firstEvent(const EngineId& engine, std::int64_t prefillTokens, Duration took) {
+  EngineState* state = find(engine);
+  if (!state) return;
+  lower(state->ownPrefillTokens, prefillTokens);
+  lower(state->tokensSinceTold, prefillTokens);
+  smooth(state->firstEventMs, inSeconds(took) * 1e3);
+  state->trial = false;  // strikes stay until a whole answer
+}
+
+void EngineBook::eventGap(const EngineId& engine, Duration gap) {
+  if (EngineState* state = find(engine)) smooth(state->eventGapMs, inSeconds(gap) * 1e3);
+}
+
+void EngineBook::sent(const EngineId& engine, std::int64_t prefillTokens) {
+  smooth(prefillMean_, static_cast<double>(prefillTokens));
+  EngineState* state = find(engine);
+  if (!state) return;
+  ++state->ownRunning;
+  ++state->sentSinceTold;
+  state->ownPrefillTokens += prefillTokens;
+  state->tokensSinceTold += prefillTokens;
+  if (state->trial) state->trialSince = now_;
+}
+
+void EngineBook::told(const EngineId& engine, const EngineLoad& load, MonotonicTime now) {
+  EngineState* state = find(engine);
+  if (!state) return;
+  state->told = load;
+  state->toldAt = now;
+  state->sentSinceTold = state->endedSinceTold = state->tokensSinceTold = 0;
+}
+
+void EngineBook::toldVersion(const EngineId& engine, const ModelName& model,
+                             WeightsVersion version) {
+  if (EngineState* state = find(engine))
+    state->models[model] = std::max(state->models[model], version);
+}
+
+void EngineBook::closes(const EngineId& engine, bool leaving) {
+  if (EngineState* state = find(engine))
+    state->closesInARow = leaving ? state->closesInARow + 1 : 0;
+}
+
+void EngineBook::addNoted(const EngineUse& use, std::int64_t sign) {
+  std::size_t count = std::min({use.engines.size(), use.running.size(), use.prefillTokens.size()});
+  for (std::size_t index = 0; index < count; ++index) {
+    EngineState* state = find(use.engines[index]);
+    if (!state) continue;
+    lower(state->othersRunning, -sign * use.running[index]);
+    lower(state->othersPrefillTokens, -sign * use.prefillTokens[index]);
+  }
+}
+
+void EngineBook::hear(const EngineUse& use, MonotonicTime now) {
+  auto [entry, added] = noted_.try_emplace(use.front);
+  if (!added) addNoted(entry->second.use, -1);
+  entry->second = {now, use};
+  addNoted(use, 1);
+}
+
+void EngineBook::tick(MonotonicTime now) {
+  now_ = now;
+  std::erase_if(noted_, [&](const auto& entry) {
+    if (now - entry.second.heard <= kNotedLasts) return false;
+    addNoted(entry.second.use, -1);
+    return true;
+  });
+}
+
+std::optional<EngineUse> EngineBook::use(MemberId self) {
+  EngineUse use;
+  use.front = self;
+  for (const auto& [id, state] : engines_) {
+    if (state.ownRunning == 0) continue;
+    use.engines.push_back(id);
+    use.running.push_back(state.ownRunning);
+    use.prefillTokens.push_back(state.ownPrefillTokens);
+  }
+  bool same = use.engines == lastUse_.engines && use.running == lastUse_.running &&
+              use.prefillTokens == lastUse_.prefillTokens;
+  // Notes are forgotten after a while: what goes on unchanged is said every second time.
+  repeatUse_ = same && !repeatUse_;
+  if (same && (use.engines.empty() || repeatUse_)) return std::nullopt;
+  lastUse_ = use;
+  return use;
+}
+
+std::vector<EngineTrouble> EngineBook::troubles() {
+  std::vector<EngineTrouble> notes;
+  for (const auto& id : troubled_) {
+    EngineState* state = find(id);
+    if (!state) continue;
+    notes.push_back({id, state->failuresToTell, state->answersToTell, state->unreachableToTell});
+    state->failuresToTell = state->answersToTell = 0;
+    state->unreachableToTell = false;
+  }
+  troubled_.clear();
+  return notes;
+}
+
+}  // namespace peppergate
