--- a/src/core/props.cc
+++ b/src/core/props.cc
@@ -65,7 +65,7 @@
   bool (*holds)(const Props&);
 };
 
-constexpr std::array<Inequality, 18> kInequalities{{
+constexpr std::array<Inequality, 19> kInequalities{{
     {"holdStop < hold", [](const Props& p) { return p.holdStop < p.hold; }},
     {"2 * holdRenewal < holdStop",
      [](const Props& p) { return p.holdRenewal * 2 < p.holdStop; }},
@@ -87,6 +87,8 @@
      [](const Props& p) { return p.engineHoldGap >= p.leaseLength; }},
     {"2 * backups + 1 <= voterSeats",
      [](const Props& p) { return 2 * p.backups + 1 <= p.voterSeats; }},
+    {"leaseLength < weightsWithin",
+     [](const Props& p) { return p.leaseLength < p.weightsWithin; }},
     {"loadsAtOnce >= 1", [](const Props& p) { return p.loadsAtOnce >= 1; }},
     {"listRate > 0", [](const Props& p) { return p.listRate > 0; }},
     {"suspectAfter < deadAfter",
