--- a/src/engines/engine_book.h
+++ b/src/engines/engine_book.h
@@ -9,6 +9,7 @@
 #include "core/outbox.h"
 #include "core/props.h"
 #include "engines/engine.h"
+#include "requests/placer.h"
 
 namespace peppergate {
 
@@ -50,7 +51,7 @@
                                        kOtherEngine, kClientGone };
 
 /// Example: `book.take(engines, version, now); for (auto* e : book.of(service)) ...`
-class EngineBook {
+class EngineBook final : public EngineLedger {
  public:
   explicit EngineBook(const Props& props) : props_(props) {}
   EngineBook(const EngineBook&) = delete;  // it points into itself
@@ -80,17 +81,17 @@
   double running(const EngineState& engine, MonotonicTime now) const;
 
   /// An attempt goes out with so many tokens to be read. Example: before OpenAttempt.
-  void sent(const EngineId& engine, std::int64_t prefillTokens);
+  void sent(const EngineId& engine, std::int64_t prefillTokens) override;
   /// Its head or first event came. Example: `book.firstEvent(engine, tokens, took)`.
-  void firstEvent(const EngineId& engine, std::int64_t prefillTokens, Duration took);
+  void firstEvent(const EngineId& engine, std::int64_t prefillTokens, Duration took) override;
   /// A later event of a stream came after so long. Example: `book.eventGap(engine, gap)`.
   void eventGap(const EngineId& engine, Duration gap);
   /// It is over. `hadFirst`: its first event had come. Example: on kEnded.
   void ended(const EngineId& engine, AttemptEnd how, std::int64_t prefillTokens, bool hadFirst,
-             MonotonicTime now);
+             MonotonicTime now) override;
   /// The engine told its load, or the versions of its weights. Example: with a head.
-  void told(const EngineId& engine, const EngineLoad& load, MonotonicTime now);
-  void toldVersion(const EngineId& engine, const ModelName& model, WeightsVersion version);
+  void told(const EngineId& engine, const EngineLoad& load, MonotonicTime now) override;
+  void toldVersion(const EngineId& engine, const ModelName& model, WeightsVersion version) override;
   /// Whether its answer ended the connection. Engines do so now and then, so that this takes none
   /// out; a choice between equals may mind it. Example: `closes(engine, head.leaving)`.
   void closes(const EngineId& engine, bool leaving);
--- a/src/prompts/part_index.h
+++ b/src/prompts/part_index.h
@@ -11,6 +11,7 @@
 #include "core/messages.h"
 #include "core/types.h"
 #include "requests/events.h"
+#include "requests/placer.h"
 
 namespace peppergate {
 
@@ -27,12 +28,12 @@
 
 /// A look-up takes time by the number of parts and of their holders, whatever else is kept.
 /// Example: `index.keptTokens(engine, salt, parts)` is how much of a prompt it needs not read.
-class PartIndex {
+class PartIndex final : public KeptParts {
  public:
   /// A watcher's word; false if changes before it are missing here. Example: on a PartNews.
   bool hear(const PartNews& news);
   /// What this front expects once a request's first event came. Example: after a read.
-  void expect(const EngineId& engine, const std::string& salt, std::span<const PartSize> parts);
+  void expect(const EngineId& engine, const std::string& salt, std::span<const PartSize> parts) override;
   /// The engine's life ended, or it left. Example: `index.forget(engine)`.
   void forget(const EngineId& engine);
   /// Tokens of the prompt's beginning that it keeps: whole parts in order, and of the first one
