Requests: every order of turns walked, for each kind of request

Cause: at most once has to hold under any order in which an engine's turns can come. Change: fakes, a walker that checks each command against what the engines did; facts' seam with look-ups, the follower's adapter in a header of its own. Run: peppergate_tests -g RequestOrders: 8 tests pass.

--- a/src/requests/fleet_facts.h
+++ b/src/requests/fleet_facts.h
@@ -1,9 +1,9 @@
 #pragma once
 // What requests need to know of the fleet: configuration, weights, freshness, fronts.
 #include <cstdint>
+#include <string_view>
 
-#include "core/follower.h"
-#include "core/membership.h"
+#include "core/control_state.h"
 
 namespace peppergate {
 
@@ -11,8 +11,12 @@
 class FleetFacts {
  public:
   virtual ~FleetFacts() = default;
-  /// The configuration in force now. Example: `facts.config().route(host, path)`.
+  /// The configuration in force now. Example: `facts.config().services`.
   virtual const FleetConfig& config() const = 0;
+  /// Its route for a request, its tenant for a key; null if there is none.
+  /// Example: `facts.route("desk.example", "/a/b")`, `facts.tenantOfKey("secret")`.
+  virtual const Route* route(std::string_view host, std::string_view path) const = 0;
+  virtual const TenantConfig* tenantOfKey(std::string_view key) const = 0;
   /// The named weights. Example: handed to the placer.
   virtual const Weights& weights() const = 0;
   /// Whether any configuration was ever installed here. Example: false after the start.
@@ -25,29 +29,4 @@
   virtual std::size_t liveFronts() const = 0;
 };
 
-/// The facts as a front's follower and membership have them.
-/// Example: `FollowerFacts facts(props, follower, membership);`
-class FollowerFacts final : public FleetFacts {
- public:
-  FollowerFacts(const Props& props, const Follower& follower, const Membership& membership)
-      : props_(props), follower_(follower), membership_(membership) {}
-  const FleetConfig& config() const override { return follower_.setup().fleet; }
-  const Weights& weights() const override { return follower_.weights(); }
-  bool installed() const override {
-    return follower_.installed() && config().version.value != 0;
-  }
-  MonotonicTime freshUntil(MonotonicTime now) const override {
-    if (!props_.guards(Guard::kFreshness)) return kForever;
-    if (!follower_.fresh(now)) return now;
-    return now + (props_.proofLimit - follower_.proofAge(now));
-  }
-  std::uint64_t changes() const override { return follower_.changesSeen(); }
-  std::size_t liveFronts() const override { return membership_.liveFronts().size(); }
-
- private:
-  const Props& props_;
-  const Follower& follower_;
-  const Membership& membership_;
-};
-
 }  // namespace peppergate
--- /dev/null
+++ b/src/requests/follower_facts.h
@@ -0,0 +1,40 @@
+#pragma once
+// The fleet's facts out of a front's follower and membership.
+#include "core/follower.h"
+#include "core/membership.h"
+#include "requests/fleet_facts.h"
+
+namespace peppergate {
+
+/// The facts as a front's follower and membership have them.
+/// Example: `FollowerFacts facts(props, follower, membership);`
+class FollowerFacts final : public FleetFacts {
+ public:
+  FollowerFacts(const Props& props, const Follower& follower, const Membership& membership)
+      : props_(props), follower_(follower), membership_(membership) {}
+  const FleetConfig& config() const override { return follower_.setup().fleet; }
+  const Route* route(std::string_view host, std::string_view path) const override {
+    return config().route(host, path);
+  }
+  const TenantConfig* tenantOfKey(std::string_view key) const override {
+    return config().tenantOfKey(key);
+  }
+  const Weights& weights() const override { return follower_.weights(); }
+  bool installed() const override {
+    return follower_.installed() && config().version.value != 0;
+  }
+  MonotonicTime freshUntil(MonotonicTime now) const override {
+    if (!props_.guards(Guard::kFreshness)) return kForever;
+    if (!follower_.fresh(now)) return now;
+    return now + (props_.proofLimit - follower_.proofAge(now));
+  }
+  std::uint64_t changes() const override { return follower_.changesSeen(); }
+  std::size_t liveFronts() const override { return membership_.liveFronts().size(); }
+
+ private:
+  const Props& props_;
+  const Follower& follower_;
+  const Membership& membership_;
+};
+
+}  // namespace peppergate
--- a/src/requests/requests.cc
+++ b/src/requests/requests.cc
@@ -61,11 +61,11 @@
   if (freshUntil <= now) return AttemptFault{Hurdle::kStale};
   refreshCaches();
   const FleetConfig& config = parts.facts.config();
-  const Route* route = config.route(request.asked.host, request.asked.path);
+  const Route* route = parts.facts.route(request.asked.host, request.asked.path);
   if (!route) return AttemptFault{Hurdle::kNoRoute};
   const TenantConfig* tenant = nullptr;
   if (!route->open && !config.tenants.empty()) {
-    if (!request.asked.key.empty()) tenant = config.tenantOfKey(request.asked.key);
+    if (!request.asked.key.empty()) tenant = parts.facts.tenantOfKey(request.asked.key);
     if (!tenant) return AttemptFault{Hurdle::kUnknownKey};
   }
   AttemptPlan plan;
--- /dev/null
+++ b/tests/requests_order_test.cc
@@ -0,0 +1,311 @@
+// Every order of turns up to a depth, for each kind of request: what may run twice, what is
+// promised, and what a client gets.
+#include "tests/requests_fakes.h"
+
+using namespace peppergate;
+
+namespace {
+
+enum class Step : std::uint8_t {
+  kWritten, kGoodHead, kNotRunHead, kOtherEngineHead, kFailedHead, kFullHead, kTimeoutHead,
+  kNoStampHead, kBadRequestHead, kNotRunGoodHead, kNextEvent, kTwoEvents, kKnownEvent, kMixedEvents,
+  kGapEvent, kNoIdBody, kEnded, kBroken, kNotWritten, kSilence, kRevoke, kStale, kEngineless, kLate,
+  kGone, kCount,
+};
+
+/// What the engine behind an attempt did, as its turns tell.
+struct Truth {
+  AttemptId id;
+  bool stream = false;
+  std::optional<std::uint64_t> resumeAfter;
+  bool written = false, notRun = false, unsent = false, over = false, cancelled = false;
+  bool headed = false, success = false;
+  int status = 0;
+  std::uint64_t next = 1;  // the id of its next event
+  bool mayHaveRun() const { return !notRun && !unsent && (written || cancelled); }
+  bool possible() const { return !notRun && !unsent; }
+};
+
+/// Drives one request by steps and checks every command against what the engines did.
+class Walk {
+ public:
+  Walk(std::string_view host, bool budget, std::optional<std::uint64_t> resumeAfter)
+      : stream_(host == "plain" || host == "resumed"),
+        repeatable_(host == "safe" || host == "resumed"),
+        start_(resumeAfter.value_or(0) + 1),
+        next_(start_) {
+    if (!budget) front_.props.budgetShare = 0;
+    auto asked = FakeFront::arrived(host, 1);
+    asked.resumeAfter = resumeAfter;
+    check(front_.ask(std::move(asked)));
+  }
+  bool over() const { return answers_ > 0 || gone_; }
+  bool good() const { return fault_.empty(); }
+  const std::string& fault() const { return fault_; }
+  /// Whether the step can come at all here. Example: no body without a head.
+  bool possible(Step step) const;
+  void take(Step step);
+  /// Time runs out: there must be one answer, and nothing left.
+  void close() {
+    check(front_.pass(seconds(30)));
+    if (!gone_ && answers_ != 1) fail("no single answer");
+    if (gone_ && answers_ != 0) fail("answered who was gone");
+    if (front_.requests.live() != 0) fail("still live");
+    if (front_.ledger.under != 0) fail("the book does not balance");
+  }
+
+ private:
+  void fail(std::string why) {
+    if (fault_.empty()) fault_ = std::move(why);
+  }
+  Truth& last() { return attempts_.back(); }
+  const Truth& last() const { return attempts_.back(); }
+  void check(const std::vector<Command>& commands) {
+    for (const auto& command : commands)
+      std::visit([this](const auto& one) { see(one); }, command);
+  }
+  void see(const OpenAttempt& open) {
+    if (over()) fail("sent after the end");
+    for (const auto& attempt : attempts_) {
+      if (!attempt.over && !attempt.cancelled && !attempt.headed) fail("two at once");
+      if (!repeatable_ && attempt.possible()) fail("may run twice");
+    }
+    if (revoked_ || stale_) fail("sent without key or proof");
+    Truth truth;
+    truth.id = open.attempt;
+    truth.resumeAfter = open.resumeAfter;
+    truth.next = open.resumeAfter.value_or(0) + 1;
+    if (truth.next != next_) fail("resumes at the wrong place");
+    attempts_.push_back(truth);
+  }
+  void see(const CancelAttempt& cancel) {
+    for (auto& attempt : attempts_)
+      if (attempt.id == cancel.attempt) attempt.cancelled = true;
+  }
+  void see(const AnswerHead& head) {
+    if (over() || heads_++ > 0) fail("a second head");
+    status_ = head.head->status;
+    if (status_ == 200 && !last().success) fail("a success that is none");
+    if (status_ != last().status) fail("another's head");
+    if (!repeatable_ && (status_ == 503 || status_ == 408 || status_ == 429 || status_ == 421))
+      fail("passed a promise that may be broken");
+  }
+  void see(const AnswerBody& body) {
+    if (over() || heads_ == 0) fail("a body without a head");
+    if (body.bytes.starts_with("x")) return;
+    if (!stream_ || status_ != 200) {
+      if (from_ && *from_ != last().id) fail("bodies of two attempts");
+      from_ = last().id;
+      return;
+    }
+    // Events are written as their ids, each behind a blank.
+    std::size_t at = 0;
+    while (at < body.bytes.size()) {
+      std::size_t end = 0;
+      auto id = std::stoull(body.bytes.substr(at), &end);
+      at += end;
+      if (id != next_++) fail("an event lost, doubled or out of order");
+    }
+  }
+  void see(const AnswerDone& done) {
+    if (over()) fail("a second answer");
+    ++answers_;
+    if (heads_ == 0) fail("an end without a head");
+    if (done.whole && !ended_) fail("whole without its end");
+  }
+  void see(const RefuseRequest& refuse) {
+    if (over() || heads_ > 0) fail("refused after another answer");
+    ++answers_;
+    bool ran = std::ranges::any_of(attempts_, &Truth::mayHaveRun);
+    if (refuse.status != 502 && refuse.status != 504) {
+      if (ran) fail("promised, but it may have run");
+      if (std::ranges::any_of(attempts_, [](const Truth& one) { return one.possible(); }))
+        fail("promised, but one is under way");
+    }
+    if (refuse.status == 503 &&
+        (!refuse.retryAfter || refuse.retryAfter->microseconds <= 0 ||
+         *refuse.retryAfter > seconds(3)))
+      fail("no good time to come back");
+  }
+  template <class T>
+  void see(const T&) {}
+  void head(int status, bool notRun) {
+    last().headed = true;
+    last().status = status;
+    last().success = status == 200;
+    last().notRun = (notRun && status != 200) || status == 421;
+    if (notRun && status == 200) last().success = false;
+    check(front_.head(last().id, status, notRun));
+  }
+  void events(std::uint64_t first, std::uint64_t end) {
+    std::string bytes;
+    for (auto id = first; id <= end; ++id) bytes += " " + std::to_string(id);
+    AttemptId attempt = last().id;
+    if (end >= last().next) last().next = end + 1;
+    check(front_.body(attempt, bytes, first, end));
+  }
+
+  FakeFront front_;
+  bool stream_, repeatable_;
+  std::uint64_t start_, next_;  // the events that the client needed first, and needs next
+  std::vector<Truth> attempts_;
+  std::optional<AttemptId> from_;
+  int answers_ = 0, heads_ = 0, status_ = 0;
+  bool gone_ = false, ended_ = false, revoked_ = false, stale_ = false;
+  std::string fault_;
+};
+
+bool Walk::possible(Step step) const {
+  if (over() || attempts_.empty()) return false;
+  const Truth& one = last();
+  switch (step) {
+    case Step::kWritten: return !one.written;
+    case Step::kNotWritten: return !one.headed;  // also, wrongly, after a write
+    case Step::kGoodHead:
+    case Step::kNotRunHead:
+    case Step::kOtherEngineHead:
+    case Step::kFailedHead:
+    case Step::kFullHead:
+    case Step::kTimeoutHead:
+    case Step::kNoStampHead:
+    case Step::kBadRequestHead:
+    case Step::kNotRunGoodHead: return one.written && !one.headed;
+    case Step::kNextEvent: return one.written;
+    case Step::kNoIdBody: return one.headed;
+    case Step::kTwoEvents: return one.headed && stream_;
+    case Step::kKnownEvent: return one.headed && stream_ && next_ > 1;
+    case Step::kMixedEvents: return one.headed && stream_ && next_ > 1 && one.next == next_;
+    case Step::kGapEvent:  // where two runs join; within one run the engine's ids are believed
+      return one.headed && stream_ && next_ > start_ && one.resumeAfter &&
+             one.next == *one.resumeAfter + 1;
+    case Step::kEnded: return one.written;
+    case Step::kSilence: return repeatable_;
+    case Step::kRevoke: return !revoked_;
+    case Step::kStale: return !stale_;
+    case Step::kEngineless: return true;
+    default: return true;
+  }
+}
+
+void Walk::take(Step step) {
+  AttemptId id = last().id;
+  auto turn = [this, id](AttemptTurn turn) { check(front_.turn(id, turn)); };
+  switch (step) {
+    case Step::kWritten: last().written = true; return turn(AttemptTurn::kWritten);
+    case Step::kGoodHead: return head(200, false);
+    case Step::kNotRunHead: return head(503, true);
+    case Step::kOtherEngineHead: return head(421, false);
+    case Step::kFailedHead: return head(500, false);
+    case Step::kFullHead: return head(503, false);
+    case Step::kTimeoutHead: return head(408, false);
+    case Step::kBadRequestHead: return head(400, false);
+    case Step::kNotRunGoodHead: return head(200, true);
+    case Step::kNoStampHead: {
+      last().headed = true;
+      last().status = 200;
+      auto turned = FakeFront::headOf(id, 200);
+      turned.success = false;
+      return check(front_.turn(turned));
+    }
+    case Step::kNextEvent: return events(last().next, last().next);
+    case Step::kTwoEvents: return events(last().next, last().next + 1);
+    case Step::kKnownEvent: return events(next_ - 1, next_ - 1);
+    case Step::kMixedEvents: return events(next_ - 1, next_);
+    case Step::kGapEvent: return events(last().next + 1, last().next + 1);
+    case Step::kNoIdBody: return check(front_.body(id, "x"));
+    case Step::kEnded:
+      ended_ = last().headed;
+      last().over = true;
+      turn(AttemptTurn::kEnded);
+      ended_ = false;
+      return;
+    case Step::kBroken:
+      last().written = last().over = true;  // it can't be told that it never left
+      return turn(AttemptTurn::kBroken);
+    case Step::kNotWritten:
+      last().over = true;
+      last().unsent = !last().written;
+      return turn(AttemptTurn::kNotWritten);
+    case Step::kSilence: return check(front_.pass(seconds(2.1)));
+    case Step::kRevoke:
+      revoked_ = true;
+      front_.facts.byKey.clear();
+      ++front_.facts.change;
+      return;
+    case Step::kStale: stale_ = true; front_.facts.proofEnd = front_.now; return;
+    case Step::kEngineless: front_.placer.engines = 0; return;
+    case Step::kLate: return check(front_.pass(seconds(9)));
+    case Step::kGone:
+      gone_ = true;
+      front_.requests.gone({1}, front_.now, front_.outbox);
+      return check(front_.outbox.take());
+    case Step::kCount: return;
+  }
+}
+
+struct Setting {
+  std::string_view host;
+  bool budget;
+  std::optional<std::uint64_t> resumeAfter;
+};
+
+/// Walks all orders of steps; each is played anew from its beginning.
+struct Enumeration {
+  Setting setting;
+  std::vector<Step> path;
+  std::uint64_t walks = 0;
+  std::string fault;
+
+  void explore(std::size_t left) {
+    Walk walk(setting.host, setting.budget, setting.resumeAfter);
+    for (Step step : path) walk.take(step);
+    ++walks;
+    std::vector<Step> next;
+    if (left > 0)
+      for (int number = 0; number < static_cast<int>(Step::kCount); ++number)
+        if (walk.possible(static_cast<Step>(number))) next.push_back(static_cast<Step>(number));
+    walk.close();
+    if (!walk.good()) {
+      fault = std::string(setting.host) + ": " + walk.fault() + " after";
+      for (Step step : path) fault += " " + std::to_string(static_cast<int>(step));
+      return;
+    }
+    for (Step step : next) {
+      path.push_back(step);
+      explore(left - 1);
+      path.pop_back();
+      if (!fault.empty()) return;
+    }
+  }
+};
+
+void walkAll(const Setting& setting, std::size_t depth, std::vector<Step> begin = {}) {
+  Enumeration enumeration{setting, std::move(begin), 0, {}};
+  enumeration.explore(depth);
+  STRCMP_EQUAL("", enumeration.fault.c_str());
+  CHECK(enumeration.walks > 1000);
+}
+
+}  // namespace
+
+TEST_GROUP(RequestOrders){};
+
+TEST(RequestOrders, UnsafeRunsAtMostOnceAndIsToldTheTruth) { walkAll({"unsafe", true, {}}, 5); }
+TEST(RequestOrders, PlainStreamsRunAtMostOnceAndKeepTheirOrder) {
+  walkAll({"plain", true, {}}, 5);
+}
+TEST(RequestOrders, SafeRequestsGetOneAnswer) { walkAll({"safe", true, {}}, 5); }
+TEST(RequestOrders, ResumedStreamsLoseAndRepeatNothing) { walkAll({"resumed", true, {}}, 5); }
+TEST(RequestOrders, ClientsThatResumeGetWhatIsBehindTheirEvent) {
+  walkAll({"resumed", true, 12}, 5);
+}
+TEST(RequestOrders, BrokenStreamsGoOnAtAnotherEngine) {
+  walkAll({"resumed", true, {}}, 5,
+          {Step::kWritten, Step::kGoodHead, Step::kTwoEvents, Step::kBroken});
+}
+TEST(RequestOrders, DeclinedUnsafeRequestsStayAtMostOnce) {
+  walkAll({"unsafe", true, {}}, 5, {Step::kWritten, Step::kNotRunHead, Step::kNotWritten});
+}
+TEST(RequestOrders, WithoutABudgetToo) {
+  for (auto host : kHosts) walkAll({host, false, {}}, 4);
+}
