--- a/tests/requests_order_test.cc
+++ b/tests/requests_order_test.cc
@@ -13,6 +13,13 @@
   kGone, kCount,
 };
 
+struct Setting {
+  std::string_view host;
+  bool budget;
+  std::optional<std::uint64_t> resumeAfter = std::nullopt;
+  std::optional<Guard> guardOff = std::nullopt;
+};
+
 /// What the engine behind an attempt did, as its turns tell.
 struct Truth {
   AttemptId id;
@@ -29,14 +36,16 @@
 /// Drives one request by steps and checks every command against what the engines did.
 class Walk {
  public:
-  Walk(std::string_view host, bool budget, std::optional<std::uint64_t> resumeAfter)
-      : stream_(host == "plain" || host == "resumed"),
-        repeatable_(host == "safe" || host == "resumed"),
-        start_(resumeAfter.value_or(0) + 1),
+  explicit Walk(const Setting& setting)
+      : stream_(setting.host == "plain" || setting.host == "resumed"),
+        repeatable_(setting.host == "safe" || setting.host == "resumed"),
+        start_(setting.resumeAfter.value_or(0) + 1),
         next_(start_) {
-    if (!budget) front_.props.budgetShare = 0;
-    auto asked = FakeFront::arrived(host, 1);
-    asked.resumeAfter = resumeAfter;
+    if (!setting.budget) front_.props.budgetShare = 0;
+    if (setting.guardOff)
+      front_.props.guardsOff = 1U << static_cast<unsigned>(*setting.guardOff);
+    auto asked = FakeFront::arrived(setting.host, 1);
+    asked.resumeAfter = setting.resumeAfter;
     check(front_.ask(std::move(asked)));
   }
   bool over() const { return answers_ > 0 || gone_; }
@@ -243,12 +252,6 @@
   }
 }
 
-struct Setting {
-  std::string_view host;
-  bool budget;
-  std::optional<std::uint64_t> resumeAfter;
-};
-
 /// Walks all orders of steps; each is played anew from its beginning.
 struct Enumeration {
   Setting setting;
@@ -257,7 +260,7 @@
   std::string fault;
 
   void explore(std::size_t left) {
-    Walk walk(setting.host, setting.budget, setting.resumeAfter);
+    Walk walk(setting);
     for (Step step : path) walk.take(step);
     ++walks;
     std::vector<Step> next;
@@ -286,6 +289,17 @@
   CHECK(enumeration.walks > 1000);
 }
 
+/// What the walk finds once a guard is off: this shows that it can find something.
+std::string faultWithout(Guard guard, std::string_view host, std::vector<Step> begin = {}) {
+  Enumeration enumeration{{host, true, std::nullopt, guard}, std::move(begin), 0, {}};
+  enumeration.explore(3);
+  return enumeration.fault;
+}
+
+bool tells(const std::string& fault, std::string_view what) {
+  return fault.find(what) != std::string::npos;
+}
+
 }  // namespace
 
 TEST_GROUP(RequestOrders){};
@@ -309,3 +323,11 @@
 TEST(RequestOrders, WithoutABudgetToo) {
   for (auto host : kHosts) walkAll({host, false, {}}, 4);
 }
+TEST(RequestOrders, TheWalkSeesALostGuard) {
+  CHECK(tells(faultWithout(Guard::kNoRepeat, "unsafe"), "may run twice"));
+  CHECK(tells(faultWithout(Guard::kNoRepeat, "plain"), "may run twice"));
+  CHECK(tells(faultWithout(Guard::kHonestNo, "resumed"), "promised, but it may have run"));
+  CHECK(tells(faultWithout(Guard::kPieceOrder, "resumed",
+                           {Step::kWritten, Step::kGoodHead, Step::kNextEvent, Step::kBroken}),
+              "an event lost, doubled or out of order"));
+}
