--- a/src/requests/attempt_budget.h
+++ b/src/requests/attempt_budget.h
@@ -63,7 +63,8 @@
 /// A front's part of the slack: half of it is never used, for fronts that don't know each other.
 /// Example: `slackPart(20, 9) == 1`.
 inline std::int64_t slackPart(double slack, std::size_t fronts) {
-  return static_cast<std::int64_t>(0.5 * slack / static_cast<double>(std::max<std::size_t>(1, fronts)));
+  double shared = static_cast<double>(std::max<std::size_t>(1, fronts));
+  return static_cast<std::int64_t>(0.5 * slack / shared);
 }
 
 }  // namespace peppergate
--- a/src/requests/request_state.h
+++ b/src/requests/request_state.h
@@ -73,7 +73,8 @@
 
   // requests.cc
   void ask(RequestArrived arrived, MonotonicTime now, Outbox& outbox);
-  std::variant<AttemptPlan, AttemptFault> plan(LiveRequest& request, MonotonicTime now, Outbox& outbox);
+  std::variant<AttemptPlan, AttemptFault> plan(LiveRequest& request, MonotonicTime now,
+                                               Outbox& outbox);
   void send(LiveRequest& request, AttemptPlan plan, MonotonicTime now, Outbox& outbox);
   void giveUp(LiveRequest& request, AttemptFault fault, MonotonicTime now, Outbox& outbox);
   void cut(LiveRequest& request, Outbox& outbox);
@@ -84,7 +85,8 @@
   // request_turns.cc
   void turn(AttemptTurned turned, MonotonicTime now, Outbox& outbox);
   void head(LiveRequest& request, const AttemptTurned& turned, MonotonicTime now, Outbox& outbox);
-  void declined(LiveRequest& request, const AttemptTurned& turned, MonotonicTime now, Outbox& outbox);
+  void declined(LiveRequest& request, const AttemptTurned& turned, MonotonicTime now,
+                Outbox& outbox);
   void failed(LiveRequest& request, const AttemptTurned& turned, MonotonicTime now, Outbox& outbox);
   void body(LiveRequest& request, AttemptTurned& turned, MonotonicTime now, Outbox& outbox);
   enum class Order : std::uint8_t { kNext, kKnown, kWrong };
@@ -94,8 +96,8 @@
   void garbled(LiveRequest& request, MonotonicTime now, Outbox& outbox);
   void broken(LiveRequest& request, AttemptEnd how, MonotonicTime now, Outbox& outbox);
   void notWritten(LiveRequest& request, MonotonicTime now, Outbox& outbox);
-  void again(LiveRequest& request, std::string_view counter, AttemptFault otherwise, MonotonicTime now,
-             Outbox& outbox);
+  void again(LiveRequest& request, std::string_view counter, AttemptFault otherwise,
+             MonotonicTime now, Outbox& outbox);
 
   // request_times.cc
   void arm(LiveRequest& request);
--- a/src/requests/request_turns.cc
+++ b/src/requests/request_turns.cc
@@ -59,6 +59,7 @@
     case HeadVerdict::kSuccess:
       request.heard = now;
       if (!request.stream()) firstCame(request, now, outbox);
+      if (!repeatable(*request.route)) request.asked.wire.reset();  // nothing is sent again
       return arm(request);
     case HeadVerdict::kNotRun: return declined(request, turned, now, outbox);
     case HeadVerdict::kNoAnswer:
@@ -137,8 +138,7 @@
     if (turned.lastEvent) {
       std::uint64_t before = request.lastEvent.value_or(request.asked.resumeAfter.value_or(0));
       std::uint64_t first = turned.firstEvent.value_or(*turned.lastEvent);
-      if (!attempt.resumed || before == request.lastEvent)
-        request.largestStep = std::max(request.largestStep, first > before ? first - before : 0);
+      request.largestStep = std::max(request.largestStep, first > before ? first - before : 0);
       request.lastEvent = turned.lastEvent;
     }
   }
@@ -163,11 +163,13 @@
   if (!has) return Order::kNext;
   if (last <= *has) return Order::kKnown;
   if (first <= *has) return Order::kWrong;  // not to be taken apart here
+  // Within one run the engine's ids are believed; where two join, nothing may be left out.
   bool joins = attempt.resumed && (!attempt.lastEvent || *attempt.lastEvent <= *has) &&
                request.lastEvent;
+  if (!joins) return Order::kNext;
   std::uint64_t largest =
       std::max(request.largestStep, strideOf(parts.facts.config(), request.service));
-  return joins && first - *has > largest ? Order::kWrong : Order::kNext;
+  return first - *has > largest ? Order::kWrong : Order::kNext;
 }
 
 void Requests::State::firstCame(LiveRequest& request, MonotonicTime now, Outbox& outbox) {
--- a/src/requests/requests.cc
+++ b/src/requests/requests.cc
@@ -45,7 +45,8 @@
   LiveRequest request;
   request.asked = std::move(arrived);
   auto planned = plan(request, now, outbox);
-  if (auto* fault = std::get_if<AttemptFault>(&planned)) return giveUp(request, *fault, now, outbox);
+  if (auto* fault = std::get_if<AttemptFault>(&planned))
+    return giveUp(request, *fault, now, outbox);
   std::uint64_t id = request.asked.request.value;
   auto place = requests.emplace(id, std::move(request)).first;
   outbox.count("attempts.first");
@@ -54,8 +55,8 @@
 
 /// Everything that has to hold for one more attempt, as it is known now: each attempt is checked
 /// against the configuration in force at that moment, not at the request's arrival.
-std::variant<AttemptPlan, AttemptFault> Requests::State::plan(LiveRequest& request, MonotonicTime now,
-                                                    Outbox& outbox) {
+std::variant<AttemptPlan, AttemptFault> Requests::State::plan(LiveRequest& request,
+                                                              MonotonicTime now, Outbox& outbox) {
   if (!parts.facts.installed()) return AttemptFault{Hurdle::kNotInstalled};
   MonotonicTime freshUntil = parts.facts.freshUntil(now);
   if (freshUntil <= now) return AttemptFault{Hurdle::kStale};
@@ -79,7 +80,8 @@
     if (mayHaveRun && (route->kind != request.route->kind || !repeatable(*route) ||
                        !repeatable(*request.route)))
       return AttemptFault{Hurdle::kBroken};
-    if (request.answering && plan.tenant != request.tenant) return AttemptFault{Hurdle::kUnknownKey};
+    if (request.answering && plan.tenant != request.tenant)
+      return AttemptFault{Hurdle::kUnknownKey};
   }
   if (request.deadline - now < leastTime(*route)) return AttemptFault{Hurdle::kTooLate};
   int sent = request.sent + (request.attempt ? 1 : 0);
@@ -119,7 +121,8 @@
   return plan;
 }
 
-void Requests::State::send(LiveRequest& request, AttemptPlan plan, MonotonicTime now, Outbox& outbox) {
+void Requests::State::send(LiveRequest& request, AttemptPlan plan, MonotonicTime now,
+                           Outbox& outbox) {
   LiveAttempt attempt;
   attempt.id = {++lastAttempt};
   attempt.engine = plan.placed.engine;
