Lister and book tests; a front's patience follows the pace of the lister's words

Where a list has many pages the lister's own pace was longer than the fronts' patience, so that all asked for themselves: 4.6 calls a second of 10. An attempt sent while an engine rested counted as its trial.

--- a/src/engines/engine_book.cc
+++ b/src/engines/engine_book.cc
@@ -112,7 +112,7 @@
   ++state->sentSinceTold;
   state->ownPrefillTokens += prefillTokens;
   state->tokensSinceTold += prefillTokens;
-  if (state->trial) state->trialSince = now_;
+  if (state->trial && now_ >= state->restUntil) state->trialSince = now_;
 }
 
 void EngineBook::told(const EngineId& engine, const EngineLoad& load, MonotonicTime now) {
--- a/src/engines/lister.cc
+++ b/src/engines/lister.cc
@@ -6,7 +6,8 @@
 namespace {
 
 constexpr Duration kPageTimeout = seconds(1);
-constexpr Duration kSilence = seconds(1.5);     // then a front asks for itself
+constexpr Duration kSilence = seconds(1.5);     // then a front asks for itself;
+constexpr Duration kLongSilence = seconds(2.6); // at most so long where lists have many pages
 constexpr Duration kProofEvery = seconds(0.5);  // that the list is still the same
 constexpr Duration kLoadingEnds = seconds(5);   // if nobody says it again
 constexpr Duration kLargestBackoff = seconds(4);
@@ -21,7 +22,15 @@
     : props_(props), membership_(membership), random_(random), tag_(random.below(kTags)) {}
 
 bool Lister::onItsOwn(MonotonicTime now) const {
-  return membership_.self().role == Role::kFront && now - fleetSeen_ > kSilence;
+  Duration silence = std::clamp(wordsGap_ * 1.3 + seconds(0.2), kSilence, kLongSilence);
+  return membership_.self().role == Role::kFront && now - fleetSeen_ > silence;
+}
+
+void Lister::noteFleetWord(MonotonicTime seen) {
+  if (seen <= fleetSeen_) return;
+  if (fleetSeen_ != kNever) wordsGap_ = seen - fleetSeen_;
+  fleetSeen_ = seen;
+  seen_ = std::max(seen_, seen);
 }
 
 ListVersion Lister::successor() const {
@@ -176,8 +185,7 @@
   }
   fleet_ = news.version;
   if (!local_ && news.version == version_) {
-    fleetSeen_ = std::max(fleetSeen_, seen);
-    seen_ = std::max(seen_, seen);
+    noteFleetWord(seen);
     return false;
   }
   if (news.list.empty()) {
@@ -189,8 +197,7 @@
     case RosterRead::kTaken:
       version_ = news.version;
       local_ = false;
-      fleetSeen_ = std::max(fleetSeen_, seen);
-      seen_ = std::max(seen_, seen);
+      noteFleetWord(seen);
       outbox.count("lister.taken");
       return true;
     case RosterRead::kOtherBase:
--- a/src/engines/lister.h
+++ b/src/engines/lister.h
@@ -53,6 +53,7 @@
   void askWhole(const Address& from, Outbox& outbox);
   Duration pause();
   Duration ownPause() const;
+  void noteFleetWord(MonotonicTime seen);
   ListVersion successor() const;
 
   Props props_;
@@ -64,6 +65,7 @@
   bool local_ = false;    // what is held is this front's own and no fleet version
   MonotonicTime seen_ = kNever;
   MonotonicTime fleetSeen_ = kNever;  // the same, by a lister's word alone
+  Duration wordsGap_;                 // between its last two words
   bool inCharge_ = false;
   bool wasOnItsOwn_ = false;
   bool restate_ = false;  // another lister's number has to be stepped over
--- /dev/null
+++ b/tests/engines_book_test.cc
@@ -0,0 +1,299 @@
+// What traffic shows of engines: who rests, how many at once, and how they come back.
+#include "engines/engine_book.h"
+
+#include <algorithm>
+
+#include "tests/testing.h"
+
+using namespace peppergate;
+
+namespace {
+
+std::vector<Engine> some(int count) {
+  std::vector<Engine> engines;
+  for (int index = 0; index < count; ++index) {
+    Engine engine;
+    engine.id = {"e" + std::to_string(100 + index)};
+    engine.service = {"s"};
+    engine.address = {"a" + std::to_string(index)};
+    engine.slots = 8;
+    engine.models[{"m"}] = {1};
+    engines.push_back(engine);
+  }
+  return engines;
+}
+
+struct Scene {
+  explicit Scene(int count = 6) {
+    book.tick(at(0));
+    book.take(some(count), {1}, at(0));
+  }
+  void end(const std::string& id, AttemptEnd how, double when) {
+    book.tick(at(when));
+    book.sent({id}, 100);
+    book.ended({id}, how, 100, how == AttemptEnd::kGood, at(when));
+  }
+  bool up(const std::string& id, double when) {
+    return book.usable(*book.find({id}), at(when));
+  }
+  std::size_t upCount(double when) {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        book.of({"s"}), [&](const EngineState* engine) { return book.usable(*engine, at(when)); }));
+  }
+  Props props;
+  EngineBook book{props};
+};
+
+/// Events at one engine, "e100" of six, and whether it is used at some time after them.
+struct Ended {
+  AttemptEnd how;
+  double when;
+};
+struct Row {
+  const char* name;
+  std::vector<Ended> ends;
+  double when;
+  bool up;
+};
+
+}  // namespace
+
+TEST_GROUP(EnginesBook){};
+
+TEST(EnginesBook, RestsAsTrafficShows) {
+  using enum AttemptEnd;
+  const std::vector<Row> rows{
+      {"nothing seen", {}, 1, true},
+      {"one unreachable", {{kUnreachable, 1}}, 1.2, false},
+      {"back after 0.3 s", {{kUnreachable, 1}}, 1.35, true},
+      {"twice unreachable rests 0.6 s", {{kUnreachable, 1}, {kUnreachable, 1.4}}, 1.9, false},
+      {"and is back", {{kUnreachable, 1}, {kUnreachable, 1.4}}, 2.05, true},
+      {"a good one clears", {{kUnreachable, 1}, {kGood, 1.4}, {kUnreachable, 1.5}}, 1.85, true},
+      {"many at once are one", {{kUnreachable, 1}, {kUnreachable, 1.01}, {kUnreachable, 1.02}}, 1.35, true},
+      {"one broken", {{kBroken, 1}}, 1.01, true},
+      {"two in a row", {{kBroken, 1}, {kGarbled, 1.5}}, 1.6, false},
+      {"two in a row, back", {{kBroken, 1}, {kSilent, 1.5}}, 2.05, true},
+      {"a good one between", {{kBroken, 1}, {kGood, 1.2}, {kBroken, 1.5}}, 1.6, true},
+      {"too far apart", {{kBroken, 1}, {kBroken, 6.5}}, 6.6, true},
+      {"back and broken again rests 1 s", {{kBroken, 1}, {kBroken, 1.1}, {kBroken, 1.7}}, 2.6, false},
+      {"and then is back", {{kBroken, 1}, {kBroken, 1.1}, {kBroken, 1.7}}, 2.75, true},
+      {"full rests shortly", {{kFull, 1}}, 1.04, false},
+      {"full is back soon", {{kFull, 1}}, 1.16, true},
+      {"full is no strike", {{kBroken, 1}, {kFull, 1.1}, {kFull, 1.3}, {kFull, 1.5}}, 1.7, true},
+      {"clients that go away blame nobody", {{kClientGone, 1}, {kClientGone, 1}}, 1.01, true},
+      {"another engine has the address", {{kOtherEngine, 1}}, 4, false},
+  };
+  for (const auto& row : rows) {
+    Scene scene;
+    for (const auto& end : row.ends) scene.end("e100", end.how, end.when);
+    CHECK_TEXT(scene.up("e100", row.when) == row.up, row.name);
+  }
+}
+
+TEST(EnginesBook, RestsGrowToFiveSecondsAtMost) {
+  for (AttemptEnd how : {AttemptEnd::kUnreachable, AttemptEnd::kBroken}) {
+    Scene scene;
+    double when = 1;
+    for (int turn = 0; turn < 12; ++turn) {
+      scene.end("e100", how, when);
+      while (!scene.up("e100", when)) when += 0.01;
+    }
+    double before = when;
+    scene.end("e100", how, when);
+    while (!scene.up("e100", when)) when += 0.01;
+    CHECK(when - before > 4.5 && when - before < 5.1);
+  }
+}
+
+TEST(EnginesBook, ReturnsWithOneRequestUntilItDoesWell) {
+  struct Turn {
+    const char* name;
+    void (*then)(EngineBook&);
+    bool up;
+  };
+  const EngineId id{"e100"};
+  constexpr std::array<Turn, 4> kTurns{{
+      {"under way", [](EngineBook&) {}, false},
+      {"first event", [](EngineBook& book) { book.firstEvent({"e100"}, 10, milliseconds(50)); }, true},
+      {"whole", [](EngineBook& book) { book.ended({"e100"}, AttemptEnd::kGood, 10, true, at(1.6)); }, true},
+      {"broken", [](EngineBook& book) { book.ended({"e100"}, AttemptEnd::kBroken, 10, false, at(1.6)); }, false},
+  }};
+  for (const auto& turn : kTurns) {
+    Scene scene;
+    scene.end("e100", AttemptEnd::kBroken, 1);
+    scene.end("e100", AttemptEnd::kBroken, 1);
+    CHECK(scene.up("e100", 1.55));
+    scene.book.tick(at(1.55));
+    scene.book.sent(id, 10);
+    CHECK(!scene.up("e100", 1.56));  // no herd
+    turn.then(scene.book);
+    CHECK_TEXT(scene.up("e100", 1.65) == turn.up, turn.name);
+  }
+  Scene scene;  // one that is never heard of again gives way to another
+  scene.end("e100", AttemptEnd::kUnreachable, 1);
+  scene.book.tick(at(1.5));
+  scene.book.sent(id, 10);
+  CHECK(!scene.up("e100", 3.4));
+  CHECK(scene.up("e100", 3.6));
+}
+
+TEST(EnginesBook, StrikesTakeOutHalfAtMost) {
+  struct Case {
+    int engines;
+    std::size_t up;
+  };
+  for (const auto& one : {Case{1, 1}, Case{2, 1}, Case{3, 2}, Case{6, 3}, Case{18, 9}}) {
+    Scene scene(one.engines);
+    for (int turn = 0; turn < 5; ++turn)
+      for (int index = 0; index < one.engines; ++index)
+        scene.end("e" + std::to_string(100 + index), AttemptEnd::kBroken, 1);
+    LONGS_EQUAL(one.up, scene.upCount(1.01));
+  }
+}
+
+TEST(EnginesBook, TheUnreachableMayAllRestButForOne) {
+  Scene scene(4);
+  for (int index = 0; index < 4; ++index)
+    scene.end("e" + std::to_string(100 + index), AttemptEnd::kUnreachable, 1 + 0.01 * index);
+  LONGS_EQUAL(1, scene.upCount(1.05));
+  CHECK(scene.up("e100", 1.05));  // failed the longest ago
+  scene.end("e100", AttemptEnd::kUnreachable, 1.06);
+  LONGS_EQUAL(1, scene.upCount(1.07));
+  CHECK(scene.up("e101", 1.07));
+  LONGS_EQUAL(4, scene.upCount(1.4));
+}
+
+TEST(EnginesBook, AFullServiceHasNoLastResort) {
+  Scene scene(2);
+  scene.end("e100", AttemptEnd::kFull, 1);
+  scene.end("e101", AttemptEnd::kFull, 1);
+  LONGS_EQUAL(0, scene.upCount(1.03));
+  LONGS_EQUAL(2, scene.upCount(1.16));
+}
+
+TEST(EnginesBook, NoFrontEjectsAloneForOthers) {
+  const Address first{"f1"}, second{"f2"};
+  const EngineTrouble note{{"e100"}, 3, 0, true};
+  Scene alone;
+  for (int turn = 0; turn < 5; ++turn) alone.book.hear(first, note, at(1 + 0.1 * turn));
+  CHECK(alone.up("e100", 1.6));
+  Scene two;
+  two.book.hear(first, note, at(1));
+  two.book.hear(second, note, at(1.5));
+  CHECK(!two.up("e100", 1.6));
+  CHECK(two.up("e100", 2.1));
+  Scene late;
+  late.book.hear(first, note, at(1));
+  late.book.hear(second, note, at(3.5));
+  CHECK(late.up("e100", 3.6));
+  Scene own;
+  own.end("e100", AttemptEnd::kBroken, 1);
+  own.book.hear(first, note, at(1.2));
+  CHECK(!own.up("e100", 1.3));
+  Scene reachable;  // failures of requests are no word on the engine
+  reachable.book.hear(first, {{"e100"}, 3, 0, false}, at(1));
+  reachable.book.hear(second, {{"e100"}, 3, 0, false}, at(1));
+  CHECK(reachable.up("e100", 1.1));
+}
+
+TEST(EnginesBook, TheListDecides) {
+  Scene scene(3);
+  auto engines = some(3);
+  engines[0].draining = true;
+  engines.pop_back();
+  scene.book.take(engines, {2}, at(1));
+  CHECK(!scene.up("e100", 1));
+  CHECK(scene.up("e101", 1));
+  CHECK(scene.book.find({"e102"}) == nullptr);
+  LONGS_EQUAL(2, scene.book.of({"s"}).size());
+  CHECK(scene.book.of({"other"}).empty());
+  scene.book.loading({{"e101"}}, at(1));
+  CHECK(!scene.up("e101", 1));
+  scene.book.take(engines, {3}, at(1.1));
+  CHECK(!scene.up("e101", 1.1));  // until it is said otherwise
+  scene.book.loading({}, at(1.2));
+  CHECK(scene.up("e101", 1.2));
+}
+
+TEST(EnginesBook, AnEngineWhoseAddressIsAnothersComesBackWithALaterList) {
+  Scene scene(3);
+  scene.end("e100", AttemptEnd::kOtherEngine, 1);
+  scene.book.take(some(3), {2}, at(1.2));  // may be as old as the mistake
+  CHECK(!scene.up("e100", 1.3));
+  scene.book.take(some(3), {3}, at(2.5));
+  CHECK(scene.up("e100", 2.6));
+}
+
+TEST(EnginesBook, LoadIsWhatWasToldAgedByWhatWasSent) {
+  Scene scene;
+  const EngineId id{"e100"};
+  const EngineState& engine = *scene.book.find(id);
+  scene.book.sent(id, 1000);
+  DOUBLES_EQUAL(1, scene.book.running(engine, at(1)), 0.01);
+  scene.book.told(id, {10, 2, 8}, at(1));
+  DOUBLES_EQUAL(12, scene.book.running(engine, at(1)), 0.01);
+  scene.book.sent(id, 1000);
+  DOUBLES_EQUAL(13, scene.book.running(engine, at(1)), 0.01);
+  scene.book.ended(id, AttemptEnd::kGood, 1000, true, at(1));
+  DOUBLES_EQUAL(12, scene.book.running(engine, at(1)), 0.01);
+  double half = scene.book.running(engine, at(2));
+  CHECK(half > 1 && half < 12);
+  DOUBLES_EQUAL(1, scene.book.running(engine, at(4)), 0.01);
+}
+
+TEST(EnginesBook, OthersNotesAddAndAreForgotten) {
+  Scene scene;
+  const EngineState& engine = *scene.book.find({"e100"});
+  scene.book.hear(EngineUse{{7}, {{"e100"}, {"e101"}}, {4, 1}, {2000, 0}}, at(1));
+  scene.book.hear(EngineUse{{8}, {{"e100"}}, {1}, {300}}, at(1.5));
+  DOUBLES_EQUAL(5, scene.book.running(engine, at(2)), 0.01);
+  DOUBLES_EQUAL(2300, scene.book.queueTokens(engine), 0.01);
+  scene.book.hear(EngineUse{{7}, {{"e100"}}, {2}, {0}}, at(2));
+  DOUBLES_EQUAL(3, scene.book.running(engine, at(2)), 0.01);
+  scene.book.take(some(6), {2}, at(2.1));
+  DOUBLES_EQUAL(3, scene.book.running(engine, at(2.2)), 0.01);
+  scene.book.tick(at(3.7));
+  DOUBLES_EQUAL(2, scene.book.running(engine, at(3.7)), 0.01);
+  scene.book.tick(at(4.2));
+  DOUBLES_EQUAL(0, scene.book.running(engine, at(4.2)), 0.01);
+  scene.book.hear(EngineUse{{7}, {{"e100"}, {"e101"}}, {1}, {}}, at(5));  // not of one length
+  DOUBLES_EQUAL(0, scene.book.running(engine, at(5)), 0.01);
+}
+
+TEST(EnginesBook, NotesAreGivenOnChangeAndNowAndThen) {
+  Scene scene;
+  CHECK(!scene.book.use({1}));
+  scene.book.sent({"e100"}, 50);
+  CHECK(scene.book.use({1}).has_value());
+  CHECK(!scene.book.use({1}));
+  CHECK(scene.book.use({1}).has_value());  // else others forget it
+  scene.book.ended({"e100"}, AttemptEnd::kGood, 50, false, at(1));
+  CHECK(scene.book.use({1}).has_value());  // that nothing is left
+  for (int turn = 0; turn < 5; ++turn) CHECK(!scene.book.use({1}));
+  scene.end("e101", AttemptEnd::kUnreachable, 1);
+  auto troubles = scene.book.troubles();
+  LONGS_EQUAL(1, troubles.size());
+  CHECK(troubles[0].engine == EngineId{"e101"} && troubles[0].unreachable);
+  CHECK(scene.book.troubles().empty());
+}
+
+TEST(EnginesBook, VersionsOnlyRise) {
+  Scene scene;
+  scene.book.toldVersion({"e100"}, {"m"}, {3});
+  scene.book.toldVersion({"e100"}, {"m"}, {2});
+  CHECK(scene.book.find({"e100"})->models.at({"m"}) == WeightsVersion{3});
+  scene.book.take(some(6), {2}, at(1));  // the list lags
+  CHECK(scene.book.find({"e100"})->models.at({"m"}) == WeightsVersion{3});
+}
+
+TEST(EnginesBook, EnginesThatAreGoneAreNoTrouble) {
+  Scene scene;
+  scene.book.sent({"e100"}, 10);
+  scene.book.take({}, {2}, at(1));
+  scene.book.ended({"e100"}, AttemptEnd::kBroken, 10, false, at(1));
+  scene.book.firstEvent({"e100"}, 10, milliseconds(3));
+  scene.book.told({"e100"}, {}, at(1));
+  CHECK(scene.book.use({1}) == std::nullopt);
+  scene.book.take(some(1), {3}, at(2));
+  DOUBLES_EQUAL(0, scene.book.running(*scene.book.find({"e100"}), at(2)), 0.01);
+}
--- /dev/null
+++ b/tests/engines_lister_test.cc
@@ -0,0 +1,358 @@
+// The engine list over a small simulated fleet: how old it gets, what it costs, who steps in.
+#include "engines/lister.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+
+#include "engines/engine_book.h"
+#include "tests/testing.h"
+
+using namespace peppergate;
+
+namespace {
+
+Engine engineNamed(const std::string& id, const std::string& address) {
+  Engine engine;
+  engine.id = {id};
+  engine.service = {"s"};
+  engine.address = {address};
+  engine.zone = {"z1"};
+  engine.models[{"m"}] = {1};
+  return engine;
+}
+
+/// One daemon with its lister; a front also has a book.
+struct Daemon {
+  Daemon(const Props& props, MemberRecord record, std::uint64_t seed)
+      : random(seed), membership(props, std::move(record), {}, random), book(props),
+        lister(props, membership, random) {}
+  Random random;
+  Membership membership;
+  EngineBook book;
+  Lister lister;
+  Outbox outbox;
+  ListVersion taken;
+  bool inCharge = false, cutOff = false, cutFromPlatform = false;
+  Epoch term{1};
+};
+
+struct Fleet {
+  Fleet(std::size_t cores, std::size_t fronts, Props with = {}) : props(with) {
+    for (std::size_t index = 0; index < cores + fronts; ++index) {
+      MemberRecord record;
+      record.member = {index + 1};
+      record.address = {"d" + std::to_string(index)};
+      record.role = index < cores ? Role::kCore : Role::kFront;
+      records.push_back(record);
+      daemons.push_back(std::make_unique<Daemon>(props, record, index + 1));
+    }
+    for (auto& daemon : daemons)
+      for (const auto& record : records) {
+        Shuffle shuffle;
+        shuffle.sender = record;
+        daemon->membership.hear(shuffle, now, daemon->outbox);
+        daemon->outbox.take();
+      }
+    for (int index = 0; index < 6; ++index)
+      platform.push_back(engineNamed("e" + std::to_string(index), "a" + std::to_string(index)));
+    lead(0, 1);
+  }
+  void lead(std::size_t core, std::uint64_t term) {
+    for (auto& daemon : daemons) daemon->inCharge = false;
+    daemons[core]->inCharge = true;
+    daemons[core]->term = {term};
+  }
+  void call(std::size_t caller, const ListEngines& command) {
+    ++calls;
+    recent.push_back(now);
+    std::erase_if(recent, [&](MonotonicTime time) { return now - time > seconds(1); });
+    mostInASecond = std::max(mostInASecond, recent.size());
+    EnginesListed page{command.ticket, 200, {}, {}};
+    if (daemons[caller]->cutFromPlatform || platformDown) page.status = 0;
+    else if (static_cast<double>(recent.size()) > props.listRate) page.status = 429;
+    Duration wait = page.status == 0 ? command.timeout : milliseconds(10);
+    if (page.status == 200) {
+      std::size_t from = command.page.empty() ? 0 : std::stoul(command.page);
+      std::size_t to = std::min(platform.size(), from + pageSize);
+      page.engines.assign(platform.begin() + static_cast<std::ptrdiff_t>(from),
+                          platform.begin() + static_cast<std::ptrdiff_t>(to));
+      if (to < platform.size()) page.nextPage = std::to_string(to);
+    }
+    if (page.status == 429) ++tooOften;
+    later.push_back({now + wait, [this, caller, page] {
+                       daemons[caller]->lister.listed(page, now, daemons[caller]->outbox);
+                     }});
+  }
+  void send(std::size_t from, const Send& send) {
+    std::size_t to = std::stoul(send.to.value.substr(1));
+    if (daemons[from]->cutOff || daemons[to]->cutOff) return;
+    if (random.fraction() < loss) return;
+    Address sender = records[from].address;
+    Duration delay = milliseconds(1 + static_cast<std::int64_t>(random.below(20)));
+    if (auto* news = std::get_if<RosterNews>(&send.message)) {
+      ++newsSent;
+      bytes += news->list.size() + 30;
+      later.push_back({now + delay, [this, to, sender, news = *news] {
+                         daemons[to]->lister.hear(sender, news, now, daemons[to]->outbox);
+                       }});
+    }
+    if (auto* ask = std::get_if<RosterAsk>(&send.message))
+      later.push_back({now + delay, [this, to, sender, ask = *ask] {
+                         daemons[to]->lister.hear(sender, ask, now, daemons[to]->outbox);
+                       }});
+  }
+  void run(double until) {
+    while (now < at(until)) {
+      std::vector<std::function<void()>> due;
+      std::erase_if(later, [&](const auto& entry) {
+        if (entry.first > now) return false;
+        due.push_back(entry.second);
+        return true;
+      });
+      for (const auto& event : due) event();
+      for (std::size_t index = 0; index < daemons.size(); ++index) {
+        Daemon& daemon = *daemons[index];
+        daemon.lister.tick(daemon.inCharge, daemon.term, now, daemon.outbox);
+        daemon.book.tick(now);
+        if (daemon.lister.version() != daemon.taken) {
+          daemon.taken = daemon.lister.version();
+          daemon.book.take(daemon.lister.engines(), daemon.taken, now);
+          daemon.book.loading(daemon.lister.loadingNow(), now);
+        }
+        for (const auto& command : daemon.outbox.take()) {
+          if (auto* list = std::get_if<ListEngines>(&command)) call(index, *list);
+          if (auto* one = std::get_if<Send>(&command)) send(index, *one);
+        }
+      }
+      now = now + milliseconds(10);
+    }
+  }
+  /// Whether any front would still send there. Example: `sentTo("e1")`.
+  bool sentTo(const std::string& id) const {
+    return std::ranges::any_of(daemons, [&](const auto& daemon) {
+      if (daemon->membership.self().role != Role::kFront) return false;
+      const EngineState* engine = daemon->book.find({id});
+      return engine && daemon->book.usable(*engine, now);
+    });
+  }
+  bool allHave(std::size_t count) const {
+    return std::ranges::all_of(daemons, [&](const auto& daemon) {
+      return daemon->lister.engines().size() == count;
+    });
+  }
+
+  static Props fast() {
+    Props props;
+    props.listRate = 47;
+    return props;
+  }
+  Props props;
+  Random random{99};
+  std::vector<MemberRecord> records;
+  std::vector<std::unique_ptr<Daemon>> daemons;
+  std::vector<Engine> platform;
+  std::vector<std::pair<MonotonicTime, std::function<void()>>> later;
+  std::vector<MonotonicTime> recent;
+  MonotonicTime now = at(0);
+  std::size_t calls = 0, mostInASecond = 0, tooOften = 0, newsSent = 0, bytes = 0, pageSize = 4;
+  double loss = 0;
+  bool platformDown = false;
+};
+
+}  // namespace
+
+TEST_GROUP(EnginesLister){};
+
+TEST(EnginesLister, DrainsAreKnownAtAllFrontsWithinThreeSeconds) {
+  struct Row {
+    const char* name;
+    void (*trouble)(Fleet&);
+    double within;
+  };
+  constexpr std::array<Row, 7> kRows{{
+      {"calm", [](Fleet&) {}, 0.7},
+      {"a fifth of the messages is lost", [](Fleet& fleet) { fleet.loss = 0.2; }, 2.2},
+      {"lister gone", [](Fleet& fleet) { fleet.daemons[0]->cutOff = true; }, 2.7},
+      {"lister silent to all and no new one", [](Fleet& fleet) { fleet.daemons[0]->inCharge = false; }, 2.7},
+      {"lister cut from the platform", [](Fleet& fleet) { fleet.daemons[0]->cutFromPlatform = true; }, 2.7},
+      {"one front cut off", [](Fleet& fleet) { fleet.daemons[5]->cutOff = true; }, 2.7},
+      {"another primary", [](Fleet& fleet) { fleet.lead(1, 2); }, 0.7},
+  }};
+  for (const auto& row : kRows) {
+    for (int shift = 0; shift < 10; ++shift) {  // anywhere between two lists
+      Fleet fleet(3, 9, Fleet::fast());
+      fleet.run(4 + 0.05 * shift);
+      CHECK_TEXT(fleet.allHave(6), row.name);
+      CHECK(fleet.sentTo("e3"));
+      row.trouble(fleet);
+      fleet.platform[3].draining = true;
+      double shown = 4 + 0.05 * shift;
+      while (fleet.sentTo("e3") && fleet.now < at(shown + 5)) fleet.run(inSeconds(fleet.now - at(0)) + 0.01);
+      double took = inSeconds(fleet.now - at(shown));
+      CHECK_TEXT(took < row.within, (std::string(row.name) + ": " + std::to_string(took)).c_str());
+    }
+  }
+}
+
+TEST(EnginesLister, CallsStayUnderAThirdOfTheRate) {
+  struct Row {
+    std::size_t fronts, pageSize;
+    double rate;
+    bool lister;
+  };
+  constexpr std::array<Row, 6> kRows{{{9, 50, 47, true}, {9, 2, 47, true}, {9, 1, 10, true},
+                                      {9, 50, 47, false}, {9, 50, 10, false}, {40, 2, 47, false}}};
+  for (const auto& row : kRows) {
+    Props props;
+    props.listRate = row.rate;
+    Fleet fleet(3, row.fronts, props);
+    fleet.pageSize = row.pageSize;
+    fleet.run(6);
+    if (!row.lister) fleet.daemons[0]->inCharge = false;
+    fleet.run(12);  // the first own lists are behind
+    std::size_t before = fleet.calls;
+    fleet.run(32);
+    double each = static_cast<double>(fleet.calls - before) / 20;
+    CHECK_TEXT(each <= row.rate / 3 * 1.05, std::to_string(each).c_str());
+    CHECK(each > 0.2);
+  }
+}
+
+TEST(EnginesLister, AnswersOfTooOftenSlowItDown) {
+  Props props;
+  props.listRate = 47;
+  Fleet fleet(3, 2, props);
+  fleet.run(2);
+  fleet.props.listRate = 0;  // the platform takes none
+  std::size_t before = fleet.calls;
+  fleet.daemons[1]->cutOff = fleet.daemons[2]->cutOff = true;
+  fleet.run(22);
+  CHECK(fleet.calls - before < 3 * 20 / 3);
+  fleet.props.listRate = 47;
+  fleet.platform.pop_back();
+  fleet.run(29);
+  CHECK(fleet.daemons[3]->lister.engines().size() == 5);
+}
+
+TEST(EnginesLister, AnUnchangedListCostsOnlyProofs) {
+  Fleet fleet(3, 9, Fleet::fast());
+  fleet.run(5);
+  ListVersion version = fleet.daemons[4]->lister.version();
+  std::size_t bytes = fleet.bytes, news = fleet.newsSent;
+  fleet.platform[0].warmupLeft = milliseconds(0);
+  fleet.run(15);
+  CHECK(fleet.daemons[4]->lister.version() == version);
+  CHECK(fleet.bytes - bytes == (fleet.newsSent - news) * 30);  // no list in any
+  CHECK(fleet.newsSent - news <= 11 * 2 * 10 + 22);
+  CHECK(fleet.now - fleet.daemons[4]->lister.seen() < seconds(0.7));
+}
+
+TEST(EnginesLister, ACountingWarmUpIsNoChangeButItsEndIs) {
+  Fleet fleet(1, 1, Fleet::fast());
+  fleet.platform[0].warmupLeft = seconds(3);
+  fleet.run(2);
+  ListVersion version = fleet.daemons[1]->lister.version();
+  fleet.platform[0].warmupLeft = seconds(1);
+  fleet.run(4);
+  CHECK(fleet.daemons[1]->lister.version() == version);
+  fleet.platform[0].warmupLeft = {};
+  fleet.run(6);
+  CHECK(fleet.daemons[1]->lister.version() != version);
+}
+
+TEST(EnginesLister, FrontsReturnToTheListersWord) {
+  Fleet fleet(3, 4, Fleet::fast());
+  fleet.run(4);
+  fleet.daemons[0]->inCharge = false;
+  fleet.platform.pop_back();
+  fleet.run(8);
+  Daemon& front = *fleet.daemons[5];
+  CHECK(front.lister.onItsOwn(fleet.now));
+  LONGS_EQUAL(5, front.lister.engines().size());
+  LONGS_EQUAL(6, fleet.daemons[1]->lister.engines().size());  // what a front asked stays its own
+  fleet.lead(2, 2);
+  fleet.platform.pop_back();
+  fleet.run(11);
+  CHECK(!front.lister.onItsOwn(fleet.now));
+  CHECK(fleet.allHave(4));
+  for (const auto& daemon : fleet.daemons)
+    CHECK(daemon->lister.version() == fleet.daemons[2]->lister.version());
+}
+
+TEST(EnginesLister, TwoListersOfOneTermComeToOneList) {
+  Fleet fleet(3, 4, Fleet::fast());
+  fleet.run(3);
+  for (std::size_t index : {0U, 3U, 4U}) fleet.daemons[index]->cutOff = true;
+  fleet.daemons[1]->inCharge = true;  // vouches for the other part, under the same view
+  fleet.platform[0].draining = true;
+  fleet.run(5);
+  fleet.platform[1].draining = true;
+  fleet.run(7);
+  fleet.daemons[1]->inCharge = false;
+  for (auto& daemon : fleet.daemons) daemon->cutOff = false;
+  fleet.run(10);
+  for (const auto& daemon : fleet.daemons)
+    CHECK(daemon->lister.version() == fleet.daemons[0]->lister.version());
+  CHECK(!fleet.sentTo("e0") && !fleet.sentTo("e1") && fleet.sentTo("e2"));
+}
+
+TEST(EnginesLister, AWokenListerOfAnOlderTermChangesNothing) {
+  Fleet fleet(3, 3, Fleet::fast());
+  fleet.run(3);
+  Daemon& front = *fleet.daemons[4];
+  ListVersion old = fleet.daemons[0]->lister.version();
+  std::string oldList = wholeText({fleet.daemons[0]->lister.engines(), {}});
+  fleet.lead(1, 2);
+  fleet.platform[2].draining = true;
+  fleet.run(5);
+  ListVersion version = front.lister.version();
+  CHECK(!front.lister.hear({"d0"}, {old, {}, oldList}, fleet.now, front.outbox));
+  CHECK(!front.lister.hear({"d0"}, {old, {}, {}}, fleet.now, front.outbox));
+  CHECK(front.lister.version() == version);
+  CHECK(!fleet.sentTo("e2"));
+}
+
+TEST(EnginesLister, LoadingEnginesAreToldAtOnceAndEndWithoutTheirHolder) {
+  Fleet fleet(2, 3, Fleet::fast());
+  fleet.run(3.2);
+  Daemon& primary = *fleet.daemons[0];
+  primary.lister.loading({{"e4"}, {"e1"}}, fleet.now, primary.outbox);
+  fleet.run(3.25);
+  CHECK(!fleet.sentTo("e1") && !fleet.sentTo("e4") && fleet.sentTo("e2"));
+  fleet.run(4);
+  fleet.lead(1, 2);  // nobody says more of them
+  fleet.run(6);
+  CHECK(!fleet.sentTo("e1"));
+  fleet.run(12);
+  CHECK(fleet.sentTo("e1") && fleet.sentTo("e4"));
+}
+
+TEST(EnginesLister, ANewLifeAtAnAddressTakesThePlaceOfTheOld) {
+  Fleet fleet(1, 2, Fleet::fast());
+  fleet.run(3);
+  fleet.platform[2] = engineNamed("e9", "a2");
+  fleet.run(4);
+  CHECK(!fleet.sentTo("e2") && fleet.sentTo("e9"));
+}
+
+TEST(EnginesLister, TextsAreReadAsWrittenAndBadOnesLeftAlone) {
+  Roster before{{engineNamed("a", "1"), engineNamed("b", "2"), engineNamed("c", "3")}, {{"b"}}};
+  Roster after = before;
+  after.engines.erase(after.engines.begin());
+  after.engines[0].draining = true;
+  after.engines.push_back(engineNamed("d", "4"));
+  after.engines.back().warmupLeft = seconds(2);
+  after.loading = {{"d"}};
+  Roster read = before;
+  CHECK(readRoster(changeText({7}, before, after), {7}, read) == RosterRead::kTaken);
+  CHECK(read.engines == after.engines && read.loading == after.loading);
+  Roster whole;
+  CHECK(readRoster(wholeText(after), {}, whole) == RosterRead::kTaken);
+  CHECK(whole.engines == after.engines && whole.loading == after.loading);
+  CHECK(readRoster(changeText({7}, before, after), {8}, read) == RosterRead::kOtherBase);
+  for (const auto* bad : {"", "[]", "{", "{\"engines\":[{}],\"loading\":[]}", "{\"engines\":7}",
+                          "{\"base\":8,\"engines\":[],\"gone\":[7],\"loading\":[]}"})
+    CHECK_TEXT(readRoster(bad, {8}, read) == RosterRead::kUnreadable, bad);
+  CHECK(read.engines == after.engines);
+}
