--- a/src/engines/engine_book.cc
+++ b/src/engines/engine_book.cc
@@ -49,7 +49,8 @@
 
 void EngineBook::loading(const std::vector<EngineId>& engines, MonotonicTime now) {
   loading_ = engines;
-  for (auto& [id, state] : engines_) state.loading = std::ranges::find(engines, id) != engines.end();
+  for (auto& [id, state] : engines_)
+    state.loading = std::ranges::find(engines, id) != engines.end();
   for (auto& [name, service] : byService_) chooseLastResort(service, now);
 }
 
@@ -112,7 +113,7 @@
   ++state->sentSinceTold;
   state->ownPrefillTokens += prefillTokens;
   state->tokensSinceTold += prefillTokens;
-  if (state->trial) state->trialSince = now_;
+  if (state->trial && now_ >= state->restUntil) state->trialSince = now_;
 }
 
 void EngineBook::told(const EngineId& engine, const EngineLoad& load, MonotonicTime now) {
