--- a/src/prompts/placement.h
+++ b/src/prompts/placement.h
@@ -4,12 +4,15 @@
 #include <set>
 #include <span>
 #include <string>
+#include <unordered_map>
+#include <variant>
 #include <vector>
 
 #include "core/fetch_desk.h"
 #include "core/random.h"
 #include "engines/engine_book.h"
 #include "prompts/part_index.h"
+#include "prompts/reading_speed.h"
 #include "requests/events.h"
 
 namespace peppergate {
@@ -36,6 +39,7 @@
   std::string salt;
   std::optional<Address> collectFrom, depositAt;
   std::int64_t toRead = 0;  // tokens that the engine has to read anew
+  Duration forecast;        // until the first event
 };
 
 enum class PlaceFault : std::uint8_t { kNoEngine, kFull };
@@ -47,11 +51,15 @@
 };
 
 /// Weighs what is kept against queues, batches and moves. Example:
-/// `auto placed = placement.place(ask, config, weights, now);`
+/// `auto placed = placement.place(ask, config, weights, now, outbox);`
 class Placement {
  public:
   Placement(const Props& props, EngineBook& book, PartIndex& index, FetchDesk& fetches,
             Random& random);
+  /// Where this front is; engines elsewhere cost a little more. Example: `placement.in({"north"})`.
+  void in(District zone) { zone_ = std::move(zone); }
+  /// The operators' rungs and classes, where they set several. Example: on a new configuration.
+  void take(const Setup& setup);
   /// The engine for one attempt, or why there is none.
   std::variant<Placed, PlaceRefusal> place(const PlacementAsk& ask, const FleetConfig& config,
                                            const Weights& weights, MonotonicTime now,
@@ -62,14 +70,71 @@
   void dropped(RequestId request);
   /// Tokens that the engine will have to read for this placing. Example: for the book.
   static std::int64_t toRead(const PlacementAsk& ask, std::int64_t kept);
+  /// Follows the list and the configuration, and reruns the plan when due. Example: each tick.
   void tick(const FleetConfig& config, MonotonicTime now, Outbox& outbox);
+  /// New weights may have been named; also looked at with each request. Example: on news.
+  void named(const Weights& weights, MonotonicTime now);
+  /// Takes the links from what services are made like. Example: on a new list.
+  void links(const FleetConfig& config);
+  /// What this front tells the others of its moves, and what they tell. Example: each half second.
+  UsageNote note(MemberId self, MonotonicTime now) { return fetches_.note(self, plan_, now); }
+  void hear(const UsageNote& note, MonotonicTime now) { fetches_.hear(note, now); }
+  /// For tests and the status page.
+  const ReadingSpeed& speed() const { return speed_; }
+  const Setup& plan() const { return plan_; }
 
  private:
+  struct Choice;
+  struct Prompt;
+  struct Survey;
+  struct Service {  // hashes of its engines, in the order of the book
+    ListVersion version;
+    std::vector<std::uint64_t> points;
+    std::vector<std::uint32_t> byPoint;
+  };
+  struct Named {
+    WeightsVersion version{1};
+    MonotonicTime at = kNever;
+  };
+  struct Pending {
+    EngineId engine;
+    ServiceName service;
+    double waitMs = 0, readMs = 0, tokens = 0;
+    bool collects = false;
+  };
+  const Service& service(const ServiceName& name);
+  void consider(Survey& survey, std::size_t place);
+  void surveyAll(Survey& survey);
+  void surveySome(Survey& survey);
+  void survey(Survey& survey);
+  std::uint64_t homeKey(const Survey& survey) const;
+  void priceParts(Survey& survey, Choice& choice, bool mayCollect);
+  void rate(Survey& survey, bool mayCollect);
+  const Choice* best(const Survey& survey) const;
+  Prompt& promptOf(Survey& survey, WeightsVersion version);
+  bool sourceUsable(const EngineId& source, const FleetConfig& config, MonotonicTime now) const;
+  std::optional<Address> addressOf(const EngineId& source, const FleetConfig& config) const;
+  District zoneOf(const EngineId& source, const FleetConfig& config) const;
+  bool planMove(Survey& survey, const Choice& choice, Placed& placed, Outbox& outbox);
+  Placed settled(Survey& survey, const Choice& choice, Placed placed, Outbox& outbox);
+  bool mayServe(const Survey& survey, WeightsVersion version) const;
+  PlaceRefusal refusal(const Survey& survey, Outbox& outbox);
+
   Props props_;
   EngineBook& book_;
   PartIndex& index_;
   FetchDesk& fetches_;
   Random& random_;
+  District zone_;
+  Setup operators_, plan_;  // plan_: rungs and classes as they are used
+  ConfigVersion configVersion_;
+  ListVersion listVersion_;
+  bool linked_ = false;
+  ReadingSpeed speed_;
+  std::map<ServiceName, Service> services_;
+  std::map<ModelName, Named> named_;
+  bool namedBefore_ = false;  // weights were seen in this life
+  std::unordered_map<std::uint64_t, Pending> pending_;  // by request
 };
 
 }  // namespace peppergate
--- /dev/null
+++ b/src/prompts/survey.cc
@@ -0,0 +1,254 @@
+// The part of Placement that looks at engines and prices them.
+#include "prompts/survey.h"
+
+#include <algorithm>
+
+namespace peppergate {
+namespace {
+
+constexpr std::size_t kAllUpTo = 64;       // engines of a service that are all looked at
+constexpr std::size_t kMostHolders = 8;    // else so many of those that keep a part
+constexpr std::size_t kHomeWindow = 8;     // and so many engines for its home
+constexpr std::int64_t kTinyPart = 128;    // parts with fewer tokens have no home
+constexpr double kMeanPrefill = 1000;      // tokens of a waiting request of which nothing is known
+constexpr Duration kToldLasts = seconds(1.5);
+constexpr double kOldWeightsPart = 2.0 / 3;  // of the time until none may start on older ones
+
+std::uint64_t hashOf(std::string_view text, std::uint64_t seed) {
+  std::uint64_t hash = 1469598103934665603ULL ^ seed;
+  for (char letter : text) hash = (hash ^ static_cast<unsigned char>(letter)) * 1099511628211ULL;
+  return hash;
+}
+std::uint64_t mixed(std::uint64_t value) { return Random(value).next(); }
+
+}  // namespace
+
+double slotsOf(const EngineState& engine) {
+  bool told = engine.told && engine.told->slots > 0;
+  return static_cast<double>(told ? engine.told->slots : std::max<std::int64_t>(1, engine.listed.slots));
+}
+
+double runningAt(const EngineState& engine, MonotonicTime now) {
+  auto noted = static_cast<double>(engine.ownRunning + engine.othersRunning);
+  if (!engine.told || now - engine.toldAt > kToldLasts) return noted;
+  auto told = static_cast<double>(engine.told->running + engine.told->waiting);
+  // What ended since isn't known, so a told load is raised only as far as the notes go.
+  return std::max({static_cast<double>(engine.ownRunning), told,
+                   std::min(noted, told + static_cast<double>(engine.sentSinceTold))});
+}
+
+double queueAt(const EngineState& engine, MonotonicTime now) {
+  auto noted = static_cast<double>(engine.ownPrefillTokens + engine.othersPrefillTokens);
+  if (!engine.told || now - engine.toldAt > kToldLasts) return noted;
+  return std::max(noted, static_cast<double>(engine.told->waiting) * kMeanPrefill);
+}
+
+const Placement::Service& Placement::service(const ServiceName& name) {
+  Service& service = services_[name];
+  const auto& engines = book_.of(name);
+  if (service.version == book_.version() && service.points.size() == engines.size())
+    return service;
+  service.version = book_.version();
+  service.points.clear();
+  service.byPoint.clear();
+  for (const EngineState* engine : engines) {
+    service.byPoint.push_back(static_cast<std::uint32_t>(service.points.size()));
+    service.points.push_back(mixed(hashOf(engine->listed.id.value, 0)));
+  }
+  std::ranges::sort(service.byPoint, {}, [&](std::uint32_t place) { return service.points[place]; });
+  return service;
+}
+
+bool Placement::sourceUsable(const EngineId& source, const FleetConfig& config,
+                             MonotonicTime now) const {
+  if (source == storeId()) return config.store() != nullptr;
+  const EngineState* engine = std::as_const(book_).find(source);
+  return engine != nullptr && !engine->loading && engine->restUntil <= now;
+}
+
+std::optional<Address> Placement::addressOf(const EngineId& source,
+                                            const FleetConfig& config) const {
+  if (source == storeId()) {
+    const ServiceConfig* store = config.store();
+    return store ? std::optional(store->store->address) : std::nullopt;
+  }
+  const EngineState* engine = std::as_const(book_).find(source);
+  return engine ? std::optional(engine->listed.address) : std::nullopt;
+}
+
+District Placement::zoneOf(const EngineId& source, const FleetConfig& config) const {
+  if (source == storeId()) return config.store() ? config.store()->store->zone : District{};
+  const EngineState* engine = std::as_const(book_).find(source);
+  return engine ? engine->listed.zone : District{};
+}
+
+Placement::Prompt& Placement::promptOf(Survey& survey, WeightsVersion version) {
+  auto found = std::ranges::find(survey.prompts, version, &Prompt::version);
+  if (found != survey.prompts.end()) return *found;
+  Prompt& prompt = survey.prompts.emplace_back();
+  prompt.version = version;
+  prompt.salt = saltOf(survey.wall, survey.ask.model, version);
+  prompt.holdings = index_.holdings(prompt.salt, survey.ask.parts);
+  for (const auto& holding : prompt.holdings) {
+    if (holding.tokens < prompt.reach || !sourceUsable(holding.engine, survey.config, survey.now))
+      continue;
+    if (holding.tokens > prompt.reach) prompt.sources.clear();
+    prompt.reach = holding.tokens;
+    prompt.sources.push_back(holding.engine);
+  }
+  return prompt;
+}
+
+bool Placement::mayServe(const Survey& survey, WeightsVersion version) const {
+  if (version >= survey.named) return true;
+  auto named = named_.find(survey.ask.model);
+  return named != named_.end() &&
+         survey.now - named->second.at < props_.weightsWithin * kOldWeightsPart;
+}
+
+void Placement::consider(Survey& survey, std::size_t place) {
+  const EngineState& engine = *survey.engines[place];
+  const auto& tried = survey.ask.tried;
+  if (!book_.usable(engine, survey.now) ||
+      std::ranges::find(tried, engine.listed.id) != tried.end() ||
+      std::ranges::find(survey.choices, place, &Choice::place) != survey.choices.end())
+    return;
+  Choice choice;
+  if (survey.shape) {
+    auto model = engine.models.find(survey.ask.model);
+    auto version = model == engine.models.end() ? WeightsVersion{1} : model->second;
+    if (!mayServe(survey, version)) return;
+    choice.prompt = static_cast<std::size_t>(&promptOf(survey, version) - survey.prompts.data());
+    choice.numbers.olderWeights = version < survey.named;
+  }
+  ++survey.usable;
+  CandidateNumbers& is = choice.numbers;
+  is.running = runningAt(engine, survey.now);
+  is.slots = slotsOf(engine);
+  if (is.running >= is.slots) {
+    double waiting = engine.told ? static_cast<double>(engine.told->waiting) : 0;
+    survey.forecastMs = std::min(survey.forecastMs, roomForecastMs(is.running, is.slots, waiting));
+    return;
+  }
+  is.queueTokens = queueAt(engine, survey.now);
+  is.speed = speed_.of(engine.listed.id, survey.ask.service);
+  is.otherZone = !zone_.value.empty() && engine.listed.zone != zone_;
+  choice.engine = &engine;
+  choice.place = place;
+  survey.choices.push_back(std::move(choice));
+}
+
+void Placement::surveyAll(Survey& survey) {
+  for (std::size_t place = 0; place < survey.engines.size(); ++place) consider(survey, place);
+}
+
+void Placement::surveySome(Survey& survey) {
+  // Of hundreds of engines: those that keep the most, those near the home, and two by chance.
+  if (survey.shape) {
+    Prompt& prompt = promptOf(survey, survey.named);
+    auto holdings = prompt.holdings;
+    std::size_t most = std::min(holdings.size(), kMostHolders);
+    std::ranges::partial_sort(holdings, holdings.begin() + static_cast<std::ptrdiff_t>(most),
+                              std::greater{}, &Holding::tokens);
+    for (std::size_t index = 0; index < most; ++index) {
+      auto found = std::ranges::lower_bound(survey.engines, holdings[index].engine, {},
+                                            [](const EngineState* one) { return one->listed.id; });
+      if (found != survey.engines.end() && (*found)->listed.id == holdings[index].engine)
+        consider(survey, static_cast<std::size_t>(found - survey.engines.begin()));
+    }
+  }
+  const auto& order = survey.service.byPoint;
+  std::uint64_t key = homeKey(survey);
+  auto near = std::ranges::lower_bound(order, mixed(key), {}, [&](std::uint32_t place) {
+    return survey.service.points[place];
+  });
+  std::size_t start = static_cast<std::size_t>(near - order.begin());
+  for (std::size_t step = 0; key != 0 && step < kHomeWindow; ++step)
+    consider(survey, order[(start + step) % order.size()]);
+  for (std::size_t tries = 0, found = survey.choices.size();
+       tries < 16 && survey.choices.size() < found + 2; ++tries)
+    consider(survey, random_.below(survey.engines.size()));
+}
+
+void Placement::survey(Survey& survey) {
+  survey.engines.size() <= kAllUpTo ? surveyAll(survey) : surveySome(survey);
+}
+
+std::uint64_t Placement::homeKey(const Survey& survey) const {
+  // The largest shared part says best what a prompt has in common with others. One that most
+  // engines keep has no need of a home. The version isn't in the key: a home outlives weights.
+  if (!survey.shape || survey.ask.parts.size() < 2) return 0;
+  std::string salt = saltOf(survey.wall, survey.ask.model, survey.named);
+  const PartSize* chosen = nullptr;
+  for (const auto& part : survey.ask.parts.first(survey.ask.parts.size() - 1)) {
+    if (part.tokens < kTinyPart || (chosen && part.tokens <= chosen->tokens)) continue;
+    if (index_.holderCount(salt, part.id) * 2 > survey.engines.size() + 1) continue;
+    chosen = &part;
+  }
+  if (!chosen) return 0;
+  return hashOf(chosen->id, hashOf(survey.wall.value, hashOf(survey.ask.model.value, 0))) | 1;
+}
+
+void Placement::rate(Survey& survey, bool mayCollect) {
+  std::uint64_t key = homeKey(survey);
+  std::size_t home = survey.choices.size(), second = home;
+  std::uint64_t most = 0, next = 0;
+  for (std::size_t index = 0; key != 0 && index < survey.choices.size(); ++index) {
+    std::uint64_t rank = mixed(key ^ survey.service.points[survey.choices[index].place]);
+    if (rank > most) {
+      second = home, next = most;
+      home = index, most = rank;
+    } else if (rank > next) {
+      second = index, next = rank;
+    }
+  }
+  CostWeights weights;
+  if (survey.ask.route && survey.ask.route->target > Duration{})
+    weights.targetMs = inSeconds(survey.ask.route->target) * 1000;
+  for (std::size_t index = 0; index < survey.choices.size(); ++index) {
+    Choice& choice = survey.choices[index];
+    CandidateNumbers& is = choice.numbers;
+    if (key != 0) is.away = index == home ? 0 : index == second ? 0.5 : 1;
+    if (survey.shape) priceParts(survey, choice, mayCollect);
+    choice.cost = costOf(is, weights);
+    // Engines that keep no parts differ in speed, too; among equals chance decides.
+    if (!survey.shape)
+      choice.cost.total += choice.engine->firstEventMs * (1 + is.running / is.slots);
+    choice.cost.total += random_.fraction() * 2;
+  }
+}
+
+void Placement::priceParts(Survey& survey, Choice& choice, bool mayCollect) {
+  const Prompt& prompt = survey.prompts[choice.prompt];
+  const EngineShape& shape = *survey.shape;
+  CandidateNumbers& is = choice.numbers;
+  auto holding = std::ranges::find(prompt.holdings, choice.engine->listed.id, &Holding::engine);
+  choice.kept = holding == prompt.holdings.end() ? 0 : std::min(holding->tokens, survey.tokens);
+  is.prompt = static_cast<double>(survey.tokens);
+  is.shared = static_cast<double>(survey.shared);
+  is.kept = static_cast<double>(choice.kept);
+  is.reach = static_cast<double>(std::min(prompt.reach, survey.tokens));
+  is.answerOut = static_cast<double>(survey.ask.tokensOut);
+  is.room = static_cast<double>(shape.kvTokens);
+  is.used = is.running * static_cast<double>(survey.tokens - survey.shared + survey.ask.tokensOut);
+  is.tokenMegabytes = static_cast<double>(shape.kvTokenBytes) / 1e6;
+  is.linkMegabytes = megabytesOf(shape.linkMbps);
+  is.collects = false;
+  if (!mayCollect || prompt.sources.empty() || is.reach <= is.kept) return;
+  // The nearest of the sources that keep the most; which one it is in the end, its link decides.
+  is.collects = true;
+  is.crossing = 10;
+  double wait = 1e9;
+  const ServiceConfig* store = survey.config.store();
+  std::size_t looked = std::min(prompt.sources.size(), kMostHolders);
+  for (const auto& source : std::span(prompt.sources).first(looked)) {
+    int crossing = fetches_.crossing(zoneOf(source, survey.config), choice.engine->listed.zone);
+    is.crossing = std::min(is.crossing, crossing);
+    wait = std::min(wait, fetches_.waitAt(source));
+    if (looked == 1 && source == storeId() && store && store->store->linkMbps > 0)
+      is.linkMegabytes = std::min(is.linkMegabytes, megabytesOf(store->store->linkMbps));
+  }
+  is.linkWait = 1000 * std::max(wait, fetches_.waitAt(choice.engine->listed.id));
+}
+
+}  // namespace peppergate
