Operators' desk: GET /config from a fresh proof, changes tried on through elections

Cause: a change met 503 at once while a primary was being elected, and the configuration could not be read back for certain. Change: Follower::askNow; readers wait for a proof whose question came after them; forwards are repeated each 0.3 s, at once to a new primary, and refusals are tried again for 3.3 s; large bodies are passed on unparsed.

--- a/src/core/core_node.cc
+++ b/src/core/core_node.cc
@@ -79,6 +79,7 @@
   } else if (auto* written = std::get_if<FileWritten>(&event)) {
     if (!voter_->written(*written, now, outbox_)) leadership_->written(*written, now, outbox_);
   } else if (auto* asked = std::get_if<OperatorAsked>(&event)) {
+    putInForce(now);  // what a primary has published is the newest, with no question
     if (asked->path == "/status")
       outbox_.push(AnswerWeb{asked->ticket, 200, {{"Content-Type", "application/json"}},
                              status(now).dump()});
@@ -156,6 +157,7 @@
     follower_->noteCaretaker(from, now, outbox_);
   else outbox_.count("messages.unexpected");
   putInForce(now);
+  desk_->settle(now, outbox_);
   if (leadership_->names(now)) answerNews(now);
 }
 
--- a/src/core/follower.cc
+++ b/src/core/follower.cc
@@ -51,6 +51,16 @@
   for (int turn = 0; turn < 3; ++turn) ask(membership_.randomMember(), true, now, outbox);
 }
 
+void Follower::askNow(MonotonicTime now, Outbox& outbox) {
+  Address primary = membership_.addressOf(view_.primary);
+  if (!primary.value.empty()) {
+    waiting_ = true;
+    askedPrimary_ = now;
+    ask(primary, true, now, outbox);  // as a relay's question it is answered without any wait
+  }
+  if (primary.value.empty() || now - primaryOrigin_ > props_.newsTimeout) askRelay(now, outbox);
+}
+
 void Follower::askAgain(MonotonicTime now, Outbox& outbox) {
   // The next question tells the primary what is in force here now: its yes waits for that.
   waiting_ = true;
@@ -176,12 +186,14 @@
                     Outbox& outbox) {
   noteView(view);
   if (view.epoch > settledView_.epoch) settledView_ = view;
-  NewsAnswer answer;
-  answer.now = state.sections();
-  answer.setup = state.setupText();
-  answer.keys = state.keysText();
-  answer.weights = state.weightsText();
-  if (have_ != answer.now) install(answer, now, outbox);
+  if (have_ != state.sections()) {
+    NewsAnswer answer;
+    answer.now = state.sections();
+    answer.setup = state.setupText();
+    answer.keys = state.keysText();
+    answer.weights = state.weightsText();
+    install(answer, now, outbox);
+  }
   proofOrigin_ = primaryOrigin_ = now;
 }
 
--- a/src/core/follower.h
+++ b/src/core/follower.h
@@ -25,6 +25,9 @@
 
   /// Asks the primary, or members that relay. Example: `follower.tick(now, outbox);`
   void tick(MonotonicTime now, Outbox& outbox);
+  /// Asks the primary for a proof at once, and members for the newest view where it is silent.
+  /// Example: an operator wants the newest configuration: `askNow(now, outbox)`.
+  void askNow(MonotonicTime now, Outbox& outbox);
   /// Installs what is newer and counts the proof. Example: on a NewsAnswer.
   void hear(const Address& from, const NewsAnswer& answer, MonotonicTime now, Outbox& outbox);
   /// Answers a question from what is known here, with the age it has. Example: as a relay.
--- a/src/core/front_node.cc
+++ b/src/core/front_node.cc
@@ -96,6 +96,7 @@
     outbox_.send(from, follower_->relay(*news, now));
   } else if (auto* answer = std::get_if<NewsAnswer>(&message)) {
     follower_->hear(from, *answer, now, outbox_);
+    desk_->settle(now, outbox_);
     streams_->tick(now, outbox_);
   } else if (auto* change = std::get_if<ChangeAnswer>(&message)) {
     desk_->hear(*change, now, outbox_);
--- a/src/core/operator_desk.cc
+++ b/src/core/operator_desk.cc
@@ -3,10 +3,25 @@
 #include <array>
 
 #include "core/digest.h"
+#include "core/schemas.h"
 
 namespace peppergate {
 namespace {
 
+constexpr Duration kUnknownFor = seconds(0.9);  // without a known primary, nothing sent yet
+constexpr Duration kRefusedFor = seconds(3.3);  // while primaries refuse
+constexpr Duration kSilentFor = seconds(6);     // once a primary may have taken it
+constexpr Duration kAskEvery = seconds(0.3);
+constexpr Duration kReadFor = seconds(2.5);
+constexpr std::size_t kMostForwarded = 2000;
+constexpr std::size_t kMostForwardedBytes = 32U << 20;
+constexpr std::size_t kMostReaders = 100;
+
+/// When an unanswered change is sent again: large ones are not piled up on a primary at work.
+Duration repeatAfter(std::size_t bytes) {
+  return kAskEvery + Duration{static_cast<std::int64_t>(bytes / 4)};  // 4 bytes a microsecond
+}
+
 struct OutcomeRow {
   std::string_view name;
   int status;
@@ -32,7 +47,8 @@
 
 std::string_view outcomeName(ChangeOutcome outcome) { return rowOf(outcome).name; }
 
-void OperatorDesk::answer(TicketId ticket, int status, Json body, Outbox& outbox, bool retry) {
+void OperatorDesk::answer(TicketId ticket, int status, const Json& body, Outbox& outbox,
+                          bool retry) {
   Headers headers{{"Content-Type", "application/json"}};
   if (retry) headers["Retry-After"] = "1";
   outbox.push(AnswerWeb{ticket, status, headers, body.dump()});
@@ -44,129 +60,237 @@
     else answer(asked.ticket, 405, {{"outcome", "method"}}, outbox);
     return true;
   }
+  if (asked.path == "/config") {
+    if (asked.method == "GET") readConfig(asked.ticket, now, outbox);
+    else answer(asked.ticket, 405, {{"outcome", "method"}}, outbox);
+    return true;
+  }
   if (asked.path == "/setup") {
-    Json body{{"sections",
-               {{"setup", versionText(follower_.have().setup)},
-                {"keys", versionText(follower_.have().keys)},
-                {"weights", versionText(follower_.have().weights)}}},
-              {"weights",
-               {{"version", follower_.weights().version.value},
-                {"label", follower_.weights().label}}},
-              {"keys", follower_.keys().live.size()},
-              {"withdrawn", follower_.keys().withdrawn.size()}};
-    if (follower_.installed()) body["setup"] = Json::parse(follower_.setupText());
-    answer(asked.ticket, 200, std::move(body), outbox);
+    showSetup(asked.ticket, outbox);
     return true;
   }
   if (asked.path == "/trace") {
-    Json installs = Json::array();
-    for (const auto& record : follower_.installs())
-      installs.push_back({{"section", record.section},
-                          {"version", versionText(record.version)},
-                          {"toldMillisecondsAgo", inMilliseconds(now - record.told)},
-                          {"inForceMillisecondsAgo", inMilliseconds(now - record.inForce)}});
-    Json members = Json::array();
-    for (const auto& record : membership_.live())
-      members.push_back({{"address", record.address.value},
-                         {"pages", record.pages.value},
-                         {"role", record.role == Role::kCore ? "core" : "front"},
-                         {"district", record.district.value}});
-    answer(asked.ticket, 200, {{"installs", installs}, {"members", members}}, outbox);
+    showTrace(asked.ticket, now, outbox);
     return true;
   }
   return false;
 }
 
+void OperatorDesk::showSetup(TicketId ticket, Outbox& outbox) {
+  Json body{{"sections",
+             {{"setup", versionText(follower_.have().setup)},
+              {"keys", versionText(follower_.have().keys)},
+              {"weights", versionText(follower_.have().weights)}}},
+            {"weights",
+             {{"version", follower_.weights().version.value},
+              {"label", follower_.weights().label}}},
+            {"keys", follower_.keys().live.size()},
+            {"withdrawn", follower_.keys().withdrawn.size()},
+            {"config", follower_.setup().fleet.version.value}};
+  Json models = Json::object();
+  for (const auto& [model, version] : follower_.weights().models)
+    models[model.value] = version.value;
+  body["weights"]["models"] = std::move(models);
+  if (follower_.installed()) {
+    Json setup = Json::parse(follower_.setupText());
+    setup.erase("fleet");  // with its keys only on its own page, whole
+    body["setup"] = std::move(setup);
+  }
+  answer(ticket, 200, body, outbox);
+}
+
+void OperatorDesk::showTrace(TicketId ticket, MonotonicTime now, Outbox& outbox) {
+  Json installs = Json::array();
+  for (const auto& record : follower_.installs())
+    installs.push_back({{"section", record.section},
+                        {"version", versionText(record.version)},
+                        {"toldMillisecondsAgo", inMilliseconds(now - record.told)},
+                        {"inForceMillisecondsAgo", inMilliseconds(now - record.inForce)}});
+  Json members = Json::array();
+  for (const auto& record : membership_.live())
+    members.push_back({{"address", record.address.value},
+                       {"pages", record.pages.value},
+                       {"role", record.role == Role::kCore ? "core" : "front"},
+                       {"district", record.district.value}});
+  answer(ticket, 200, {{"installs", installs}, {"members", members}}, outbox);
+}
+
+void OperatorDesk::readConfig(TicketId ticket, MonotonicTime now, Outbox& outbox) {
+  if (readers_.size() >= kMostReaders) {
+    answer(ticket, 503, {{"outcome", "busy"}}, outbox, true);
+    return;
+  }
+  readers_[ticket] = now;
+  settle(now, outbox);
+  // Only a question sent from now on proves that nothing newer was acknowledged before.
+  if (readers_.contains(ticket)) askNow(now, outbox);
+}
+
+void OperatorDesk::askNow(MonotonicTime now, Outbox& outbox) {
+  lastAsk_ = now;
+  follower_.askNow(now, outbox);
+}
+
+void OperatorDesk::settle(MonotonicTime now, Outbox& outbox) {
+  (void)now;
+  std::string body;  // made once for all who wait
+  for (auto reader = readers_.begin(); reader != readers_.end();) {
+    if (follower_.primaryOrigin() < reader->second) {
+      ++reader;
+      continue;
+    }
+    ConfigVersion version = follower_.setup().fleet.version;
+    if (version.value == 0) {
+      answer(reader->first, 404, {{"outcome", "none"}}, outbox);
+    } else {
+      if (body.empty())
+        body = "{\"config\":" + Json::parse(follower_.setupText()).at("fleet").dump() +
+               ",\"version\":" + std::to_string(version.value) + "}";
+      outbox.push(AnswerWeb{reader->first, 200, {{"Content-Type", "application/json"}}, body});
+    }
+    reader = readers_.erase(reader);
+  }
+}
+
 void OperatorDesk::forward(const OperatorAsked& asked, MonotonicTime now, Outbox& outbox) {
-  Json change = Json::parse(asked.body, nullptr, false);
-  if (!change.is_object()) {
+  // Only the head is read here: a large configuration is passed on as it came.
+  if (asked.body.size() > static_cast<std::size_t>(props_.largestSetup)) {
+    answer(asked.ticket, 413, {{"outcome", "too-large"}}, outbox);
+    return;
+  }
+  DocumentHead head = readHead(asked.body);
+  if (!head.readable) {
     answer(asked.ticket, 400, {{"outcome", "invalid"}, {"field", "<root>"},
                                {"detail", "is no JSON object"}}, outbox);
     return;
   }
-  if (!change.contains("changeId") || !change["changeId"].is_string() ||
-      change["changeId"].get<std::string>().empty() ||
-      change["changeId"].get<std::string>().size() > 128) {
+  std::string& changeId = head.texts["changeId"];
+  if (changeId.empty() || changeId.size() > 128) {
     answer(asked.ticket, 400, {{"outcome", "invalid"}, {"field", "[changeId]"},
                                {"detail", "a text of 1 to 128 characters is needed"}}, outbox);
     return;
   }
-  std::string changeId = change["changeId"];
-  change.erase("changeId");
+  ChangeAsk ask{asked.ticket, changeId, asked.body};
   // Keys become digests here, at the first daemon, and are never passed on as they are.
-  if (change.contains("key") && change["key"].is_string()) {
-    change["digest"] = keyDigest(change["key"].get<std::string>()).value;
+  if (auto key = head.texts.find("key"); key != head.texts.end()) {
+    head.texts["digest"] = keyDigest(key->second).value;
+    Json change = parseDocument(asked.body);
+    change["digest"] = head.texts["digest"];
     change.erase("key");
+    ask.change = change.dump();
   }
-  if (change.value("kind", Json()) == "key-withdraw" && change.contains("digest") &&
-      change["digest"].is_string())
-    follower_.withdraw({change["digest"].get<std::string>()}, outbox);
+  bool withdrawal = head.texts["kind"] == "key-withdraw";
+  if (withdrawal && !head.texts["digest"].empty())
+    follower_.withdraw({head.texts["digest"]}, outbox);
   if (follower_.vouchedBy(now) == "caretaker") {
     // Nothing can be acknowledged here. A withdrawal still holds in this part: it goes round as a
     // tombstone, and has to be asked for again once there is a primary.
-    bool withdrawn = change.value("kind", Json()) == "key-withdraw";
     const OutcomeRow& row = rowOf(ChangeOutcome::kCaretaker);
     answer(asked.ticket, row.status,
            {{"outcome", row.name},
             {"detail", "this part has no primary, a caretaker vouches for it; repeat later"},
-            {"heldInThisPart", withdrawn}}, outbox, row.retry);
-    return;
-  }
-  Address primary = membership_.addressOf(follower_.view().primary);
-  if (primary.value.empty()) {
-    answer(asked.ticket, 503, {{"outcome", "no-primary"},
-                               {"detail", "no primary is known here"}}, outbox, true);
+            {"heldInThisPart", withdrawal}}, outbox, row.retry);
     return;
   }
-  if (forwarded_.size() >= 2000) {
+  if (forwarded_.size() >= kMostForwarded ||
+      forwardedBytes_ + ask.change.size() > kMostForwardedBytes) {
     answer(asked.ticket, 503, {{"outcome", "busy"}}, outbox, true);
     return;
   }
-  ChangeAsk ask{asked.ticket, changeId, change.dump()};
-  outbox.send(primary, ask);
-  forwarded_[asked.ticket] = {now, ask};
+  forwardedBytes_ += ask.change.size();
+  Forwarded& change = forwarded_[asked.ticket];
+  change.since = now;
+  change.ask = std::move(ask);
+  if (primary().value.empty()) askNow(now, outbox);
+  advance(change, primary(), now, outbox);
+}
+
+OperatorDesk::Progress OperatorDesk::advance(Forwarded& change, const Address& primary,
+                                             MonotonicTime now, Outbox& outbox) {
+  const Duration age = now - change.since;
+  if (change.sentTo.value.empty() && primary.value.empty()) {
+    if (age <= kUnknownFor) return Progress::kWaits;
+    answer(change.ask.ticket, 503, {{"outcome", "no-primary"},
+                                    {"detail", "no primary is known here"}}, outbox, true);
+    return Progress::kEnded;
+  }
+  if (change.refused && age > kRefusedFor) {
+    pass(*change.refused, outbox);
+    return Progress::kEnded;
+  }
+  if (age > kSilentFor) {
+    answer(change.ask.ticket, 504, {{"outcome", "lost"},
+                                    {"detail", "no answer; repeat with the same change id"}},
+           outbox, true);
+    return Progress::kEnded;
+  }
+  // Asked again in time, or of a new primary at once: the change id keeps it one change.
+  bool moved = primary != change.sentTo;
+  if (primary.value.empty() || (!moved && now < change.nextAt)) return Progress::kWaits;
+  change.sentTo = primary;
+  change.nextAt = now + repeatAfter(change.ask.change.size());
+  change.refused.reset();
+  outbox.send(primary, change.ask);
+  return Progress::kWaits;
 }
 
 void OperatorDesk::hear(const ChangeAnswer& change, MonotonicTime now, Outbox& outbox) {
   auto found = forwarded_.find(change.ticket);
   if (found == forwarded_.end()) return;
-  // The question may have met a former primary: with its change id it may be asked again.
-  if (change.outcome == ChangeOutcome::kNotPrimary && now - found->second.since < seconds(3)) {
-    found->second.tries = 0;
+  // A primary may have gone, or wait for its backup: the change is tried again for a while.
+  Forwarded& waiting = found->second;
+  if (rowOf(change.outcome).retry && now - waiting.since < kRefusedFor) {
+    waiting.refused = change;
+    waiting.nextAt = now + kAskEvery;
     return;
   }
+  forwardedBytes_ -= waiting.ask.change.size();
   forwarded_.erase(found);
+  pass(change, outbox);
+}
+
+void OperatorDesk::pass(const ChangeAnswer& change, Outbox& outbox) {
   const OutcomeRow& row = rowOf(change.outcome);
   Json body{{"outcome", row.name}};
   if (change.outcome == ChangeOutcome::kDone) body["version"] = versionText(change.version);
   if (change.outcome == ChangeOutcome::kWould) {
     body["changes"] = Json::parse(change.detail, nullptr, false);
-    answer(change.ticket, row.status, std::move(body), outbox);
+    answer(change.ticket, row.status, body, outbox);
     return;
   }
+  bool ofConfig = change.outcome == ChangeOutcome::kStale && change.field == "[basedOnVersion]";
+  if (ofConfig) body["newest"] = change.newest;
   if (!change.field.empty()) body["field"] = change.field;
   if (!change.detail.empty()) body["detail"] = change.detail;
-  if (row.retry) body["primary"] = membership_.addressOf(follower_.view().primary).value;
-  answer(change.ticket, row.status, std::move(body), outbox, row.retry);
+  if (row.retry) body["primary"] = primary().value;
+  answer(change.ticket, row.status, body, outbox, row.retry);
 }
 
 void OperatorDesk::tick(MonotonicTime now, Outbox& outbox) {
-  for (auto entry = forwarded_.begin(); entry != forwarded_.end();) {
-    auto& [ticket, waiting] = *entry;
-    Address primary = membership_.addressOf(follower_.view().primary);
-    if (now - waiting.since > seconds(6)) {
-      answer(ticket, 504, {{"outcome", "lost"},
-                           {"detail", "no answer; repeat with the same change id"}}, outbox, true);
-      entry = forwarded_.erase(entry);
+  settle(now, outbox);
+  for (auto reader = readers_.begin(); reader != readers_.end();) {
+    if (now - reader->second <= kReadFor) {
+      ++reader;
       continue;
     }
-    // Asked again each second: the change id keeps it one change.
-    if (now - waiting.since > seconds(1) * waiting.tries) {
-      ++waiting.tries;
-      outbox.send(primary, waiting.ask);
+    answer(reader->first, 503, {{"outcome", "no-primary"},
+                                {"detail", "no primary proved what is newest"}}, outbox, true);
+    reader = readers_.erase(reader);
+  }
+  bool overdue = !readers_.empty();
+  const Address present = forwarded_.empty() ? Address{} : primary();
+  for (auto entry = forwarded_.begin(); entry != forwarded_.end();) {
+    Forwarded& change = entry->second;
+    if (advance(change, present, now, outbox) == Progress::kWaits) {
+      overdue = overdue || now - change.since > kAskEvery;
+      ++entry;
+      continue;
     }
-    ++entry;
+    forwardedBytes_ -= change.ask.change.size();
+    entry = forwarded_.erase(entry);
   }
+  // Whoever waits may wait for a primary that is gone: the newest view is asked for.
+  if (overdue && now - lastAsk_ >= kAskEvery) askNow(now, outbox);
 }
 
 }  // namespace peppergate
--- a/src/core/operator_desk.h
+++ b/src/core/operator_desk.h
@@ -1,6 +1,7 @@
 #pragma once
 // What any daemon does with an operator's HTTP request: answer it or pass it to the primary.
 #include <map>
+#include <optional>
 #include <string>
 
 #include "core/follower.h"
@@ -14,26 +15,42 @@
   OperatorDesk(const Props& props, Membership& membership, Follower& follower)
       : props_(props), membership_(membership), follower_(follower) {}
 
-  /// Takes a change, /setup or /trace. Example: see the class.
+  /// Takes a change, /config, /setup or /trace. Example: see the class.
   bool take(const OperatorAsked& asked, MonotonicTime now, Outbox& outbox);
   /// Passes the primary's answer on to the operator. Example: on a ChangeAnswer.
   void hear(const ChangeAnswer& answer, MonotonicTime now, Outbox& outbox);
-  /// Ends forwards that got no answer. Example: each tick.
+  /// Answers whoever waited for a proof that has now come. Example: after news.
+  void settle(MonotonicTime now, Outbox& outbox);
+  /// Asks again what is open and ends what waited too long. Example: each tick.
   void tick(MonotonicTime now, Outbox& outbox);
 
  private:
-  void forward(const OperatorAsked& asked, MonotonicTime now, Outbox& outbox);
-  void answer(TicketId ticket, int status, Json body, Outbox& outbox, bool retry = false);
-
   struct Forwarded {
     MonotonicTime since;
     ChangeAsk ask;
-    int tries = 1;
+    Address sentTo;  // empty: no primary was known yet
+    MonotonicTime nextAt;
+    std::optional<ChangeAnswer> refused;  // the last word, if nothing was sent after it
   };
+  enum class Progress : std::uint8_t { kWaits, kEnded };
+
+  void forward(const OperatorAsked& asked, MonotonicTime now, Outbox& outbox);
+  Progress advance(Forwarded& change, const Address& primary, MonotonicTime now, Outbox& outbox);
+  void pass(const ChangeAnswer& change, Outbox& outbox);
+  void showSetup(TicketId ticket, Outbox& outbox);
+  void showTrace(TicketId ticket, MonotonicTime now, Outbox& outbox);
+  void readConfig(TicketId ticket, MonotonicTime now, Outbox& outbox);
+  void askNow(MonotonicTime now, Outbox& outbox);
+  Address primary() const { return membership_.addressOf(follower_.view().primary); }
+  void answer(TicketId ticket, int status, const Json& body, Outbox& outbox, bool retry = false);
+
   Props props_;
   Membership& membership_;
   Follower& follower_;
   std::map<TicketId, Forwarded> forwarded_;
+  std::size_t forwardedBytes_ = 0;
+  std::map<TicketId, MonotonicTime> readers_;  // of the configuration, since when
+  MonotonicTime lastAsk_ = kNever;
 };
 
 /// Names an outcome as operators read it. Example: `outcomeName(ChangeOutcome::kStale)`.
--- a/src/io/daemon.cc
+++ b/src/io/daemon.cc
@@ -130,7 +130,7 @@
     auto limit = static_cast<std::size_t>(setup_.props.largestBody);
     if (auto status = callers_->listen(setup_.callers, limit + 4096); !status.ok()) return status;
   }
-  if (auto status = pages_->listen(setup_.pages, 2 << 20); !status.ok()) return status;
+  if (auto status = pages_->listen(setup_.pages, 8 << 20); !status.ok()) return status;
   return hub_->listen();
 }
 
