--- /dev/null
+++ b/tests/config_state_test.cc
@@ -0,0 +1,245 @@
+// Changes of the fleet's configuration and of models' weights in the control state.
+#include <algorithm>
+#include <string>
+
+#include "core/control_state.h"
+#include "core/example_setup.h"
+#include "core/schemas.h"
+#include "tests/testing.h"
+
+using namespace peppergate;
+
+namespace {
+
+Json configOf(std::uint64_t version) {
+  Json config = Json::parse(R"json({
+    "routes": [{"name": "r", "host": "a.example", "prefix": "/", "timeoutMs": 100,
+                "service": "s", "kept": {"as": [1, 1.0, 1e3, -0.0, "\u00e9", null, true]}}],
+    "services": [{"name": "s"}, {"name": "t"}],
+    "tenants": [{"name": "red", "keys": ["k"]}]})json");
+  config["version"] = version;
+  return config;
+}
+
+Json replaceWith(std::uint64_t base, Json config) {
+  return {{"kind", "replace"}, {"basedOnVersion", base}, {"config", std::move(config)}};
+}
+
+Json amendWith(std::uint64_t base, const char* amendment) {
+  return {{"kind", "amend"}, {"basedOnVersion", base}, {"amendment", Json::parse(amendment)}};
+}
+
+/// A configuration with so many routes on as many prefixes.
+Json largeConfig(std::uint64_t version, std::size_t routes, std::size_t padding) {
+  Json config = configOf(version);
+  std::string filler(padding, 'x');
+  for (std::size_t number = 0; number < routes; ++number)
+    config["routes"].push_back({{"name", "r" + std::to_string(number)},
+                                {"host", "b.example"},
+                                {"prefix", "/p" + std::to_string(number) + "/"},
+                                {"timeoutMs", 100 + number},
+                                {"service", "t"},
+                                {"note", filler}});
+  return config;
+}
+
+}  // namespace
+
+TEST_GROUP(FleetChanges) {
+  ControlState state = ControlState::founded({1});
+  Props props;
+
+  ChangeAnswer apply(const Json& change, const std::string& id) {
+    return state.apply(change.dump(), id, {2}, props);
+  }
+  void taken(const Json& change, const std::string& id) {
+    ChangeAnswer answer = apply(change, id);
+    STRCMP_EQUAL("", (answer.field + answer.detail).c_str());
+    CHECK(answer.outcome == ChangeOutcome::kDone);
+  }
+  void refused(const Json& change, const char* field) {
+    SetupVersion before = state.version();
+    ChangeAnswer answer = apply(change, "refused");
+    CHECK(answer.outcome == ChangeOutcome::kInvalid);
+    STRCMP_EQUAL(field, answer.field.c_str());
+    CHECK(state.version() == before);
+  }
+  Json stored() { return Json::parse(state.setupText()).at("fleet"); }
+};
+
+TEST(FleetChanges, WhatWasSentIsReadBackValueForValue) {
+  std::string sent = R"({"version":3,"zeta":1.0,"alpha":[370000.0,0.1,1e-7,123456789012345,-0.0,)"
+                     R"("\u0001\u20ac\"\\",{},[],null,false],"routes":[]})";
+  std::string change = R"({"kind":"replace","basedOnVersion":0,"config":)" + sent + "}";
+  CHECK(state.apply(change, "c", {2}, props).outcome == ChangeOutcome::kDone);
+  STRCMP_EQUAL(Json::parse(sent).dump().c_str(), stored().dump().c_str());
+  auto parsed = ControlState::parse(state.text());
+  CHECK(parsed.ok());
+  STRCMP_EQUAL(state.text().c_str(), parsed->text().c_str());
+  STRCMP_EQUAL(state.setupText().c_str(), parsed->setupText().c_str());
+  LONGS_EQUAL(3, parsed->configVersion().value);
+}
+
+TEST(FleetChanges, TheConfigurationIsInTheSetupThatDaemonsRead) {
+  taken(replaceWith(0, configOf(5)), "c");
+  Setup setup = *readSetup(state.setupText());
+  LONGS_EQUAL(5, setup.fleet.version.value);
+  CHECK(setup.fleet.route("a.example", "/x") != nullptr);
+  LONGS_EQUAL(1, setup.rungs.size());
+  CHECK(readSetup(ControlState::founded({1}).setupText())->fleet.version.value == 0);
+}
+
+TEST(FleetChanges, VersionsRiseAndFaultsNameTheField) {
+  taken(replaceWith(0, configOf(5)), "c5");
+  refused(replaceWith(5, configOf(4)), "[version]");
+  Json same = configOf(5);
+  same["routes"] = Json::array();
+  refused(replaceWith(5, same), "[version]");
+  Json wrong = configOf(8);
+  wrong["routes"][0]["service"] = "nobody";
+  refused(replaceWith(5, wrong), "[routes][0][service]");
+  refused({{"kind", "replace"}, {"basedOnVersion", 5}}, "[config]");
+  refused({{"kind", "replace"}, {"config", configOf(8)}}, "[basedOnVersion]");
+  refused({{"kind", "replace"}, {"basedOnVersion", "5"}, {"config", configOf(8)}},
+          "<root>[basedOnVersion]");
+  refused({{"kind", "replace"}, {"basedOnVersion", 5}, {"config", Json::array()}},
+          "<root>[config]");
+  refused({{"kind", "amend"}, {"basedOnVersion", 5}}, "[amendment]");
+  refused(amendWith(5, R"({"version":5})"), "[version]");
+  refused(amendWith(5, R"({"version":6,"remove":{"services":["s"]}})"), "[routes][0][service]");
+  refused(amendWith(5, R"({"version":6,"upsert":{"routes":[{"name":"q","host":"a.example",
+      "prefix":"/","timeoutMs":1,"service":"s"}]}})"), "[routes][1][prefix]");
+  taken(replaceWith(5, configOf(8)), "c8");
+  CHECK(state.apply(R"({"kind":"replace","basedOnVersion":8,"config":{"version":9)", "cut", {2},
+                    props).outcome == ChangeOutcome::kInvalid);
+}
+
+TEST(FleetChanges, OfTwoOnTheSameBaseOneWins) {
+  taken(replaceWith(0, configOf(5)), "c5");
+  Json first = amendWith(5, R"({"version":7,"remove":{"tenants":["red"]}})");
+  Json second = amendWith(5, R"({"version":9,"remove":{"services":["t"]}})");
+  taken(first, "first");
+  ChangeAnswer late = apply(second, "second");
+  CHECK(late.outcome == ChangeOutcome::kStale);
+  STRCMP_EQUAL("[basedOnVersion]", late.field.c_str());
+  LONGS_EQUAL(7, late.newest);
+  LONGS_EQUAL(2, stored()["services"].size());
+  CHECK(apply(replaceWith(0, configOf(9)), "third").outcome == ChangeOutcome::kStale);
+}
+
+TEST(FleetChanges, AChangeSentAgainIsDoneAlsoLater) {
+  Json first = replaceWith(0, configOf(5));
+  taken(first, "c5");
+  SetupVersion version = state.version();
+  CHECK(apply(first, "c5").version == version);
+  taken(amendWith(5, R"({"version":6,"upsert":{"services":[{"name":"u"}]}})"), "c6");
+  auto parsed = ControlState::parse(state.text());
+  ChangeAnswer again = parsed->apply(first.dump(), "c5", {3}, props);
+  CHECK(again.outcome == ChangeOutcome::kDone && again.version == version);
+  LONGS_EQUAL(6, parsed->configVersion().value);
+  // Under another id the very configuration in place is no second change, either.
+  Json current = replaceWith(5, stored());
+  SetupVersion before = state.version();
+  taken(current, "other");
+  CHECK(state.version() == before);
+}
+
+TEST(FleetChanges, AnAmendmentMayBeTheFirst) {
+  taken(amendWith(0, R"({"version":2,"upsert":{"services":[{"name":"s"}]}})"), "c");
+  CHECK(stored() == Json::parse(R"({"version":2,"services":[{"name":"s"}]})"));
+}
+
+TEST(FleetChanges, OtherChangesLeaveTheConfiguration) {
+  taken(replaceWith(0, configOf(5)), "c5");
+  Json config = stored();
+  auto base = [&] { return versionText(state.sections().setup); };
+  taken(Json::parse(firstSetupBody("hutline", base())), "apply");
+  std::string applied = base();
+  CHECK(stored() == config);
+  taken({{"kind", "remove"}, {"basedOn", base()}, {"tenant", "rescue"}}, "remove");
+  taken(replaceWith(5, configOf(6)), "c6");
+  taken({{"kind", "revert"}, {"basedOn", base()}, {"to", applied}}, "revert");
+  CHECK(stored() == configOf(6));
+  CHECK(readSetup(state.setupText())->tenants.contains({"rescue"}));
+}
+
+TEST(FleetChanges, WhatWouldChangeIsToldInNumbers) {
+  Json change = replaceWith(0, configOf(5));
+  change["dryRun"] = true;
+  ChangeAnswer answer = apply(change, "dry");
+  CHECK(answer.outcome == ChangeOutcome::kWould);
+  STRCMP_EQUAL(R"({"fleet":{"routes":[0,1],"services":[0,2],"tenants":[0,1],"version":[0,5]}})",
+               answer.detail.c_str());
+  LONGS_EQUAL(0, state.configVersion().value);
+}
+
+TEST(FleetChanges, ModelVersionsOnlyRise) {
+  auto named = [&](int version, const char* id) {
+    taken({{"kind", "model-version"}, {"model", "m"}, {"version", version}}, id);
+  };
+  auto current = [&] { return readWeights(state.weightsText())->models; };
+  SetupVersion before = state.version();
+  named(1, "one");  // what an unnamed model has
+  CHECK(state.version() == before && current().empty());
+  named(3, "three");
+  LONGS_EQUAL(3, current().at({"m"}).value);
+  SetupVersion third = state.sections().weights;
+  named(2, "two");
+  named(3, "three-again");
+  CHECK(state.sections().weights == third);
+  taken({{"kind", "weights"}, {"basedOn", versionText(third)}, {"label", "spring"}}, "label");
+  LONGS_EQUAL(3, current().at({"m"}).value);
+  refused({{"kind", "model-version"}, {"version", 4}}, "[model]");
+  refused({{"kind", "model-version"}, {"model", "m"}}, "[version]");
+  refused({{"kind", "model-version"}, {"model", "m"}, {"version", 0}}, "<root>[version]");
+  CHECK(readWeights(R"({"version":1,"label":"first"})")->models.empty());  // an older state's
+}
+
+TEST(FleetChanges, DeepAndHugeDocumentsDoNoHarm) {
+  for (std::size_t depth : {200UL, 2'000'000UL}) {
+    std::string change = R"({"kind":"replace","basedOnVersion":0,"config":{"version":1,"x":)" +
+                         std::string(depth, '[') + std::string(depth, ']') + "}}";
+    ChangeAnswer answer = state.apply(change, "deep", {2}, props);
+    CHECK(answer.outcome == ChangeOutcome::kInvalid);
+    STRCMP_EQUAL("<root>", answer.field.c_str());
+    CHECK_FALSE(readHead(change).readable);
+  }
+  std::string huge(static_cast<std::size_t>(props.largestSetup) + 1, ' ');
+  CHECK(state.apply(huge, "huge", {2}, props).outcome == ChangeOutcome::kTooLarge);
+  Json brackets = configOf(1);
+  brackets["text"] = std::string(500, '[') + "\"\\" + std::string(500, '{');
+  taken(replaceWith(0, brackets), "brackets");
+}
+
+TEST(FleetChanges, ALargeConfigurationIsWrittenOutOnce) {
+  Json first = largeConfig(1, 1000, 4400);
+  std::size_t size = first.dump().size();
+  CHECK(size > 4 << 20);
+  taken(replaceWith(0, first), "large");
+  CHECK(state.bytesWritten() < size + 4000);
+  std::size_t before = state.bytesWritten();
+  taken(amendWith(1, R"({"version":2,"remove":{"routes":["r7"]}})"), "amend");
+  CHECK(state.bytesWritten() - before < size + 4000);
+  // What doesn't touch it neither writes nor copies it.
+  before = state.bytesWritten();
+  const char* setup = state.setupText().data();
+  taken({{"kind", "model-version"}, {"model", "m"}, {"version", 2}}, "model");
+  ControlState copy = state;
+  CHECK(state.text().size() > size - 20000);
+  CHECK(state.bytesWritten() - before < 200);
+  POINTERS_EQUAL(setup, state.setupText().data());
+  POINTERS_EQUAL(setup, copy.setupText().data());
+}
+
+TEST(FleetChanges, ManyRememberedChangesAreFoundAndTheOldestForgotten) {
+  for (int number = 0; number < 1500; ++number)
+    taken({{"kind", "model-version"}, {"model", "m"}, {"version", number + 2}},
+          "id" + std::to_string(number));
+  SetupVersion version = state.version();
+  CHECK(apply({}, "id1499").outcome == ChangeOutcome::kDone);
+  CHECK(apply({}, "id500").outcome == ChangeOutcome::kDone);
+  CHECK(apply({}, "id499").outcome == ChangeOutcome::kInvalid);
+  CHECK(state.version() == version);
+  CHECK(ControlState::parse(state.text())->apply("", "id500", {2}, props).outcome ==
+        ChangeOutcome::kDone);
+}
