--- a/src/engines/engine_duties.h
+++ b/src/engines/engine_duties.h
@@ -38,7 +38,7 @@
   /// Another member's word on the list; false if it is none. Example: on a RosterNews.
   bool hear(const Address& from, const Message& message, MonotonicTime now, Outbox& outbox) {
     if (auto* news = std::get_if<RosterNews>(&message)) lister_.hear(from, *news, now, outbox);
-    else if (auto* ask = std::get_if<RosterAsk>(&message)) lister_.hear(from, *ask, outbox);
+    else if (auto* ask = std::get_if<RosterAsk>(&message)) lister_.hear(from, *ask, now, outbox);
     else return false;
     return true;
   }
--- a/src/requests/router_node.cc
+++ b/src/requests/router_node.cc
@@ -116,7 +116,7 @@
     lister_->hear(from, *roster, now, outbox_);
     takeList(now);
   } else if (auto* rosterAsk = std::get_if<RosterAsk>(&message)) {
-    lister_->hear(from, *rosterAsk, outbox_);
+    lister_->hear(from, *rosterAsk, now, outbox_);
   } else if (auto* parts = std::get_if<PartNews>(&message)) {
     watch_->hear(from, *parts, now, outbox_);
   } else if (auto* partAsk = std::get_if<PartAsk>(&message)) {
