--- a/src/app/daemon_command.cc
+++ b/src/app/daemon_command.cc
@@ -76,7 +76,7 @@
   setup.dataFolder = values["data"].as<std::string>();
   if (!front && setup.dataFolder.empty())
     return absl::InvalidArgumentError("data: a core needs its data folder");
-  setup.found = values["found"].as<std::size_t>();
+  setup.founding.cores = values["found"].as<std::size_t>();
   setup.rehearsal = values["rehearsal"].as<bool>();
   auto props = readProps(values);
   if (!props.ok()) return props.status();
--- a/src/core/core_node.cc
+++ b/src/core/core_node.cc
@@ -35,6 +35,12 @@
   return {{document.value("tag", std::uint64_t{0})}, std::move(*state)};
 }
 
+Json identityDocument(const DiskFound& found) {
+  auto file = found.files.find("identity");
+  auto content = file == found.files.end() ? std::nullopt : opened(file->second);
+  return content ? Json::parse(*content, nullptr, false) : Json();
+}
+
 bool voterTorn(const DiskFound& found) {
   std::string name = newestFile(found, "voter.");
   return !name.empty() && !opened(found.files.at(name));
@@ -43,22 +49,31 @@
 }  // namespace
 
 CoreId identityOn(const DiskFound& found) {
-  auto file = found.files.find("identity");
-  if (file == found.files.end()) return {};
-  auto content = opened(file->second);
-  Json document = content ? Json::parse(*content, nullptr, false) : Json();
+  Json document = identityDocument(found);
   return {document.is_object() ? document.value("core", std::uint64_t{0}) : 0};
 }
 
-std::string identityFile(CoreId core) { return sealed(Json{{"core", core.value}}.dump()); }
+std::string identityFile(CoreId core, const Founding& founding) {
+  return sealed(Json{{"core", core.value}, {"founding", toJson(founding)}}.dump());
+}
+
+Founding foundingOn(const DiskFound& found) {
+  Founding founding;
+  Json document = identityDocument(found);
+  if (document.is_object() && document.contains("founding"))
+    fromJson(document["founding"], founding);
+  return founding;
+}
 
 CoreNode::CoreNode(const Props& props, MemberRecord self, std::vector<Address> seeds,
                    const DiskFound& found, std::uint64_t seed, MonotonicTime now,
-                   std::size_t foundCores)
+                   const Founding& founding)
     : props_(props), random_(seed), started_(now) {
   self.core = identityOn(found);
   membership_ = std::make_unique<Membership>(props, self, std::move(seeds), random_);
-  voter_ = std::make_unique<Voter>(props, loadVoter(found, self.core), now);
+  Founding born = foundingOn(found);
+  born.cores = founding.cores;
+  voter_ = std::make_unique<Voter>(props, loadVoter(found, self.core), now, born.first);
   leadership_ = std::make_unique<Leadership>(props, *voter_, *membership_, random_,
                                              loadCopy(found));
   follower_ = std::make_unique<Follower>(props, *membership_, random_);
@@ -66,7 +81,7 @@
                                            random_, now);
   desk_ = std::make_unique<OperatorDesk>(props, *membership_, *follower_);
   if (voterTorn(found)) leadership_->suspect(outbox_);
-  if (foundCores > 0) leadership_->found(foundCores);
+  leadership_->found(born);
   membership_->carry(
       [this](Shuffle& shuffle) { shuffle.withdrawn = follower_->recentWithdrawn(); });
 }
@@ -86,6 +101,7 @@
       outbox_.push(AnswerWeb{asked->ticket, 404, {}, R"({"outcome":"no-such-page"})"});
   } else if (std::holds_alternative<DrainAsked>(event)) {
     draining_ = true;
+    leadership_->leave(now);
     membership_->leave(outbox_);
   }
 }
@@ -128,8 +144,11 @@
   noticeTime(now);
   if (auto* shuffle = std::get_if<Shuffle>(&message)) heard(*shuffle, now);
   else if (auto* promise = std::get_if<PromiseAsk>(&message)) {
-    if (promise->candidate != voter_->record().identity) caretaker_->candidateHeard(now, outbox_);
+    bool release = promise->kind == PromiseKind::kRelease;
+    bool other = promise->candidate != voter_->record().identity;
+    if (other && !release) caretaker_->candidateHeard(now, outbox_);
     voter_->ask(from, *promise, now, outbox_);
+    if (other && release) leadership_->released(promise->candidate, now);
   } else if (auto* promised = std::get_if<PromiseAnswer>(&message)) {
     caretaker_->heardVoter(promised->voter, now);
     leadership_->hear(*promised, now, outbox_);
@@ -186,7 +205,8 @@
   SectionVersions mine = leadership_->published().sections();
   if (ask.have.setup > mine.setup || ask.have.keys > mine.keys || ask.have.weights > mine.weights)
     leadership_->sawNewer(ask.have);
-  askers_[ask.asker] = {from, ask, now};
+  bool first = !frontsHave_.contains(ask.asker);  // it may have no proof that is young enough
+  askers_[ask.asker] = {from, ask, now, first};
   frontsHave_[ask.asker] = ask.have;
 }
 
@@ -194,6 +214,7 @@
   if (!leadership_->names(now)) {
     askers_.clear();
     frontsHave_.clear();
+    toldView_ = {};
     return;
   }
   tellTheRest();
@@ -206,7 +227,7 @@
     const SectionVersions& have = asker.ask.have;
     bool news = sections.setup > have.setup || sections.keys > have.keys ||
                 sections.weights > have.weights;
-    bool due = asker.ask.relayed || now - asker.since >= props_.newsWait;
+    bool due = asker.first || asker.ask.relayed || now - asker.since >= props_.newsWait;
     if ((!news && !due) || (news && large >= 8)) {
       ++entry;
       continue;
@@ -241,11 +262,15 @@
   // Fronts whose question is not open just now hear of news all the same: the yes that goes out
   // with it may be this machine's last act.
   const ControlState& state = leadership_->published();
-  if (state.sections() == told_) return;
+  bool newView = leadership_->view().epoch != toldView_;
+  if (state.sections() == told_ && !newView) return;
   NewsAnswer news;
   news.sentAt = kUnasked;
   news.view = leadership_->view();
   news.now = state.sections();
+  // A new primary says that it is there; who lacks anything then asks for it.
+  if (toldView_.value == 0) told_ = news.now;
+  toldView_ = news.view.epoch;
   if (news.now.setup > told_.setup) news.setup = state.setupText();
   if (news.now.keys > told_.keys) news.keys = state.keysText();
   if (news.now.weights > told_.weights) news.weights = state.weightsText();
@@ -280,6 +305,8 @@
   Json voters = Json::array();
   for (CoreId voter : view.voters)
     voters.push_back({{"core", voter.value}, {"address", membership_->addressOf(voter).value}});
+  Json backups = Json::array();
+  for (CoreId backup : view.backups) backups.push_back(membership_->addressOf(backup).value);
   return {{"role", "core"},
           {"core", voter_->record().identity.value},
           {"address", membership_->self().address.value},
@@ -293,8 +320,8 @@
           {"view",
            {{"epoch", view.epoch.value},
             {"primary", membership_->addressOf(view.primary).value},
-            {"backup", membership_->addressOf(view.backup).value},
-            {"confirmed", view.base == view.epoch && view.backup.value != 0},
+            {"backups", backups},
+            {"confirmed", view.base == view.epoch && !view.backups.empty()},
             {"voters", voters}}},
           {"copyTag", leadership_->copyTag().value},
           {"proofAgeMilliseconds", inMilliseconds(follower_->proofAge(now))},
--- a/src/core/core_node.h
+++ b/src/core/core_node.h
@@ -33,18 +33,18 @@
   virtual bool drained(MonotonicTime now) const = 0;
 };
 
-/// Example: `CoreNode core(props, self, seeds, found, 7, now, 4); core.step(Ticked{}, now);`
+/// Example: `CoreNode core(props, self, seeds, found, 7, now, founding); core.step(Ticked{}, now);`
 class CoreNode final : public Node {
  public:
   CoreNode(const Props& props, MemberRecord self, std::vector<Address> seeds,
            const DiskFound& found, std::uint64_t seed, MonotonicTime now,
-           std::size_t foundCores);
+           const Founding& founding = {});
 
   void step(const Event& event, MonotonicTime now) override;
   Outbox& outbox() override { return outbox_; }
   Json status(MonotonicTime now) const override;
   void reload(const Props& props) override { props_ = props; }
-  bool drained(MonotonicTime) const override { return draining_; }
+  bool drained(MonotonicTime) const override { return draining_ && !leadership_->leadsHere(); }
   /// For checkers and tests. Example: `core.leadership().leads(now)`.
   const Leadership& leadership() const { return *leadership_; }
   const Voter& voter() const { return *voter_; }
@@ -68,6 +68,7 @@
     Address from;
     NewsAsk ask;
     MonotonicTime since;
+    bool first = false;  // its first question to this primary: answered at once
   };
   struct EngineGrant {
     MemberId holder;
@@ -85,6 +86,7 @@
   std::map<MemberId, Asker> askers_;
   std::map<EngineId, EngineGrant> engineGrants_;
   SectionVersions told_;
+  Epoch toldView_;
   MonotonicTime lastNotice_ = kNever;
   std::map<MemberId, SectionVersions> frontsHave_;  // as their questions said
   MonotonicTime started_;
@@ -93,7 +95,9 @@
 
 /// The identity on a disk, if one is there. Example: `identityOn(found)`.
 CoreId identityOn(const DiskFound& found);
-/// What a new disk gets first. Example: written before the node starts.
-std::string identityFile(CoreId core);
+/// What a new disk gets first, with how its core founds. Example: written before the node starts.
+std::string identityFile(CoreId core, const Founding& founding = {});
+/// How the core of this disk founds, as it was told at its birth. Example: `foundingOn(found)`.
+Founding foundingOn(const DiskFound& found);
 
 }  // namespace peppergate
--- a/src/core/follower.cc
+++ b/src/core/follower.cc
@@ -114,6 +114,7 @@
 
 void Follower::hear(const Address& from, const NewsAnswer& answer, MonotonicTime now, Outbox& outbox) {
   if (answer.sentAt == kUnasked) {  // what was acknowledged, sent ahead of the next question
+    noteView(answer.view);  // only whom to ask: no proof
     std::uint64_t before = changesSeen_;
     install(answer, now, outbox);
     if (changesSeen_ != before) askAgain(now, outbox);
--- a/src/core/leadership.h
+++ b/src/core/leadership.h
@@ -36,8 +36,9 @@
   Leadership(const Props& props, Voter& voter, Membership& membership, Random& random,
              CopyOnDisk copy);
 
-  /// Founds a new fleet with so many cores. Example: `leadership.found(4);`
-  void found(std::size_t cores);
+  /// Takes part in the founding of a new fleet, if this core has no view yet that came after one.
+  /// Example: `leadership.found(foundingOn(disk));`
+  void found(const Founding& founding);
   /// Renews, stands, recruits as due. Example: `leadership.tick(now, outbox);`
   void tick(MonotonicTime now, Outbox& outbox);
   void hear(const PromiseAnswer& answer, MonotonicTime now, Outbox& outbox);
@@ -57,8 +58,13 @@
   void sawNewer(const SectionVersions& seen);
   /// Takes a view that is known to be settled. Example: one that came with a proof.
   void noteSettled(const View& view, MonotonicTime now, Outbox& outbox);
-  /// Steps down for good, with a suspect disk. Example: a write that stalls.
+  /// Steps down for good, with a suspect disk. Example: a write that failed.
   void suspect(Outbox& outbox);
+  /// Ends what is under way, gives up the duty and stands no more. Example: on SIGTERM.
+  void leave(MonotonicTime now);
+  /// A core gave up its votes; if it was the primary, the first backup stands at once.
+  /// Example: on a PromiseAsk of the kind kRelease.
+  void released(CoreId candidate, MonotonicTime now);
 
   /// Whether this core leads under its hold. Example: `leads(now)` before each proof.
   bool leads(MonotonicTime now) const;
@@ -97,10 +103,24 @@
     CopyAsk ask;        // what is answered
     bool own = false;
   };
+  struct Sight {  // what this core saw of another one
+    MonotonicTime first, last = kNever;
+    Address address;
+    District district;
+    bool known = false;  // a member now
+    bool leaving = false;
+  };
+  void watchDisk(MonotonicTime now, Outbox& outbox);
+  void giveWay(MonotonicTime now, Outbox& outbox);
   void stand(MonotonicTime now, Outbox& outbox);
-  void giveUpPhase(MonotonicTime now);
-  void gather(Epoch epoch, View wanted, MonotonicTime now, Outbox& outbox);
+  bool standsNow(MonotonicTime now);
+  std::size_t place() const;
+  void giveUpPhase(MonotonicTime now, Outbox& outbox);
+  void gather(View wanted, MonotonicTime now, Outbox& outbox, bool founds = false);
   void gathered(MonotonicTime now, Outbox& outbox);
+  void heardDecline(const PromiseAnswer& answer, MonotonicTime now, Outbox& outbox);
+  void yieldVotes(Outbox& outbox);
+  bool holds(const std::set<CoreId>& round) const;
   void startCopies(MonotonicTime now, Outbox& outbox);
   void copiesDone(MonotonicTime now, Outbox& outbox);
   void askAcceptance(Outbox& outbox);
@@ -109,15 +129,33 @@
   void settled(MonotonicTime now, Outbox& outbox);
   void renew(MonotonicTime now, Outbox& outbox);
   void stepDown(MonotonicTime now, Outbox& outbox, std::string_view why);
+  // Founding, see leadership_founding.cc.
+  bool mayFound() const;
+  void foundByNumber(MonotonicTime now, Outbox& outbox);
+  void standToFound(MonotonicTime now, Outbox& outbox);
+  void heardFounder(const PromiseAnswer& answer, MonotonicTime now, Outbox& outbox);
+  void foundWithPromised(MonotonicTime now, Outbox& outbox);
+  void askFounders(Outbox& outbox);
+  std::size_t foundersNeeded() const { return founding_.voters.size() / 2 + 1; }
+  // Copies and batches, see leadership_copies.cc.
   void writeCopy(Write write, Outbox& outbox);
   void sendCopy(Outbox& outbox, bool recruiting);
+  void heardCopyDecline(const CopyAnswer& answer, MonotonicTime now);
+  bool allSynced(const View& view) const;
+  bool stuck(MonotonicTime now) const;
   void startBatch(MonotonicTime now, Outbox& outbox);
   void finishBatch(MonotonicTime now, Outbox& outbox);
-  void considerViewChange(MonotonicTime now, Outbox& outbox);
-  CoreId pickRecruit(MonotonicTime now) const;
-  std::vector<CoreId> wantedVoters(MonotonicTime now);
   void refuseWaiting(ChangeOutcome outcome, Outbox& outbox);
   void answerChange(const Address& to, ChangeAnswer answer, Outbox& outbox);
+  // Backups and seats, see leadership_seats.cc.
+  void look(MonotonicTime now);
+  Duration silent(CoreId core, MonotonicTime now) const;
+  std::vector<CoreId> wantedBackups(MonotonicTime now) const;
+  std::vector<CoreId> wantedVoters(MonotonicTime now) const;
+  View wantedView(MonotonicTime now) const;
+  bool changeDue(const View& wanted, MonotonicTime now) const;
+  void considerViewChange(MonotonicTime now, Outbox& outbox);
+  // Holders, see leadership_holders.cc.
   void askHolders(const ControlState& state, Outbox& outbox);
   void tellHolders(bool whole, Outbox& outbox);
   bool held(const ControlState& state) const;
@@ -141,6 +179,7 @@
   Epoch holdEpoch_;           // the epoch that renewals name
   Epoch seen_;         // highest epoch heard
   std::set<CoreId> promised_, accepted_, declined_;
+  std::vector<std::vector<CoreId>> proposed_;  // voters of views that may be settled unheard
   std::set<CoreId> holders_;       // voters that surely have heldState_
   std::optional<ControlState> heldState_;
   bool named_ = false;             // a majority holds what is published
@@ -160,12 +199,16 @@
   std::deque<Yes> yeses_;
   MonotonicTime publishedAt_ = kNever;
   std::optional<ControlState> batchState_;
-  bool ownSynced_ = false, backupSynced_ = false;
+  bool ownSynced_ = false;
+  std::set<CoreId> synced_;   // backups that have what is being copied on disk
+  bool yieldsBatch_ = false;  // no new batch before the view has changed
   MonotonicTime batchSince_{};
   SectionVersions newerSeen_;
-  std::map<CoreId, MonotonicTime> lastSeen_;
+  std::map<CoreId, Sight> sights_;
   std::map<CoreId, MonotonicTime> failedRecruits_;
-  std::size_t foundCores_ = 0;
+  Founding founding_;
+  bool founds_ = false;  // gathers to found
+  MonotonicTime born_ = kNever, freeSince_ = kNever, leavingSince_ = kForever;
   bool suspect_ = false;
   bool stalled_ = false;
   bool started_ = false;
--- a/src/core/leadership_copies.cc
+++ b/src/core/leadership_copies.cc
@@ -5,6 +5,41 @@
 
 namespace peppergate {
 
+void Leadership::startCopies(MonotonicTime now, Outbox& outbox) {
+  phase_ = LeaderPhase::kCopying;
+  phaseSince_ = now;
+  ownSynced_ = false;
+  synced_.clear();
+  const ControlState& state = batchState_ ? *batchState_ : copy_.state;
+  writeCopy({wanted_.epoch, state, now, {}, {}, true}, outbox);
+  sendCopy(outbox, true);
+}
+
+void Leadership::sendCopy(Outbox& outbox, bool recruiting) {
+  const ControlState& state = batchState_ ? *batchState_ : copy_.state;
+  const View& view = recruiting ? wanted_ : view_;
+  CopyAsk ask{view.epoch, self(), state.version(), recruiting, {}};
+  for (CoreId backup : view.backups) {
+    if (synced_.contains(backup)) continue;
+    if (ask.state.empty()) ask.state = state.text();
+    outbox.send(membership_.addressOf(backup), ask);
+    outbox.count("copies.sent");
+  }
+}
+
+bool Leadership::allSynced(const View& view) const {
+  return view.backups.size() >= static_cast<std::size_t>(props_.backups) &&
+         std::ranges::all_of(view.backups, [&](CoreId core) { return synced_.contains(core); });
+}
+
+bool Leadership::stuck(MonotonicTime now) const {
+  if (!batchState_ || (ownSynced_ && allSynced(view_))) return false;
+  return now - batchSince_ > props_.copyTimeout ||
+         std::ranges::any_of(view_.backups, [&](CoreId core) {
+           return !synced_.contains(core) && failedRecruits_.contains(core);
+         });
+}
+
 void Leadership::writeCopy(Write write, Outbox& outbox) {
   if (!writes_.empty()) {  // one write at a time; only the newest waits
     if (queuedWrite_ && queuedWrite_->own) ownSynced_ = false;
@@ -47,9 +82,9 @@
                   CopyAnswer{write.ask.epoch, self(), write.ask.version, true});
     return true;
   }
-  if (phase_ == LeaderPhase::kFounding) {
-    for (CoreId voter : wanted_.voters)
-      outbox.send(membership_.addressOf(voter), AcceptAsk{wanted_, true});
+  if (phase_ == LeaderPhase::kFounding && write.tag == wanted_.epoch) {
+    ownSynced_ = true;
+    askFounders(outbox);
     return true;
   }
   if (phase_ == LeaderPhase::kCopying && write.tag == wanted_.epoch) {
@@ -69,6 +104,7 @@
   bool fits = ask.recruiting ? ask.epoch >= copy_.tag : ask.epoch == copy_.tag;
   if (suspect_ || stalled_ || !fits || !voter_.allowsCopy(ask.epoch, ask.from)) {
     outbox.count("copies.declined");
+    outbox.send(from, CopyAnswer{ask.epoch, self(), ask.version, false});
     return;
   }
   auto state = ControlState::parse(ask.state);
@@ -85,20 +121,33 @@
 }
 
 void Leadership::hear(const CopyAnswer& answer, MonotonicTime now, Outbox& outbox) {
-  if (!answer.synced) return;
-  if (phase_ == LeaderPhase::kCopying && answer.epoch == wanted_.epoch &&
-      answer.from == wanted_.backup) {
-    backupSynced_ = true;
+  bool copying = phase_ == LeaderPhase::kCopying;
+  const View& view = copying ? wanted_ : view_;
+  bool backs = answer.from != view.primary && isMember(view, answer.from);
+  if (answer.epoch != view.epoch || !backs) return;
+  if (!answer.synced) {
+    heardCopyDecline(answer, now);
+  } else if (copying) {
+    synced_.insert(answer.from);
     copiesDone(now, outbox);
-  } else if (phase_ == LeaderPhase::kLeading && batchState_ && answer.epoch == view_.epoch &&
-             answer.from == view_.backup && answer.version == batchState_->version()) {
-    backupSynced_ = true;
+  } else if (phase_ == LeaderPhase::kLeading && batchState_ &&
+             answer.version == batchState_->version()) {
+    synced_.insert(answer.from);
     finishBatch(now, outbox);
   }
 }
 
+void Leadership::heardCopyDecline(const CopyAnswer& answer, MonotonicTime now) {
+  // Its disk is bad, or it promised elsewhere: another may take the copy at once.
+  if (!settledHere_) return;
+  failedRecruits_[answer.from] = now;
+  if (phase_ != LeaderPhase::kCopying) return;
+  phase_ = LeaderPhase::kLeading;
+  nextTry_ = now + milliseconds(static_cast<std::int64_t>(random_.below(100)));
+}
+
 void Leadership::copiesDone(MonotonicTime now, Outbox& outbox) {
-  if (!ownSynced_ || !backupSynced_) return;
+  if (!ownSynced_ || !allSynced(wanted_)) return;
   wanted_.base = wanted_.epoch;
   propose(now, outbox);
 }
@@ -122,7 +171,7 @@
                       Outbox& outbox) {
   ChangeAnswer answer;
   answer.ticket = ask.ticket;
-  if (!leads(now)) {
+  if (!leads(now) || leavingSince_ != kForever) {
     answer.outcome = ChangeOutcome::kNotPrimary;
     answerChange(from, answer, outbox);
     return;
@@ -137,7 +186,7 @@
 }
 
 void Leadership::startBatch(MonotonicTime now, Outbox& outbox) {
-  if (phase_ != LeaderPhase::kLeading || batchState_ || !writes_.empty()) return;
+  if (phase_ != LeaderPhase::kLeading || batchState_ || !writes_.empty() || yieldsBatch_) return;
   if (unconfirmed_) {  // changes wait a moment for a backup, then are declined, typed
     std::erase_if(waiting_, [&](const WaitingChange& change) {
       if (now - change.since < props_.copyTimeout) return false;
@@ -170,13 +219,14 @@
   }
   batchState_ = std::move(draft);
   batchSince_ = now;
-  ownSynced_ = backupSynced_ = false;
+  ownSynced_ = false;
+  synced_.clear();
   writeCopy({view_.epoch, *batchState_, now, {}, {}, true}, outbox);
   sendCopy(outbox, false);
 }
 
 void Leadership::finishBatch(MonotonicTime now, Outbox& outbox) {
-  bool synced = backupSynced_ || !props_.guards(Guard::kBackupSync);
+  bool synced = allSynced(view_) || !props_.guards(Guard::kBackupSync);
   if (!ownSynced_ || !synced || !batchState_) return;
   if (props_.guards(Guard::kThirdVoter) && !held(*batchState_)) {
     if (!heldState_ || heldState_->version() != batchState_->version())
@@ -205,59 +255,4 @@
   }
 }
 
-CoreId Leadership::pickRecruit(MonotonicTime now) const {
-  auto records = membership_.live();
-  CoreId best;
-  int bestScore = -1;
-  for (const auto& record : records) {
-    if (record.role != Role::kCore || record.core == self() || record.leaving) continue;
-    auto failed = failedRecruits_.find(record.core);
-    int score = failed == failedRecruits_.end() ? 8 : 0;
-    if (membership_.silence(record.member, now) < seconds(1)) score += 16;
-    if (std::ranges::find(view_.voters, record.core) != view_.voters.end()) score += 4;
-    if (record.core == view_.backup) score += 2;
-    if (record.district != membership_.self().district) score += 1;
-    if (score > bestScore) {
-      bestScore = score;
-      best = record.core;
-    }
-  }
-  return best;
-}
-
-std::vector<CoreId> Leadership::wantedVoters(MonotonicTime now) {
-  std::vector<CoreId> voters = view_.voters;
-  for (CoreId& seat : voters) {
-    lastSeen_.try_emplace(seat, now);
-    if (now - lastSeen_[seat] < props_.seatAfter) continue;
-    for (const auto& record : membership_.live()) {
-      bool newcomer = record.role == Role::kCore && !record.leaving &&
-                      std::ranges::find(view_.voters, record.core) == view_.voters.end();
-      if (!newcomer) continue;
-      seat = record.core;  // one seat at a time
-      return voters;
-    }
-  }
-  return voters;
-}
-
-void Leadership::considerViewChange(MonotonicTime now, Outbox& outbox) {
-  if (now < nextTry_ || !leads(now) || !writes_.empty()) return;
-  std::erase_if(failedRecruits_,
-                [&](const auto& entry) { return now - entry.second > seconds(5); });
-  View wanted = view_;
-  wanted.voters = wantedVoters(now);
-  bool backupGone = view_.backup.value == 0 || membership_.addressOf(view_.backup).value.empty() ||
-                    failedRecruits_.contains(view_.backup);
-  if (unconfirmed_ || backupGone) wanted.backup = pickRecruit(now);
-  bool same = wanted.backup == view_.backup && wanted.voters == view_.voters;
-  bool stuck = batchState_ && now - batchSince_ > props_.copyTimeout &&
-               !(ownSynced_ && backupSynced_);
-  if (wanted.backup.value == 0 || (same && !unconfirmed_ && !stuck && !recapture_)) return;
-  nextTry_ = now + milliseconds(200);
-  unconfirmed_ = true;  // from here on nothing is acknowledged until a higher view is settled
-  standing_ = false;
-  gather({seen_.value + 1}, wanted, now, outbox);
-}
-
 }  // namespace peppergate
--- a/src/core/leadership_holders.cc
+++ b/src/core/leadership_holders.cc
@@ -4,8 +4,7 @@
 namespace peppergate {
 
 const ControlState* Leadership::intactCopy(const View& view) const {
-  bool member = view.primary == self() || view.backup == self();
-  bool intact = member && copy_.tag.value != 0 && copy_.tag >= view.base && !suspect_;
+  bool intact = isMember(view, self()) && copy_.tag.value != 0 && copy_.tag >= view.base && !suspect_;
   return intact ? &copy_.state : nullptr;
 }
 
@@ -17,7 +16,7 @@
 void Leadership::askHolders(const ControlState& state, Outbox& outbox) {
   heldState_ = state;
   holders_ = {self()};
-  if (backupSynced_ && !unconfirmed_) holders_.insert(view_.backup);
+  if (!unconfirmed_ && allSynced(view_)) holders_.insert(view_.backups.begin(), view_.backups.end());
   tellHolders(false, outbox);
 }
 
--- /dev/null
+++ b/src/core/leadership_seats.cc
@@ -0,0 +1,132 @@
+// The part of Leadership that gives seats to newcomers and chooses backups.
+#include <algorithm>
+
+#include "core/leadership.h"
+
+namespace peppergate {
+namespace {
+
+constexpr Duration kFresh = seconds(0.75);      // heard of within two renewals
+constexpr Duration kNewcomerKnown = seconds(1); // so long before a seat is added for one
+constexpr Duration kForget = seconds(60);
+
+}  // namespace
+
+void Leadership::look(MonotonicTime now) {
+  for (auto& [core, sight] : sights_) sight.known = false;
+  for (const auto& record : membership_.liveCores()) {
+    Sight& sight = sights_.try_emplace(record.core, Sight{now, kNever, {}, {}, false, false})
+                       .first->second;
+    MonotonicTime last = now - (record.core == self() ? Duration{}
+                                                      : membership_.silence(record.member, now));
+    if (sight.known && last < sight.last) continue;  // an earlier life of the same core
+    sight.known = true;
+    sight.last = std::max(sight.last, last);
+    sight.address = record.address;
+    sight.district = record.district;
+    sight.leaving = record.leaving;
+  }
+  for (CoreId seat : view_.voters) sights_.try_emplace(seat, Sight{now, now, {}, {}, false, false});
+  std::erase_if(sights_, [&](const auto& entry) {
+    return !entry.second.known && now - entry.second.last > kForget &&
+           std::ranges::find(view_.voters, entry.first) == view_.voters.end();
+  });
+}
+
+Duration Leadership::silent(CoreId core, MonotonicTime now) const {
+  if (core == self()) return {};
+  auto sight = sights_.find(core);
+  return sight == sights_.end() ? Duration{} : now - sight->second.last;
+}
+
+std::vector<CoreId> Leadership::wantedBackups(MonotonicTime now) const {
+  struct Scored {
+    int score;
+    CoreId core;
+  };
+  std::vector<Scored> candidates;
+  for (const auto& [core, sight] : sights_) {
+    if (!sight.known || core == self() || sight.leaving) continue;
+    bool failed = failedRecruits_.contains(core);
+    bool serves = std::ranges::find(view_.backups, core) != view_.backups.end();
+    int score = failed ? 0 : 8;
+    if (now - sight.last < seconds(1)) score += 16;
+    if (std::ranges::find(view_.voters, core) != view_.voters.end()) score += 4;
+    if (serves) score += 2;
+    if (sight.district != membership_.self().district) score += 1;
+    if (serves && !unconfirmed_ && !failed && now - sight.last < props_.seatAfter) score += 32;
+    candidates.push_back({score, core});
+  }
+  auto wanted = static_cast<std::size_t>(props_.backups);
+  if (candidates.size() < wanted) return {};
+  std::ranges::stable_sort(candidates, std::ranges::greater{}, &Scored::score);
+  std::vector<CoreId> backups;
+  for (std::size_t index = 0; index < wanted; ++index) backups.push_back(candidates[index].core);
+  return backups;
+}
+
+std::vector<CoreId> Leadership::wantedVoters(MonotonicTime now) const {
+  std::vector<CoreId> voters = view_.voters;
+  std::vector<std::pair<CoreId, const Sight*>> newcomers;
+  for (const auto& [core, sight] : sights_) {
+    bool seated = std::ranges::find(view_.voters, core) != view_.voters.end();
+    if (sight.known && !sight.leaving && !seated && now - sight.last < seconds(1))
+      newcomers.emplace_back(core, &sight);
+  }
+  if (newcomers.empty()) return voters;
+  // One seat at a time. The first to go is one whose machine came back with another disk.
+  for (CoreId& seat : voters)
+    for (const auto& [core, sight] : newcomers)
+      if (sight->address == sights_.at(seat).address && silent(seat, now) > kFresh) {
+        seat = core;
+        return voters;
+      }
+  auto longest = std::ranges::max_element(voters, {}, [&](CoreId core) { return silent(core, now); });
+  if (longest == voters.end()) return voters;
+  if (silent(*longest, now) > props_.seatAfter) {
+    *longest = newcomers.front().first;
+    return voters;
+  }
+  // A new seat only while all are held: a newcomer may stand for one that is just being missed.
+  if (voters.size() >= static_cast<std::size_t>(props_.voterSeats)) return voters;
+  if (silent(*longest, now) > kFresh) return voters;
+  for (const auto& [core, sight] : newcomers)
+    if (now - sight->first >= kNewcomerKnown) {
+      voters.push_back(core);
+      return voters;
+    }
+  return voters;
+}
+
+View Leadership::wantedView(MonotonicTime now) const {
+  View wanted = view_;
+  wanted.voters = wantedVoters(now);
+  auto backups = wantedBackups(now);
+  bool same = std::ranges::is_permutation(backups, view_.backups);
+  if (unconfirmed_ || (!backups.empty() && !same)) wanted.backups = std::move(backups);
+  return wanted;
+}
+
+bool Leadership::changeDue(const View& wanted, MonotonicTime now) const {
+  // With fewer machines than copies are owed there is no yes, and nothing to be gained.
+  if (wanted.backups.size() < static_cast<std::size_t>(props_.backups)) return false;
+  bool same = wanted.backups == view_.backups && wanted.voters == view_.voters;
+  return !same || unconfirmed_ || stuck(now) || recapture_;
+}
+
+void Leadership::considerViewChange(MonotonicTime now, Outbox& outbox) {
+  yieldsBatch_ = false;
+  if (now < nextTry_ || !leads(now) || leavingSince_ != kForever) return;
+  std::erase_if(failedRecruits_,
+                [&](const auto& entry) { return now - entry.second > seconds(5); });
+  View wanted = wantedView(now);
+  if (!changeDue(wanted, now)) return;
+  yieldsBatch_ = (batchState_ && !stuck(now)) || !writes_.empty();
+  if (yieldsBatch_) return;  // after this one, before the next
+  nextTry_ = now + milliseconds(200);
+  unconfirmed_ = true;  // from here on nothing is acknowledged until a higher view is settled
+  standing_ = false;
+  gather(std::move(wanted), now, outbox);
+}
+
+}  // namespace peppergate
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -141,17 +141,32 @@
   return records;
 }
 
+std::vector<MemberRecord> Membership::liveCores() const {
+  std::vector<MemberRecord> records;
+  if (self_.role == Role::kCore) records.push_back(self_);
+  for (const auto& [id, known] : known_)
+    if (known.record.role == Role::kCore) records.push_back(known.record);
+  return records;
+}
+
+CoreId Membership::coreAt(const Address& address) const {
+  if (address == self_.address) return self_.core;
+  const Known* best = nullptr;
+  for (const auto& [id, known] : known_) {
+    bool there = known.record.role == Role::kCore && known.record.address == address;
+    if (there && (best == nullptr || known.advanced > best->advanced)) best = &known;
+  }
+  return best == nullptr ? CoreId{} : best->record.core;
+}
+
 Address Membership::addressOf(CoreId core) const {
   if (core.value == 0) return {};
   if (core == self_.core) return self_.address;
-  Address best;
-  std::uint64_t heartbeat = 0;
+  const Known* best = nullptr;  // of its latest life
   for (const auto& [id, known] : known_)
-    if (known.record.core == core && known.record.heartbeat >= heartbeat) {
-      best = known.record.address;
-      heartbeat = known.record.heartbeat;
-    }
-  return best;
+    if (known.record.core == core && (best == nullptr || known.advanced > best->advanced))
+      best = &known;
+  return best == nullptr ? Address{} : best->record.address;
 }
 
 Address Membership::addressOf(MemberId member) const {
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -28,6 +28,10 @@
   std::vector<MemberRecord> live() const;
   /// The live fronts that stay, self among them if a front. Example: the ring's members.
   std::vector<MemberRecord> liveFronts() const;
+  /// The live core machines, self among them if one. Example: those that may keep a copy.
+  std::vector<MemberRecord> liveCores() const;
+  /// Which core lives at an address; 0 if none is known. Example: `coreAt(seed)`.
+  CoreId coreAt(const Address& address) const;
   /// Where a core machine lives now. Example: `addressOf(view.primary)`; empty if unknown.
   Address addressOf(CoreId core) const;
   /// Where a member lives now; empty if unknown. Example: `addressOf(note.watcher)`.
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -29,14 +29,15 @@
                             PEPPERGATE_FIELD(heartbeat) PEPPERGATE_FIELD(leaving))
 };
 
-/// Who leads, who copies, who votes. Epoch 0 means that nothing was founded yet.
+/// Who leads, who copies, who votes. Epoch 0 means that nothing was founded yet; a view without
+/// backups is a founding view, in which nothing was ever acknowledged.
 struct View {
   Epoch epoch;
   CoreId primary;
-  CoreId backup;  // 0: none
-  Epoch base;     // copies made for this epoch or later hold all that was acknowledged
+  std::vector<CoreId> backups;  // in the order in which they take over
+  Epoch base;  // copies made for this epoch or later hold all that was acknowledged
   std::vector<CoreId> voters;
-  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(epoch) PEPPERGATE_FIELD(primary) PEPPERGATE_FIELD(backup)
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(epoch) PEPPERGATE_FIELD(primary) PEPPERGATE_FIELD(backups)
                         PEPPERGATE_FIELD(base) PEPPERGATE_FIELD(voters))
 };
 
@@ -50,11 +51,19 @@
                         PEPPERGATE_FIELD(engineList) PEPPERGATE_FIELD(wantsAnswer))
 };
 
-struct PromiseAsk {  // a promise and a hold in one; asked again, it renews the hold
+enum class PromiseKind : std::uint8_t {
+  kHold = 0,  // a promise and a hold in one; asked again, it renews the hold
+  kFound,     // the same, of a core that founds the fleet
+  kRelease,   // the candidate gave up what it held; there is no answer
+};
+
+struct PromiseAsk {
   Epoch epoch;
   CoreId candidate;
   MonotonicTime sentAt;
-  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(epoch) PEPPERGATE_FIELD(candidate) PEPPERGATE_FIELD(sentAt))
+  PromiseKind kind = PromiseKind::kHold;
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(epoch) PEPPERGATE_FIELD(candidate) PEPPERGATE_FIELD(sentAt)
+                        PEPPERGATE_FIELD(kind))
 };
 
 struct PromiseAnswer {
--- a/src/core/props.cc
+++ b/src/core/props.cc
@@ -21,7 +21,8 @@
     ROW(hold, false), ROW(holdRenewal, false), ROW(holdStop, false), ROW(caretakerAfter, false),
     ROW(caretakerLook, false), ROW(caretakerYield, false), ROW(liveLimit, false),
     ROW(yesWait, false), ROW(copyTimeout, true),
-    ROW(syncTimeout, true), ROW(seatAfter, true), ROW(largestSetup, true),
+    ROW(syncTimeout, true), ROW(seatAfter, true), ROW(backups, false), ROW(voterSeats, false),
+    ROW(largestSetup, true),
     ROW(rememberedChanges, true), ROW(shuffleEvery, true), ROW(suspectAfter, true),
     ROW(deadAfter, true), ROW(viewSize, true), ROW(newsWait, true), ROW(newsTimeout, true),
     ROW(proofLimit, false), ROW(engineHold, false), ROW(engineHoldStop, false),
@@ -60,7 +61,7 @@
   bool (*holds)(const Props&);
 };
 
-constexpr std::array<Inequality, 14> kInequalities{{
+constexpr std::array<Inequality, 16> kInequalities{{
     {"holdStop < hold", [](const Props& p) { return p.holdStop < p.hold; }},
     {"2 * holdRenewal < holdStop",
      [](const Props& p) { return p.holdRenewal * 2 < p.holdStop; }},
@@ -75,6 +76,9 @@
      [](const Props& p) { return p.hold + p.caretakerLook <= p.caretakerAfter; }},
     {"proofLimit <= yesWait + 2.1 s",
      [](const Props& p) { return p.proofLimit <= p.yesWait + seconds(2.1); }},
+    {"holdStop < seatAfter", [](const Props& p) { return p.holdStop < p.seatAfter; }},
+    {"1 <= backups, 2 * backups + 1 <= voterSeats",
+     [](const Props& p) { return p.backups >= 1 && 2 * p.backups + 1 <= p.voterSeats; }},
     {"newsWait < newsTimeout", [](const Props& p) { return p.newsWait < p.newsTimeout; }},
     {"engineHoldStop < engineHold",
      [](const Props& p) { return p.engineHoldStop < p.engineHold; }},
--- a/src/core/props.h
+++ b/src/core/props.h
@@ -43,7 +43,9 @@
   Duration yesWait = seconds(1.45);  // for fronts whose proof may be of an older state
   Duration copyTimeout = seconds(1.0);
   Duration syncTimeout = seconds(1.0);
-  Duration seatAfter = seconds(10);
+  Duration seatAfter = seconds(1.5);  // a voter silent for so long loses its seat to a newcomer
+  std::int64_t backups = 1;           // that have a change on disk before the yes
+  std::int64_t voterSeats = 9;        // at most; 2 * backups + 1 have to fit
   std::int64_t largestSetup = 1 << 20;
   std::int64_t rememberedChanges = 1000;
   // Membership.
--- a/src/core/voter.cc
+++ b/src/core/voter.cc
@@ -23,8 +23,18 @@
   return content;
 }
 
-Voter::Voter(const Props& props, VoterRecord record, MonotonicTime started)
-    : props_(props), durable_(std::move(record)), quietUntil_(started + props.hold) {}
+bool isMember(const View& view, CoreId core) {
+  return core.value != 0 && (view.primary == core ||
+                             std::ranges::find(view.backups, core) != view.backups.end());
+}
+
+Voter::Voter(const Props& props, VoterRecord record, MonotonicTime started, bool founder)
+    : props_(props), founder_(founder), durable_(std::move(record)), quietUntil_(started) {
+  // It may have renewed a grant just before it ended. A promise is on disk before it is answered,
+  // so a voter without any has granted nothing.
+  bool untouched = durable_.promised.value == 0 && durable_.accepted.epoch.value == 0;
+  if (!untouched) quietUntil_ = started + props.hold;
+}
 
 bool Voter::grantedToOther(CoreId core, MonotonicTime now) const {
   if (grantIsCaretakers_ && !props_.guards(Guard::kOneGrant)) return false;
@@ -60,12 +70,15 @@
 }
 
 bool Voter::mayPromise(const PromiseAsk& ask, MonotonicTime now) const {
-  return !suspect_ && !grantedToOther(ask.candidate, now) && ask.epoch > durable_.promised;
+  // Only those that were born with the fleet found it, and only until it has a backup.
+  bool allowed = ask.kind != PromiseKind::kFound || (founder_ && isFounding(durable_.accepted));
+  return allowed && !suspect_ && !grantedToOther(ask.candidate, now) && ask.epoch > durable_.promised;
 }
 
 bool Voter::mayAccept(const AcceptAsk& ask, MonotonicTime now) const {
   if (suspect_) return false;
-  if (ask.founding) {
+  if (ask.founding && founder_ && !isFounding(durable_.accepted)) return false;
+  if (ask.founding && !founder_) {
     bool untouched = durable_.accepted.epoch.value == 0 && durable_.promised.value == 0;
     bool again = durable_.accepted.epoch == ask.view.epoch &&
                  durable_.accepted.primary == ask.view.primary;
@@ -99,7 +112,17 @@
               AcceptAnswer{ask.view.epoch, durable_.identity, accepted, durable_.promised});
 }
 
+void Voter::released(const PromiseAsk& ask) {
+  // A late word must not free what was granted since: to a higher epoch, or to a caretaker.
+  bool same = ask.epoch == durable_.promised && ask.candidate == durable_.promisedTo;
+  if (same && !inFlight_ && !grantIsCaretakers_) release(ask.candidate);
+}
+
 void Voter::ask(const Address& from, const PromiseAsk& ask, MonotonicTime now, Outbox& outbox) {
+  if (ask.kind == PromiseKind::kRelease) {
+    released(ask);
+    return;
+  }
   bool renewal = ask.epoch == durable_.promised && ask.candidate == durable_.promisedTo;
   if (renewal && !suspect_ && !grantedToOther(ask.candidate, now)) {
     grant(ask.candidate, now);
--- a/src/core/voter.h
+++ b/src/core/voter.h
@@ -2,12 +2,30 @@
 // A voter keeps its identity, the highest promise and the highest accepted view; nothing else.
 #include <deque>
 #include <optional>
+#include <vector>
 
 #include "core/outbox.h"
 #include "core/props.h"
 
 namespace peppergate {
 
+/// How a core takes part in the founding of its fleet; by default it doesn't. Only an empty disk
+/// takes it, and keeps it: a core that finds its identity on disk founds as told at its birth.
+/// Example: `Founding{true, {{"10.0.0.1:7100"}, {"10.0.0.2:7100"}, {"10.0.0.3:7100"}}}`.
+struct Founding {
+  bool first = false;           // the very first start of the whole fleet
+  std::vector<Address> voters;  // three at most, alike at all; the first of them goes first
+  std::size_t cores = 0;        // or: found as soon as exactly so many cores are seen
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(first) PEPPERGATE_FIELD(voters))
+};
+
+/// Whether a view is one that was just founded: nothing was ever acknowledged in it.
+/// Example: `isFounding(record.accepted)`.
+inline bool isFounding(const View& view) { return view.backups.empty(); }
+
+/// Whether a core keeps a copy of the state in this view. Example: `isMember(view, self())`.
+bool isMember(const View& view, CoreId core);
+
 /// What is on a voter's disk.
 struct VoterRecord {
   CoreId identity;
@@ -22,7 +40,8 @@
 /// Example: `voter.ask(from, PromiseAsk{...}, now, outbox);`
 class Voter {
  public:
-  Voter(const Props& props, VoterRecord record, MonotonicTime started);
+  /// `founder`: one of those that found the fleet, with the disk of its birth.
+  Voter(const Props& props, VoterRecord record, MonotonicTime started, bool founder = false);
 
   /// Takes a request for a promise or its renewal. Example: see the class.
   void ask(const Address& from, const PromiseAsk& ask, MonotonicTime now, Outbox& outbox);
@@ -65,8 +84,10 @@
   void answerPromise(const Address& to, const PromiseAsk& ask, bool granted, Outbox& outbox);
   void answerAccept(const Address& to, const AcceptAsk& ask, bool accepted, Outbox& outbox);
   void grant(CoreId core, MonotonicTime now);
+  void released(const PromiseAsk& ask);
 
   Props props_;
+  bool founder_;
   VoterRecord durable_;
   VoterRecord writing_;
   std::optional<Waiting> inFlight_;
--- a/src/io/daemon.cc
+++ b/src/io/daemon.cc
@@ -112,13 +112,13 @@
     if (!files.ok()) return files.status();
     DiskFound found{*files};
     if (identityOn(found).value == 0) {
-      std::string identity = identityFile({freshNumber()});
+      std::string identity = identityFile({freshNumber()}, setup_.founding);
       if (auto status = DiskTask::writeNow(setup_.dataFolder, "identity", identity); !status.ok())
         return status;
       found.files["identity"] = identity;
     }
     node_ = std::make_unique<CoreNode>(setup_.props, self, setup_.seeds, found, freshNumber(),
-                                       bootNow(), setup_.found);
+                                       bootNow(), setup_.founding);
     disk_ = std::make_unique<DiskTask>(setup_.dataFolder, [this](const FileWritten& written) {
       loop_.post([this, written] { step(written); });
     });
--- a/src/io/daemon.h
+++ b/src/io/daemon.h
@@ -25,7 +25,7 @@
   District district;
   std::vector<Address> seeds;
   std::string dataFolder;   // of a core
-  std::size_t found = 0;    // a core that founds the fleet with so many cores
+  Founding founding;        // of a core
   bool rehearsal = false;   // faults may be asked for at the pages
   Props props;
 };
--- a/src/sim/checker.cc
+++ b/src/sim/checker.cc
@@ -193,6 +193,18 @@
   for (const auto& expectation : world_.scenario().expectations) judge(expectation);
 }
 
+double Checker::longestUnled(MonotonicTime from, MonotonicTime to) const {
+  MonotonicTime since = from, last = from;
+  Duration longest{};
+  for (const auto& [at, has] : primaryAt_) {
+    if (at < from || at >= to) continue;
+    last = at;
+    if (has) since = at;
+    longest = std::max(longest, at - since);
+  }
+  return inSeconds(std::max(longest, last - since));
+}
+
 void Checker::judge(const Expectation& expectation) {
   auto say = [&](const std::string& what, double got) {
     failures_.push_back("line " + std::to_string(expectation.line) + ": " + what + ", got " +
@@ -286,6 +298,20 @@
     case Wanted::kCut:
       if (figures_["end.stale"] > number) say("streams stale", figures_["end.stale"]);
       break;
+    case Wanted::kAcknowledged:
+      for (const auto& change : world_.changes()) {
+        if (change.asked < from || change.asked >= to) continue;
+        Duration took = (change.done == kForever ? world_.now() : change.done) - change.asked;
+        bound("acknowledged", inSeconds(took));
+        if (inSeconds(took) > number) say("a change waited for its yes", inSeconds(took));
+      }
+      break;
+    case Wanted::kLed: {
+      double longest = longestUnled(from, to);
+      figures_["unled"] = std::max(figures_["unled"], longest);
+      if (longest > number) say("without a primary", longest);
+      break;
+    }
     case Wanted::kOvershoot:
       if (figures_["overshoot"] > number) say("links overshot", figures_["overshoot"]);
       break;
--- a/src/sim/checker.h
+++ b/src/sim/checker.h
@@ -39,6 +39,7 @@
   void bound(const std::string& name, double value);
   double worstRankGap(MonotonicTime from, MonotonicTime to);
   double goodput(MonotonicTime from, MonotonicTime to) const;
+  double longestUnled(MonotonicTime from, MonotonicTime to) const;
   void judge(const Expectation& expectation);
   void watchVersions();
   void watchLevels();
--- a/src/sim/scenario.cc
+++ b/src/sim/scenario.cc
@@ -17,7 +17,7 @@
   std::string_view targets;  // which kinds of target its first word may name
 };
 // Targets: c core, f front, e engine, s store, p primary, backup or witness, a all.
-constexpr std::array<VerbRow, 33> kVerbs{{
+constexpr std::array<VerbRow, 34> kVerbs{{
     {"kill", Verb::kKill, 1, 2, "cfespa"},    {"start", Verb::kStart, 1, 2, "cfespa"},
     {"wipe", Verb::kWipe, 1, 2, "cp"},        {"replace", Verb::kReplace, 2, 2, "c"},
     {"freeze", Verb::kFreeze, 1, 2, "cfp"},   {"thaw", Verb::kThaw, 1, 2, "cfpa"},
@@ -34,7 +34,7 @@
     {"part", Verb::kPart, 2, 16, ""},         {"oneway", Verb::kOneWay, 3, 40, ""},
     {"newwall", Verb::kNewWall, 1, 1, ""},    {"garble", Verb::kGarble, 3, 3, "e"},
     {"leap", Verb::kLeap, 2, 3, "cfp"},       {"loss", Verb::kLoss, 1, 1, ""},
-    {"late", Verb::kLate, 1, 1, ""},
+    {"late", Verb::kLate, 1, 1, ""},          {"leave", Verb::kLeave, 1, 2, "cp"},
 }};
 
 struct WantedRow {
@@ -42,7 +42,7 @@
   Wanted wanted;
   bool number;
 };
-constexpr std::array<WantedRow, 23> kWanted{{
+constexpr std::array<WantedRow, 25> kWanted{{
     {"clean", Wanted::kClean, false},        {"served", Wanted::kServed, true},
     {"served-at-most", Wanted::kServedAtMost, true},
     {"done", Wanted::kDone, true},           {"declined", Wanted::kDeclined, true},
@@ -55,6 +55,7 @@
     {"vouched", Wanted::kVouched, false},    {"not-vouched", Wanted::kNotVouched, false},
     {"declined-as", Wanted::kDeclinedAs, true}, {"level-spread", Wanted::kLevelSpread, true},
     {"yes-within", Wanted::kYes, true},      {"cut-streams", Wanted::kCut, true},
+    {"acknowledged-within", Wanted::kAcknowledged, true}, {"led-within", Wanted::kLed, true},
 }};
 
 absl::Status wrong(int line, const std::string& what) {
@@ -79,9 +80,10 @@
 bool timeText(const std::string& text) { return text.ends_with("s"); }
 
 char targetKind(const std::string& word) {
-  static constexpr std::array<std::pair<std::string_view, char>, 9> kKinds{
+  static constexpr std::array<std::pair<std::string_view, char>, 10> kKinds{
       {{"core", 'c'}, {"front", 'f'}, {"engine", 'e'}, {"store", 's'}, {"primary", 'p'},
-       {"backup", 'p'}, {"all", 'a'}, {"witness", 'p'}, {"other-witness", 'p'}}};
+       {"backup", 'p'}, {"all", 'a'}, {"other-backup", 'p'}, {"witness", 'p'},
+       {"other-witness", 'p'}}};
   for (const auto& [name, kind] : kKinds)
     if (name == word) return kind;
   return '?';
@@ -157,6 +159,11 @@
     scenario.guardsOff |= 1U << static_cast<unsigned>(guard - kGuardNames.begin());
     return absl::OkStatus();
   }
+  if (words[0] == "founded") {
+    if (words[1] != "by-seeds" && words[1] != "by-number")
+      return wrong(line, "unknown way to found '" + words[1] + "'");
+    return scenario.foundedBySeeds = words[1] == "by-seeds", absl::OkStatus();
+  }
   if (words[0] == "name") return scenario.name = words[1], absl::OkStatus();
   if (words[0] == "profile") {
     if (words[1] != "hutline" && words[1] != "fjordsyn")
--- a/src/sim/scenario.h
+++ b/src/sim/scenario.h
@@ -14,7 +14,7 @@
   kKill, kStart, kWipe, kReplace, kFreeze, kThaw, kCut, kHeal, kDisk, kDrain, kUndrain, kGone,
   kReturn, kWeights, kWithdraw, kStamp, kRace, kStorm, kLarge, kTraffic, kFlood, kLink, kReports,
   kSeeds, kRestart, kReset, kNewWall, kGarble, kPart,
-  kOneWay, kLeap, kLoss, kLate,
+  kOneWay, kLeap, kLoss, kLate, kLeave,
 };
 
 /// One line "at TIME VERB WORDS". Example: `at 10s kill primary`.
@@ -28,7 +28,7 @@
 enum class Wanted : std::uint8_t {
   kClean, kServed, kServedAtMost, kDone, kDeclined, kFetched, kFirstEvent, kPrimary, kNoPrimary,
   kShare, kRungPace, kBytes, kOvershoot, kRanks, kOthers, kGoodput, kEachFront, kVouched,
-  kNotVouched, kDeclinedAs, kLevelSpread, kYes, kCut,
+  kNotVouched, kDeclinedAs, kLevelSpread, kYes, kCut, kAcknowledged, kLed,
 };
 
 /// One line "expect ...". Example: `expect served 0.9 from 20s to 30s`.
@@ -46,6 +46,7 @@
   int fronts = 4;
   int cores = 4;
   int spares = 0;         // core machines that are off at first
+  bool foundedBySeeds = false;  // else one core is told how many there are
   double settles = 0.9;   // served from 12 s after the last fault on, in every scenario
   int engines = 6;
   int racks = 2;
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -28,7 +28,6 @@
     process->address = {"10.0.0." + std::to_string(number) + ":7100"};
     process->role = Role::kCore;
     process->district = {districtOf(number)};
-    process->founds = number == 1;
     process->spare = number > scenario_.cores;
     processes_.push_back(std::move(process));
   }
@@ -41,6 +40,11 @@
   }
   seeds_ = {processes_[0]->address, processes_[1 % processes_.size()]->address,
             front(1)->address};
+  if (scenario_.foundedBySeeds) {
+    seeds_.clear();
+    for (int number = 1; number <= std::min(3, scenario_.cores); ++number)
+      seeds_.push_back(core(number)->address);
+  }
   for (int number = 1; number <= scenario_.engines + 2; ++number) {
     auto engine = std::make_unique<SimEngine>();
     bool desk = number == scenario_.engines + 1;
@@ -111,8 +115,16 @@
   return nullptr;
 }
 
+Founding World::foundingOf(const SimProcess& process) const {
+  if (scenario_.foundedBySeeds) return {!process.spare, seeds_, 0};
+  Founding founding;
+  if (process.host == "core1") founding.cores = static_cast<std::size_t>(scenario_.cores);
+  return founding;
+}
+
 void World::start(SimProcess& process) {
   if (process.alive) return;
+  process.leaving = false;
   process.alive = true;
   process.frozen = false;
   ++process.life;
@@ -129,12 +141,15 @@
   if (process.role == Role::kCore) {
     DiskFound found{process.disk};
     if (identityOn(found).value == 0) {
-      process.disk["identity"] = identityFile({random_.next() >> 1});
+      // Only its first disk is told that the fleet is new.
+      Founding born = process.born ? Founding{} : foundingOf(process);
+      process.born = true;
+      process.disk["identity"] = identityFile({random_.next() >> 1}, born);
       found.files = process.disk;
     }
-    std::size_t founds = process.founds ? static_cast<std::size_t>(scenario_.cores) : 0;
+    Founding founding = process.founds ? foundingOf(process) : Founding{};
     process.node = std::make_unique<CoreNode>(props_, self, seeds_, found, random_.next(),
-                                              process.local(now_), founds);
+                                              process.local(now_), founding);
   } else {
     process.node = std::make_unique<FrontNode>(props_, self, seeds_, Address{"10.0.3.1:80"},
                                                random_.next());
@@ -188,8 +203,11 @@
 
 void World::tickAll() {
   findWaysToList();
-  for (auto& process : processes_)
+  for (auto& process : processes_) {
     if (process->alive) deliver(*process, Ticked{});
+    bool gone = process->alive && process->leaving && !process->frozen;
+    if (gone && process->node->drained(process->local(now_))) kill(*process);
+  }
   for (auto& engine : engines_) engine->model->tick(now_);
   callers_->tick();
   askOperators();
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -37,7 +37,9 @@
   std::vector<Event> held;  // what arrives while it is frozen
   MonotonicTime disturbed{};
   MonotonicTime withoutList = kNever;  // when last no chain of members led to the platform
-  bool founds = false;
+  bool founds = true;  // until it loses its first disk
+  bool born = false;   // it had its first disk
+  bool leaving = false;
   bool spare = false;  // off until it is started
 };
 
@@ -119,6 +121,7 @@
 
   // Faults and operators, called by the scenario's actions.
   void start(SimProcess& process);
+  Founding foundingOf(const SimProcess& process) const;
   void kill(SimProcess& process);
   void act(const Action& action);
   void change(Json body, bool retry = true, const std::string& tenant = {},
--- a/src/sim/world_actions.cc
+++ b/src/sim/world_actions.cc
@@ -16,19 +16,21 @@
 SimProcess* World::inRole(const std::string& word) {
   // Who has the role now or, where nobody leads or it is gone, who had it when last named.
   SimProcess* primary = leader();
-  std::vector<SimProcess*> witnesses;
+  std::vector<SimProcess*> backups, witnesses;
   if (primary != nullptr) {
     const View& view = static_cast<CoreNode&>(*primary->node).leadership().view();
     for (auto& process : processes_) {
       if (!process->alive || process->role != Role::kCore) continue;
       CoreId core = static_cast<CoreNode&>(*process->node).voter().record().identity;
       if (core == view.primary) roles_["primary"] = process.get();
-      else if (core == view.backup) roles_["backup"] = process.get();
+      else if (isMember(view, core)) backups.push_back(process.get());
       else if (std::ranges::find(view.voters, core) != view.voters.end())
         witnesses.push_back(process.get());
     }
   }
-  if (witnesses.size() == 2) {
+  if (!backups.empty()) roles_["backup"] = backups[0];
+  if (backups.size() >= 2) roles_["other-backup"] = backups[1];
+  if (witnesses.size() >= 2) {
     roles_["witness"] = witnesses[0];
     roles_["other-witness"] = witnesses[1];
   }
@@ -53,7 +55,7 @@
     const std::string& word = words[index];
     bool numbered = word == "core" || word == "front" || word == "engine";
     if (numbered && index + 1 < words.size()) hosts.push_back(word + words[++index]);
-    else if (word == "primary" || word == "backup" || word.ends_with("witness"))
+    else if (word == "primary" || word.ends_with("backup") || word.ends_with("witness"))
       for (SimProcess* process : targets({word})) hosts.push_back(process->host);
     else hosts.push_back(word);
   }
@@ -99,6 +101,14 @@
       start(process);
       break;
     }
+    case Verb::kLeave:
+      for (SimProcess* process : targets(words)) {
+        if (!process->alive) continue;
+        process->leaving = true;
+        process->disturbed = now_;
+        deliver(*process, DrainAsked{});
+      }
+      break;
     case Verb::kFreeze:
       for (SimProcess* process : targets(words)) {
         process->frozen = true;
