--- a/src/core/props.cc
+++ b/src/core/props.cc
@@ -65,7 +65,7 @@
   bool (*holds)(const Props&);
 };
 
-constexpr std::array<Inequality, 19> kInequalities{{
+constexpr std::array<Inequality, 20> kInequalities{{
     {"holdStop < hold", [](const Props& p) { return p.holdStop < p.hold; }},
     {"2 * holdRenewal < holdStop",
      [](const Props& p) { return p.holdRenewal * 2 < p.holdStop; }},
@@ -80,6 +80,7 @@
      [](const Props& p) { return p.hold + p.caretakerLook <= p.caretakerAfter; }},
     {"proofLimit <= yesWait + applyWithin",
      [](const Props& p) { return p.proofLimit <= p.yesWait + p.applyWithin; }},
+    {"holdStop < seatAfter", [](const Props& p) { return p.holdStop < p.seatAfter; }},
     {"newsWait < newsTimeout", [](const Props& p) { return p.newsWait < p.newsTimeout; }},
     {"engineHoldStop < engineHold",
      [](const Props& p) { return p.engineHoldStop < p.engineHold; }},
--- a/src/io/daemon.h
+++ b/src/io/daemon.h
@@ -26,7 +26,7 @@
   District district;
   std::vector<Address> seeds;
   std::string dataFolder;   // of a core
-  std::size_t found = 0;    // a core that founds the fleet with so many cores
+  Founding founding;        // of a core
   bool rehearsal = false;   // faults may be asked for at the pages
   // A daemon of another dialect than the product's own: its clients' door is at `callers`, the
   // operators' calls come to `pages`, readiness is asked at `pages` too.
