--- a/src/core/props.cc
+++ b/src/core/props.cc
@@ -28,9 +28,9 @@
     ROW(proofLimit, false), ROW(engineHold, false), ROW(engineHoldStop, false),
     ROW(engineHoldGap, false), ROW(engineHoldRenewal, false), ROW(probeEvery, true),
     ROW(probeTimeout, true), ROW(pictureLimit, true), ROW(orderTimeout, true),
-    ROW(listEvery, true), ROW(sweepEvery, true), ROW(oldWeightsLimit, true), ROW(waveShare, true),
-    ROW(weightsWithin, true), ROW(leaseLength, false), ROW(loadsAtOnce, true),
-    ROW(listRate, true), ROW(listLag, true), ROW(drainWithin, true),
+    ROW(listEvery, true), ROW(listRate, true), ROW(listLag, true), ROW(drainWithin, true),
+    ROW(loadsAtOnce, true), ROW(weightsWithin, true), ROW(leaseLength, false),
+    ROW(sweepEvery, true), ROW(oldWeightsLimit, true), ROW(waveShare, true),
     ROW(secondShotShare, true), ROW(budgetWindow, true), ROW(budgetShare, true),
     ROW(budgetSlack, true), ROW(connectTimeout, true), ROW(graceTime, true),
     ROW(drainLimit, true),
@@ -65,7 +65,7 @@
   bool (*holds)(const Props&);
 };
 
-constexpr std::array<Inequality, 20> kInequalities{{
+constexpr std::array<Inequality, 19> kInequalities{{
     {"holdStop < hold", [](const Props& p) { return p.holdStop < p.hold; }},
     {"2 * holdRenewal < holdStop",
      [](const Props& p) { return p.holdRenewal * 2 < p.holdStop; }},
@@ -81,17 +81,17 @@
     {"proofLimit <= yesWait + applyWithin",
      [](const Props& p) { return p.proofLimit <= p.yesWait + p.applyWithin; }},
     {"holdStop < seatAfter", [](const Props& p) { return p.holdStop < p.seatAfter; }},
+    {"1 <= backups, 2 * backups + 1 <= voterSeats",
+     [](const Props& p) { return p.backups >= 1 && 2 * p.backups + 1 <= p.voterSeats; }},
     {"newsWait < newsTimeout", [](const Props& p) { return p.newsWait < p.newsTimeout; }},
     {"engineHoldStop < engineHold",
      [](const Props& p) { return p.engineHoldStop < p.engineHold; }},
     {"engineHoldGap >= leaseLength",
      [](const Props& p) { return p.engineHoldGap >= p.leaseLength; }},
-    {"2 * backups + 1 <= voterSeats",
-     [](const Props& p) { return 2 * p.backups + 1 <= p.voterSeats; }},
+    {"0 < listRate, 1 <= loadsAtOnce",
+     [](const Props& p) { return p.listRate > 0 && p.loadsAtOnce >= 1; }},
     {"leaseLength < weightsWithin",
      [](const Props& p) { return p.leaseLength < p.weightsWithin; }},
-    {"loadsAtOnce >= 1", [](const Props& p) { return p.loadsAtOnce >= 1; }},
-    {"listRate > 0", [](const Props& p) { return p.listRate > 0; }},
     {"suspectAfter < deadAfter",
      [](const Props& p) { return p.suspectAfter < p.deadAfter; }},
     {"0 <= secondShotShare < 0.2",
