--- a/src/engines/rollout_steps.cc
+++ b/src/engines/rollout_steps.cc
@@ -169,7 +169,6 @@
   if (report.busy || now - step.orderedAt < kReportsLag) return;
   if (step.inherited) return finish(engine, false, now);  // it takes its turn like the others
   // Nothing is under way and nothing was loaded: the order came to nothing, or never arrived.
-  if (step.phase == Phase::kLoading && now - step.since < kReportsLag) return;
   step.expectedCalls = report.callCount;
   enter(step, Phase::kAnnounced, now);
 }
--- a/tests/engines_lister_test.cc
+++ b/tests/engines_lister_test.cc
@@ -331,6 +331,62 @@
   CHECK(fleet.sentTo("e1") && fleet.sentTo("e4"));
 }
 
+TEST(EnginesLister, FrontsWithoutAnyListerUseLoadingEnginesAgain) {
+  Fleet fleet(2, 3, Fleet::fast());
+  fleet.run(3.2);
+  Daemon& primary = *fleet.daemons[0];
+  primary.lister.loading({{"e1"}}, fleet.now, primary.outbox);
+  fleet.run(3.4);
+  CHECK(!fleet.sentTo("e1"));
+  primary.inCharge = false;
+  fleet.run(7);
+  CHECK(!fleet.sentTo("e1"));
+  fleet.run(9);
+  CHECK(fleet.sentTo("e1"));
+}
+
+TEST(EnginesLister, TheNewerOfTwoWordsCounts) {
+  Fleet fleet(1, 1, Fleet::fast());
+  fleet.run(3);
+  fleet.daemons[0]->inCharge = false;
+  fleet.platform[0].draining = true;
+  fleet.run(6);
+  Daemon& front = *fleet.daemons[1];
+  CHECK(!fleet.sentTo("e0"));
+  // A list that was asked for before this front's own doesn't take the drain back.
+  auto old = fleet.platform;
+  old[0].draining = false;
+  RosterNews news{{2ULL << 32 | 256}, seconds(3), wholeText({old, {}})};
+  CHECK(!front.lister.hear({"d0"}, news, fleet.now, front.outbox));
+  CHECK(front.lister.engines()[0].draining);
+  news.age = {};
+  CHECK(front.lister.hear({"d0"}, news, fleet.now, front.outbox));
+  CHECK(!front.lister.engines()[0].draining);
+}
+
+TEST(EnginesLister, AnOwnAnswerThatComesAfterTheListersWordIsDropped) {
+  Fleet fleet(1, 1, Fleet::fast());
+  fleet.run(3);
+  Daemon& front = *fleet.daemons[1];
+  fleet.daemons[0]->inCharge = false;
+  front.cutFromPlatform = true;
+  while (!front.lister.onItsOwn(fleet.now)) fleet.run(inSeconds(fleet.now - at(0)) + 0.01);
+  std::optional<ListEngines> asked;
+  while (!asked) {
+    fleet.now = fleet.now + milliseconds(10);
+    front.lister.tick(false, {}, fleet.now, front.outbox);
+    for (const auto& list : taken<ListEngines>(front.outbox.take())) asked = list;
+  }
+  auto newer = fleet.platform;
+  newer[0].draining = true;
+  MonotonicTime later = fleet.now + milliseconds(100);
+  RosterNews news{{2ULL << 32 | 256}, {}, wholeText({newer, {}})};
+  CHECK(front.lister.hear({"d0"}, news, later, front.outbox));
+  CHECK(front.lister.listed({asked->ticket, 200, fleet.platform, {}}, later, front.outbox));
+  CHECK(front.lister.engines()[0].draining);
+  CHECK(front.lister.version() == news.version);
+}
+
 TEST(EnginesLister, ANewLifeAtAnAddressTakesThePlaceOfTheOld) {
   Fleet fleet(1, 2, Fleet::fast());
   fleet.run(3);
