--- a/src/prompts/placement.cc
+++ b/src/prompts/placement.cc
@@ -24,7 +24,9 @@
 void Placement::links(const FleetConfig& config) {
   std::map<LinkId, LinkTold> told;
   std::set<EngineId> engines;
+  store_.reset();
   for (const auto& [name, service] : config.services) {
+    if (service.store) store_ = service.store;
     if (service.store && service.store->linkMbps > 0)
       told[FetchDesk::linkOf(storeId())] = {megabytesOf(service.store->linkMbps),
                                             service.store->zone};
@@ -138,7 +140,7 @@
              fetch.megabytes)
     ++fetch.want.topRung;
   if (!fetches_.join(std::move(fetch), plan_, survey.now, outbox)) return false;
-  placed.collectFrom = addressOf(*source, survey.config);
+  placed.collectFrom = addressOf(*source);
   return placed.collectFrom.has_value();
 }
 
@@ -157,10 +159,9 @@
     double begin = choice.numbers.kept + choice.cost.moved;
     // What is read anew is left with the store, so that it is read once only.
     if (begin < choice.numbers.shared) {
-      const ServiceConfig* store = survey.config.store();
       auto kept = std::ranges::find(prompt.holdings, storeId(), &Holding::engine);
       bool there = kept != prompt.holdings.end() && kept->tokens >= survey.shared;
-      if (store && !there) placed.depositAt = store->store->address;
+      if (store_ && !there) placed.depositAt = store_->address;
       outbox.count(prompt.reach > choice.kept ? "parts.readAgain" : "parts.readFirst");
     } else {
       outbox.count(placed.collectFrom ? "parts.collected" : "parts.kept");
--- a/src/prompts/placement.h
+++ b/src/prompts/placement.h
@@ -112,9 +112,9 @@
   void rate(Survey& survey, bool mayCollect);
   const Choice* best(const Survey& survey) const;
   Prompt& promptOf(Survey& survey, WeightsVersion version);
-  bool sourceUsable(const EngineId& source, const FleetConfig& config, MonotonicTime now) const;
-  std::optional<Address> addressOf(const EngineId& source, const FleetConfig& config) const;
-  District zoneOf(const EngineId& source, const FleetConfig& config) const;
+  bool sourceUsable(const EngineId& source, MonotonicTime now) const;
+  std::optional<Address> addressOf(const EngineId& source) const;
+  District zoneOf(const EngineId& source) const;
   bool planMove(Survey& survey, const Choice& choice, Placed& placed, Outbox& outbox);
   Placed settled(Survey& survey, const Choice& choice, Placed placed, Outbox& outbox);
   bool mayServe(const Survey& survey, WeightsVersion version) const;
@@ -126,6 +126,7 @@
   FetchDesk& fetches_;
   Random& random_;
   District zone_;
+  std::optional<StoreShape> store_;
   Setup operators_, plan_;  // plan_: rungs and classes as they are used
   ConfigVersion configVersion_;
   ListVersion listVersion_;
--- a/src/prompts/survey.cc
+++ b/src/prompts/survey.cc
@@ -10,8 +10,6 @@
 constexpr std::size_t kMostHolders = 8;    // else so many of those that keep a part
 constexpr std::size_t kHomeWindow = 8;     // and so many engines for its home
 constexpr std::int64_t kTinyPart = 128;    // parts with fewer tokens have no home
-constexpr double kMeanPrefill = 1000;      // tokens of a waiting request of which nothing is known
-constexpr Duration kToldLasts = seconds(1.5);
 constexpr double kOldWeightsPart = 2.0 / 3;  // of the time until none may start on older ones
 
 std::uint64_t hashOf(std::string_view text, std::uint64_t seed) {
@@ -28,21 +26,6 @@
   return static_cast<double>(told ? engine.told->slots : std::max<std::int64_t>(1, engine.listed.slots));
 }
 
-double runningAt(const EngineState& engine, MonotonicTime now) {
-  auto noted = static_cast<double>(engine.ownRunning + engine.othersRunning);
-  if (!engine.told || now - engine.toldAt > kToldLasts) return noted;
-  auto told = static_cast<double>(engine.told->running + engine.told->waiting);
-  // What ended since isn't known, so a told load is raised only as far as the notes go.
-  return std::max({static_cast<double>(engine.ownRunning), told,
-                   std::min(noted, told + static_cast<double>(engine.sentSinceTold))});
-}
-
-double queueAt(const EngineState& engine, MonotonicTime now) {
-  auto noted = static_cast<double>(engine.ownPrefillTokens + engine.othersPrefillTokens);
-  if (!engine.told || now - engine.toldAt > kToldLasts) return noted;
-  return std::max(noted, static_cast<double>(engine.told->waiting) * kMeanPrefill);
-}
-
 const Placement::Service& Placement::service(const ServiceName& name) {
   Service& service = services_[name];
   const auto& engines = book_.of(name);
@@ -59,25 +42,20 @@
   return service;
 }
 
-bool Placement::sourceUsable(const EngineId& source, const FleetConfig& config,
-                             MonotonicTime now) const {
-  if (source == storeId()) return config.store() != nullptr;
+bool Placement::sourceUsable(const EngineId& source, MonotonicTime now) const {
+  if (source == storeId()) return store_.has_value();
   const EngineState* engine = std::as_const(book_).find(source);
   return engine != nullptr && !engine->loading && engine->restUntil <= now;
 }
 
-std::optional<Address> Placement::addressOf(const EngineId& source,
-                                            const FleetConfig& config) const {
-  if (source == storeId()) {
-    const ServiceConfig* store = config.store();
-    return store ? std::optional(store->store->address) : std::nullopt;
-  }
+std::optional<Address> Placement::addressOf(const EngineId& source) const {
+  if (source == storeId()) return store_ ? std::optional(store_->address) : std::nullopt;
   const EngineState* engine = std::as_const(book_).find(source);
   return engine ? std::optional(engine->listed.address) : std::nullopt;
 }
 
-District Placement::zoneOf(const EngineId& source, const FleetConfig& config) const {
-  if (source == storeId()) return config.store() ? config.store()->store->zone : District{};
+District Placement::zoneOf(const EngineId& source) const {
+  if (source == storeId()) return store_ ? store_->zone : District{};
   const EngineState* engine = std::as_const(book_).find(source);
   return engine ? engine->listed.zone : District{};
 }
@@ -90,7 +68,7 @@
   prompt.salt = saltOf(survey.wall, survey.ask.model, version);
   prompt.holdings = index_.holdings(prompt.salt, survey.ask.parts);
   for (const auto& holding : prompt.holdings) {
-    if (holding.tokens < prompt.reach || !sourceUsable(holding.engine, survey.config, survey.now))
+    if (holding.tokens < prompt.reach || !sourceUsable(holding.engine, survey.now))
       continue;
     if (holding.tokens > prompt.reach) prompt.sources.clear();
     prompt.reach = holding.tokens;
@@ -123,14 +101,14 @@
   }
   ++survey.usable;
   CandidateNumbers& is = choice.numbers;
-  is.running = runningAt(engine, survey.now);
+  is.running = book_.running(engine, survey.now);
   is.slots = slotsOf(engine);
   if (is.running >= is.slots) {
     double waiting = engine.told ? static_cast<double>(engine.told->waiting) : 0;
     survey.forecastMs = std::min(survey.forecastMs, roomForecastMs(is.running, is.slots, waiting));
     return;
   }
-  is.queueTokens = queueAt(engine, survey.now);
+  is.queueTokens = book_.queueTokens(engine);
   is.speed = speed_.of(engine.listed.id, survey.ask.service);
   is.otherZone = !zone_.value.empty() && engine.listed.zone != zone_;
   choice.engine = &engine;
@@ -171,7 +149,8 @@
 }
 
 void Placement::survey(Survey& survey) {
-  survey.engines.size() <= kAllUpTo ? surveyAll(survey) : surveySome(survey);
+  if (survey.engines.size() <= kAllUpTo) surveyAll(survey);
+  else surveySome(survey);
 }
 
 std::uint64_t Placement::homeKey(const Survey& survey) const {
@@ -239,14 +218,13 @@
   is.collects = true;
   is.crossing = 10;
   double wait = 1e9;
-  const ServiceConfig* store = survey.config.store();
   std::size_t looked = std::min(prompt.sources.size(), kMostHolders);
   for (const auto& source : std::span(prompt.sources).first(looked)) {
-    int crossing = fetches_.crossing(zoneOf(source, survey.config), choice.engine->listed.zone);
+    int crossing = fetches_.crossing(zoneOf(source), choice.engine->listed.zone);
     is.crossing = std::min(is.crossing, crossing);
     wait = std::min(wait, fetches_.waitAt(source));
-    if (looked == 1 && source == storeId() && store && store->store->linkMbps > 0)
-      is.linkMegabytes = std::min(is.linkMegabytes, megabytesOf(store->store->linkMbps));
+    if (looked == 1 && source == storeId() && store_ && store_->linkMbps > 0)
+      is.linkMegabytes = std::min(is.linkMegabytes, megabytesOf(store_->linkMbps));
   }
   is.linkWait = 1000 * std::max(wait, fetches_.waitAt(choice.engine->listed.id));
 }
--- a/src/prompts/survey.h
+++ b/src/prompts/survey.h
@@ -38,19 +38,14 @@
   const std::vector<EngineState*>& engines;
   const Service& service;
   WeightsVersion named{1};
-  Wall wall;
+  Wall wall{};
   std::int64_t tokens = 0, shared = 0;  // of the prompt
-  std::vector<Prompt> prompts;          // one for each version of weights that engines run
-  std::vector<Choice> choices;
+  std::vector<Prompt> prompts{};        // one for each version of weights that engines run
+  std::vector<Choice> choices{};
   std::size_t usable = 0;               // engines, also full ones
   double forecastMs = 500;              // until one of the full ones has room
 };
 
-/// Requests at an engine, running or waiting, by what it told and what fronts noted.
-/// Example: `runningAt(*engine, now) < engine->listed.slots`.
-double runningAt(const EngineState& engine, MonotonicTime now);
-/// Tokens that wait to be read there. Example: `queueAt(*engine, now) / speed`.
-double queueAt(const EngineState& engine, MonotonicTime now);
 /// Places that it has. Example: `slotsOf(*engine)`.
 double slotsOf(const EngineState& engine);
 
