--- a/src/core/operator_desk.cc
+++ b/src/core/operator_desk.cc
@@ -19,7 +19,7 @@
 
 /// When an unanswered change is sent again: large ones are not piled up on a primary at work.
 Duration repeatAfter(std::size_t bytes) {
-  return kAskEvery + Duration{static_cast<std::int64_t>(bytes / 4)};  // 4 bytes a microsecond
+  return kAskEvery + milliseconds(static_cast<std::int64_t>(bytes / 4000));
 }
 
 struct OutcomeRow {
