Hollow fleets: many members in one process, costs by kind, role and table

`peppergate hollow` runs the real machines and codec on simulated time with no requests and counts bytes, messages, processor time and memory.

--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -33,6 +33,9 @@
 /// Example: `standinCommand({"engine", "--listen", "127.0.0.1:9001"})`.
 int standinCommand(const Words& words);
 
+/// Example: `hollowCommand({"--fronts", "40", "--seed", "2"})`.
+int hollowCommand(const Words& words);
+
 /// Parses words by the options; a wrong one prints why and gives kExitUsage. Example:
 /// `if (int code = parseWords(words, options, values); code >= 0) return code;`
 int parseWords(const Words& words, const boost::program_options::options_description& options,
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -21,7 +21,7 @@
   int (*run)(const Words&);
   std::string_view help;
 };
-constexpr std::array<CommandRow, 9> kCommands{{
+constexpr std::array<CommandRow, 10> kCommands{{
     {"front", &frontCommand, "run a front: the callers' door, one of many"},
     {"core", &coreCommand, "run a core machine: control state, votes and holds"},
     {"setup", &setupCommand, "apply, change, show or stamp the setup; name weights; keys"},
@@ -29,6 +29,7 @@
     {"check", &checkCommand, "check a settings file and its props"},
     {"rehearse", &rehearseCommand, "run scenarios on simulated time, over seeds"},
     {"place", &placeCommand, "solve placements in districts from constraints in a file"},
+    {"hollow", &hollowCommand, "measure a hollow fleet's slopes on simulated time"},
     {"standin", &standinCommand, "run a stand-in: engine, store, desk, platform, requester"},
     {"version", &versionCommand, "print the version"},
 }};
--- /dev/null
+++ b/tests/hollow_test.cc
@@ -0,0 +1,97 @@
+// The hollow fleet behaves as a fleet: it becomes whole, takes changes, notices what stopped.
+#include "sim/hollow_measures.h"
+#include "tests/testing.h"
+
+using namespace peppergate;
+
+namespace {
+
+HollowShape smallShape() {
+  HollowShape shape;
+  shape.fronts = 6;
+  shape.seed = 5;
+  return shape;
+}
+
+HollowPlan shortPlan() {
+  HollowPlan plan;
+  plan.window = seconds(3);
+  plan.changes = 1;
+  return plan;
+}
+
+}  // namespace
+
+TEST_GROUP(Hollow){};
+
+TEST(Hollow, EachKindOfMessageHasItsName) {
+  STRCMP_EQUAL("Shuffle", std::string(messageKindName(Message{Shuffle{}}.index())).c_str());
+  STRCMP_EQUAL("UsageNote", std::string(messageKindName(Message{UsageNote{}}.index())).c_str());
+  STRCMP_EQUAL("CaretakerNote",
+               std::string(messageKindName(Message{CaretakerNote{}}.index())).c_str());
+  STRCMP_EQUAL("EngineUse", std::string(messageKindName(Message{EngineUse{}}.index())).c_str());
+}
+
+TEST(Hollow, AFleetFoundsItselfAndKnowsAllMembers) {
+  HollowFleet fleet(smallShape());
+  fleet.run(seconds(6));
+  CHECK(fleet.primary().has_value());
+  CHECK(fleet.backup().has_value());
+  CHECK(fleet.whole());
+  UNSIGNED_LONGS_EQUAL(0, fleet.wronglyDead());
+}
+
+TEST(Hollow, AChangeComesInForceEverywhereBeforeItsYes) {
+  Json told = measureFleet(smallShape(), shortPlan());
+  UNSIGNED_LONGS_EQUAL(1, told["changes"]["inForce"].size());
+  CHECK(told["changes"]["inForce"][0] < told["changes"]["yes"][0]);
+  CHECK(told["changes"]["yes"][0] < 2.0);
+}
+
+TEST(Hollow, AStoppedFrontIsNoticedByAllAndComesBack) {
+  Json told = measureFleet(smallShape(), shortPlan());
+  CHECK(told["stops"]["allNoticed"].is_number());
+  CHECK(told["stops"]["last"] < 6.0);
+  CHECK(told["stops"]["backWhole"].is_number());
+}
+
+TEST(Hollow, WhatIsSentComesInAgain) {
+  Json told = measureFleet(smallShape(), shortPlan());
+  double sent = 0, taken = 0;
+  for (const auto& [role, cost] : told["roles"].items()) {
+    sent += cost["bytesOut"].get<double>() * cost["members"].get<double>();
+    taken += cost["bytesIn"].get<double>() * cost["members"].get<double>();
+  }
+  DOUBLES_EQUAL(sent, taken, sent * 0.05);  // what is under way at both ends of the window
+  CHECK(sent > 0);
+}
+
+TEST(Hollow, OneSeedGivesOneRunButForTimeAndMemory) {
+  Json one = measureFleet(smallShape(), shortPlan()), other = measureFleet(smallShape(), shortPlan());
+  CHECK(one["stops"] == other["stops"]);
+  CHECK(one["changes"]["inForce"] == other["changes"]["inForce"]);
+  CHECK(one["roles"]["front"]["bytesOut"] == other["roles"]["front"]["bytesOut"]);
+}
+
+TEST(Hollow, EnginesAreProbedAndTheirPartsCopied) {
+  HollowShape shape = smallShape();
+  shape.engines = 12;
+  shape.keptParts = 5;
+  HollowPlan plan = shortPlan();
+  plan.changes = plan.stops = 0;
+  Json told = measureFleet(shape, plan);
+  CHECK(told["kinds"].contains("PictureNote"));
+  CHECK(told["kinds"].contains("IndexPut"));
+  CHECK(told["roles"]["front"]["webCalls"] > 2.0);
+}
+
+TEST(Hollow, ACutRegionIsWholeAgainAfterwards) {
+  HollowShape shape = smallShape();
+  HollowPlan plan = shortPlan();
+  plan.changes = plan.stops = 0;
+  plan.cutRegion = 1;
+  plan.cutFor = seconds(8);
+  Json told = measureFleet(shape, plan);
+  CHECK(told["cut"]["whole"].is_number());
+  UNSIGNED_LONGS_EQUAL(1, told["cut"]["change"]["inForce"].size());
+}
