Fronts without fetches fall silent: a third empty usage note says nothing new

Usage notes go from each front to each other twice a second, also when empty. Receivers treat a front without a note for 3 s just like one with an empty note, so an empty one is said twice (the first may be lost) and then no more.

--- a/src/core/front_node.cc
+++ b/src/core/front_node.cc
@@ -1,6 +1,13 @@
 #include "core/front_node.h"
 
+#include <algorithm>
+
 namespace peppergate {
+namespace {
+
+constexpr int kEmptyNotes = 2;  // so often a front says that it has no fetches any more
+
+}  // namespace
 
 FrontNode::FrontNode(const Props& props, MemberRecord self, std::vector<Address> seeds,
                      Address platform, std::uint64_t seed)
@@ -49,10 +56,23 @@
   }
   if (now >= nextUsage_ && follower_->installed()) {
     nextUsage_ = now + seconds(0.5);
-    UsageNote note = fetches_->note(membership_->self().member, follower_->setup(), now);
-    for (const auto& front : membership_->liveFronts())
-      if (front.member != membership_->self().member) outbox_.send(front.address, note);
+    tellUsage(now);
+  }
+}
+
+void FrontNode::tellUsage(MonotonicTime now) {
+  UsageNote note = fetches_->note(membership_->self().member, follower_->setup(), now);
+  // To others silence says the same as an empty note, once the last full one is cleared; an empty
+  // one is said again in case the first was lost.
+  bool empty = note.links.empty() && note.mixes.empty();
+  emptyNotes_ = empty ? std::min(emptyNotes_ + 1, kEmptyNotes + 1) : 0;
+  if (emptyNotes_ > kEmptyNotes) {
+    outbox_.count("usage.silent");
+    return;
   }
+  outbox_.count("usage.told");
+  for (const auto& front : membership_->liveFronts())
+    if (front.member != membership_->self().member) outbox_.send(front.address, note);
 }
 
 void FrontNode::takeList(const std::string& text, MonotonicTime now) {
--- a/src/core/front_node.h
+++ b/src/core/front_node.h
@@ -28,6 +28,7 @@
 
  private:
   void tick(MonotonicTime now);
+  void tellUsage(MonotonicTime now);
   void arrived(const Arrived& event, MonotonicTime now);
   void takeList(const std::string& text, MonotonicTime now);
   void operatorAsked(const OperatorAsked& asked, MonotonicTime now);
@@ -47,6 +48,7 @@
   std::unique_ptr<Gate> gate_;
   std::unique_ptr<Streams> streams_;
   std::optional<TicketId> listTicket_;
+  int emptyNotes_ = 0;  // in a row, up to now
   MonotonicTime nextList_{}, nextUsage_{}, drainSince_ = kForever;
 };
 
--- a/tests/hollow_test.cc
+++ b/tests/hollow_test.cc
@@ -1,5 +1,7 @@
 // The hollow fleet behaves as a fleet: it becomes whole, takes changes, notices what stopped.
 #include "sim/hollow_measures.h"
+#include "sim/runner.h"
+#include "sim/world.h"
 #include "tests/testing.h"
 
 using namespace peppergate;
@@ -95,3 +97,30 @@
   CHECK(told["cut"]["whole"].is_number());
   UNSIGNED_LONGS_EQUAL(1, told["cut"]["change"]["inForce"].size());
 }
+
+TEST(Hollow, FrontsWithoutFetchesSayItTwiceAndAreSilent) {
+  HollowFleet fleet(smallShape());
+  fleet.run(seconds(6));
+  fleet.ask(4, firstChange(8, "1.1"));
+  fleet.run(seconds(4));
+  UNSIGNED_LONGS_EQUAL(6 * 2, fleet.counter("usage.told"));
+  CHECK(fleet.counter("usage.silent") > 6 * 10);
+}
+
+TEST(Hollow, FrontsWithFetchesTellThemAndSilenceComesAfterTheLast) {
+  auto scenario = loadScenario(SOURCE_FOLDER "/scenarios/00-ordinary-day.txt");
+  CHECK(scenario.ok());
+  World world(*scenario, 3);
+  world.run();  // its last 14 s have no new streams
+  double begun = 0;
+  for (const auto& process : world.processes()) {
+    if (process->role != Role::kFront || !process->alive) continue;
+    const auto& counters = process->node->outbox().counters();
+    auto fetches = counters.find("fetch.begun");
+    if (fetches == counters.end()) continue;
+    begun += static_cast<double>(fetches->second);
+    CHECK(counters.at("usage.told") > 2);
+    CHECK(counters.at("usage.silent") > 5);
+  }
+  CHECK(begun > 0);
+}
