--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -31,6 +31,7 @@
 #ifndef PEPPERGATE_DAEMONS_ONLY
     CommandRow{"rehearse", &rehearseCommand, "run scenarios on simulated time, over seeds"},
     CommandRow{"place", &placeCommand, "solve placements in districts from constraints in a file"},
+    CommandRow{"hollow", &hollowCommand, "measure a hollow fleet's slopes on simulated time"},
     CommandRow{"standin", &standinCommand, "run a stand-in: engine, store, desk, platform, requester"},
 #endif
     CommandRow{"version", &versionCommand, "print the version"},
--- a/src/requests/router_node.h
+++ b/src/requests/router_node.h
@@ -9,6 +9,7 @@
 #include "engines/lister.h"
 #include "prompts/part_watch.h"
 #include "prompts/placement.h"
+#include "requests/follower_facts.h"
 #include "requests/requests.h"
 
 namespace peppergate {
