--- a/src/io/daemon.cc
+++ b/src/io/daemon.cc
@@ -217,6 +217,13 @@
   return true;
 }
 
+void Daemon::logCounters() {
+  std::string line;
+  for (const auto& [name, value] : node_->outbox().counters())
+    line += " " + name + "=" + std::to_string(value);
+  LOG(INFO) << "counters" << line;
+}
+
 void Daemon::noteConfig() {
   if (!doors_ || role_ != Role::kFront) return;
   const Follower& follower = static_cast<RouterNode&>(*node_).follower();
@@ -272,6 +279,8 @@
     watchSlowCallers();
     if (node_->drained(bootNow())) loop_.after(milliseconds(100), [this] { loop_.stop(); });
   });
+  if (setup_.countersEvery.microseconds > 0)
+    loop_.every(setup_.countersEvery, [this] { logCounters(); });
   auto drain = [this] {
     LOG(INFO) << "draining";
     if (doors_ && role_ == Role::kFront) doors_->door().leave();
@@ -290,6 +299,7 @@
   });
   signal(SIGPIPE, SIG_IGN);
   loop_.run();
+  logCounters();
   LOG(INFO) << "ended";
   return 0;
 }
--- a/src/io/daemon.h
+++ b/src/io/daemon.h
@@ -27,6 +27,7 @@
   std::vector<Address> seeds;
   std::string dataFolder;   // of a core
   Founding founding;        // of a core
+  Duration countersEvery;   // 0: counters are written to the log at the end only
   bool rehearsal = false;   // faults may be asked for at the pages
   // A daemon of another dialect than the product's own: its clients' door is at `callers`, the
   // operators' calls come to `pages`, readiness is asked at `pages` too.
@@ -64,6 +65,7 @@
   absl::Status openCore(const MemberRecord& self);
   absl::Status openFront(const MemberRecord& self);
   absl::Status openRouter(const MemberRecord& self);
+  void logCounters();
   bool answerReady(const std::shared_ptr<WebRequest>& request);
   void noteConfig();
 
--- a/src/prompts/placement.cc
+++ b/src/prompts/placement.cc
@@ -63,6 +63,10 @@
   namedBefore_ = true;
 }
 
+void Placement::coreChanged(MonotonicTime now) {
+  for (auto& [model, named] : named_) named.at = std::max(named.at, now);
+}
+
 std::int64_t Placement::toRead(const PlacementAsk& ask, std::int64_t kept) {
   std::int64_t tokens = ask.tokensIn;
   if (tokens <= 0)
--- a/src/prompts/placement.h
+++ b/src/prompts/placement.h
@@ -75,6 +75,9 @@
   void tick(const FleetConfig& config, MonotonicTime now, Outbox& outbox);
   /// New weights may have been named; also looked at with each request. Example: on news.
   void named(const Weights& weights, MonotonicTime now);
+  /// The core was in trouble just now: the time for bringing engines to new weights begins anew.
+  /// Example: when another core leads than before.
+  void coreChanged(MonotonicTime now);
   /// Takes the links from what services are made like. Example: on a new list.
   void links(const FleetConfig& config);
   /// What this front tells the others of its moves, and what they tell. Example: each half second.
--- a/src/prompts/survey.cc
+++ b/src/prompts/survey.cc
@@ -10,7 +10,7 @@
 constexpr std::size_t kMostHolders = 8;    // else so many of those that keep a part
 constexpr std::size_t kHomeWindow = 8;     // and so many engines for its home
 constexpr std::int64_t kTinyPart = 128;    // parts with fewer tokens have no home
-constexpr double kOldWeightsPart = 2.0 / 3;  // of the time until none may start on older ones
+constexpr Duration kStartsWithin = seconds(1);  // a request that is sent off has begun by then
 
 std::uint64_t hashOf(std::string_view text, std::uint64_t seed) {
   std::uint64_t hash = 1469598103934665603ULL ^ seed;
@@ -81,7 +81,7 @@
   if (version >= survey.named) return true;
   auto named = named_.find(survey.ask.model);
   return named != named_.end() &&
-         survey.now - named->second.at < props_.weightsWithin * kOldWeightsPart;
+         survey.now - named->second.at < props_.weightsWithin - kStartsWithin;
 }
 
 void Placement::consider(Survey& survey, std::size_t place) {
--- a/src/requests/router_node.cc
+++ b/src/requests/router_node.cc
@@ -78,6 +78,11 @@
 }
 
 void RouterNode::takeChanges(MonotonicTime now) {
+  CoreId primary = follower_->settledView().primary;
+  if (primary != primary_) {
+    if (primary_.value != 0) placement_->coreChanged(now);
+    primary_ = primary;
+  }
   if (follower_->changesSeen() == changesSeen_) return;
   changesSeen_ = follower_->changesSeen();
   placement_->take(follower_->setup());
--- a/src/requests/router_node.h
+++ b/src/requests/router_node.h
@@ -57,6 +57,7 @@
   std::unique_ptr<FollowerFacts> facts_;
   std::unique_ptr<Requests> requests_;
   std::uint64_t changesSeen_ = 0;
+  CoreId primary_;  // who led when last looked at
   ListVersion bookVersion_;
   MonotonicTime nextTell_{}, drainSince_ = kForever;
 };
