--- a/src/io/daemon.cc
+++ b/src/io/daemon.cc
@@ -217,6 +217,15 @@
   return true;
 }
 
+void Daemon::leaveWhenDone() {
+  auto stop = [this] { loop_.stop(); };
+  if (!doors_ || role_ == Role::kCore) return loop_.after(milliseconds(100), stop);
+  // A connection that is open may bring a request at any moment: the process goes after the last.
+  doors_->door().close();
+  bool over = bootNow() - leaving_ > setup_.props.graceTime - seconds(0.6);
+  if (over || doors_->door().connections() == 0) loop_.soon(stop);
+}
+
 void Daemon::logCounters() {
   std::string line;
   for (const auto& [name, value] : node_->outbox().counters())
@@ -277,12 +286,13 @@
     step(Ticked{});
     noteConfig();
     watchSlowCallers();
-    if (node_->drained(bootNow())) loop_.after(milliseconds(100), [this] { loop_.stop(); });
+    if (node_->drained(bootNow())) leaveWhenDone();
   });
   if (setup_.countersEvery.microseconds > 0)
     loop_.every(setup_.countersEvery, [this] { logCounters(); });
   auto drain = [this] {
     LOG(INFO) << "draining";
+    leaving_ = std::min(leaving_, bootNow());
     if (doors_ && role_ == Role::kFront) doors_->door().leave();
     step(DrainAsked{});
   };
--- a/src/io/daemon.h
+++ b/src/io/daemon.h
@@ -66,6 +66,7 @@
   absl::Status openFront(const MemberRecord& self);
   absl::Status openRouter(const MemberRecord& self);
   void logCounters();
+  void leaveWhenDone();
   bool answerReady(const std::shared_ptr<WebRequest>& request);
   void noteConfig();
 
@@ -79,6 +80,7 @@
   std::unique_ptr<WebServer> pages_, callers_;
   std::unique_ptr<DialectDoors> doors_;  // of a daemon of another dialect
   std::uint64_t changesSeen_ = 0;
+  MonotonicTime leaving_ = kForever;  // since the word to leave
   std::map<StreamId, Answering> answering_;
   std::map<TicketId, std::shared_ptr<WebRequest>> operators_;
   std::uint64_t lastStream_ = 0, lastTicket_ = std::uint64_t{1} << 40;
--- a/src/io/http_door.cc
+++ b/src/io/http_door.cc
@@ -145,6 +145,11 @@
 
 void HttpDoor::leave() { state_->room.leaving = true; }
 
+void HttpDoor::close() {
+  if (state_->listener != nullptr) evconnlistener_free(state_->listener);
+  state_->listener = nullptr;
+}
+
 std::size_t HttpDoor::connections() const { return state_->room.connections.size(); }
 
 }  // namespace peppergate
--- a/src/io/http_door.h
+++ b/src/io/http_door.h
@@ -29,6 +29,8 @@
   void answer(const RefuseRequest& command);
   /// From now on each answer ends its connection, and idle ones end. Example: on SIGTERM.
   void leave();
+  /// Takes no new connections any more; open ones go on. Example: once none are sent here.
+  void close();
   /// Open connections. Example: the process goes when there are none.
   std::size_t connections() const;
 
--- a/src/requests/router_node.cc
+++ b/src/requests/router_node.cc
@@ -1,6 +1,11 @@
 #include "requests/router_node.h"
 
 namespace peppergate {
+namespace {
+
+constexpr Duration kNoticed = seconds(3.2);  // from the word to leave until no client is sent here
+
+}  // namespace
 
 RouterNode::RouterNode(const Props& props, MemberRecord self, std::vector<Address> seeds,
                        std::map<District, std::string> regions, std::uint64_t seed)
@@ -163,9 +168,7 @@
 
 bool RouterNode::drained(MonotonicTime now) const {
   // The entry needs some checks to see that this machine leaves; until then requests still come.
-  if (drainSince_ == kForever) return false;
-  if (now - drainSince_ > props_.graceTime - seconds(0.8)) return true;
-  return requests_->live() == 0 && now - drainSince_ > seconds(3.2);
+  return drainSince_ != kForever && now - drainSince_ > kNoticed;
 }
 
 Json RouterNode::status(MonotonicTime now) const {
--- a/src/requests/router_node.h
+++ b/src/requests/router_node.h
@@ -24,6 +24,8 @@
   Outbox& outbox() override { return outbox_; }
   Json status(MonotonicTime now) const override;
   void reload(const Props& props) override;
+  /// Whether no new clients come any more; what is open still ends whole. Example: then the door
+  /// closes, and the process goes when its last connection ended.
   bool drained(MonotonicTime now) const override;
   /// Whether clients' new connections are welcome. Example: asked by the platform each second.
   bool ready(MonotonicTime now) const;
