--- a/src/sim/checker.cc
+++ b/src/sim/checker.cc
@@ -194,15 +194,14 @@
 }
 
 double Checker::longestUnled(MonotonicTime from, MonotonicTime to) const {
-  MonotonicTime since = from, last = from;
+  MonotonicTime since = from;
   Duration longest{};
   for (const auto& [at, has] : primaryAt_) {
     if (at < from || at >= to) continue;
-    last = at;
-    if (has) since = at;
     longest = std::max(longest, at - since);
+    if (has) since = at;
   }
-  return inSeconds(std::max(longest, last - since));
+  return inSeconds(longest);
 }
 
 void Checker::judge(const Expectation& expectation) {
--- a/src/sim/scenario.h
+++ b/src/sim/scenario.h
@@ -10,6 +10,9 @@
 
 namespace peppergate {
 
+/// Where simulated time begins, so that traffic starts at 0. Example: `kWarmUp.microseconds < 0`.
+inline constexpr MonotonicTime kWarmUp{-9'000'000};
+
 enum class Verb : std::uint8_t {
   kKill, kStart, kWipe, kReplace, kFreeze, kThaw, kCut, kHeal, kDisk, kDrain, kUndrain, kGone,
   kReturn, kWeights, kWithdraw, kStamp, kRace, kStorm, kLarge, kTraffic, kFlood, kLink, kReports,
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -209,7 +209,4 @@
   const FetchFigures& fetchFigures() const { return fetchFigures_; }
 };
 
-/// Where simulated time begins, so that traffic starts at 0. Example: `kWarmUp.microseconds < 0`.
-inline constexpr MonotonicTime kWarmUp{-9'000'000};
-
 }  // namespace peppergate
