--- a/src/core/follower.cc
+++ b/src/core/follower.cc
@@ -187,7 +187,7 @@
                     Outbox& outbox) {
   noteView(view);
   if (view.epoch > settledView_.epoch) settledView_ = view;
-  if (have_ != state.sections()) {
+  if (have_ != state.sections()) {  // writing the texts of a large state takes long
     NewsAnswer answer;
     answer.now = state.sections();
     answer.setup = state.setupText();
