--- a/src/io/daemon.cc
+++ b/src/io/daemon.cc
@@ -201,12 +201,17 @@
   TicketId ticket{++lastTicket_};
   operators_[ticket] = request;
   request->onGone = [this, ticket] { operators_.erase(ticket); };
-  std::optional<OperatorAsked> call;
-  if (doors_)
-    call = doors_->operatorCall(ticket, request->method, request->path, request->headers,
-                                request->body);
-  if (call) step(*call);
-  else step(OperatorAsked{ticket, request->method, request->path, request->body});
+  if (doors_) {
+    auto call = doors_->operatorCall(ticket, request->method, request->path, request->headers,
+                                     request->body);
+    if (call && std::holds_alternative<AnswerWeb>(*call)) {
+      const AnswerWeb& refusal = std::get<AnswerWeb>(*call);
+      operators_.erase(ticket);
+      return request->answer(refusal.status, refusal.headers, refusal.body);
+    }
+    if (call) return step(std::get<OperatorAsked>(*call));
+  }
+  step(OperatorAsked{ticket, request->method, request->path, request->body});
 }
 
 bool Daemon::answerReady(const std::shared_ptr<WebRequest>& request) {
--- a/src/io/dialect_doors.h
+++ b/src/io/dialect_doors.h
@@ -32,8 +32,9 @@
   void carryOut(const OrderWeights& command);
   void carryOut(const PollParts& command);
   void carryOut(const ListParts& command);
-  /// Takes an operator's call in the dialect's words; nothing if it is none of them.
-  std::optional<OperatorAsked> operatorCall(TicketId ticket, const std::string& method,
+  /// Takes an operator's call in the dialect's words: what is asked in the product's, or the
+  /// refusal of one that can't be read; nothing if it is none of them.
+  std::optional<std::variant<OperatorAsked, AnswerWeb>> operatorCall(TicketId ticket, const std::string& method,
                                             const std::string& path, const Headers& headers,
                                             const std::string& body);
   /// The product's answer, in the dialect's words where the call was. Example: before it is sent.
