--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -1,7 +1,6 @@
 // Attempts and calls over real loopback sockets: what is kept, what counts as written or whole.
 #include "io/http_client.h"
 
-#include "io/http_answer.h"
 #include "tests/http_testing.h"
 
 using namespace peppergate;
@@ -15,13 +14,14 @@
   std::vector<HttpAnswer> answers;
   std::function<void(const AttemptTurned&)> onTurn;
   std::uint64_t lastAttempt = 0;
+  std::string question = "question";
 
   AttemptId open(const Address& address, bool stream = false,
                  MonotonicTime writeBefore = kForever) {
     auto wire = std::make_shared<WireRequest>();
     wire->method = "POST";
     wire->target = "/work";
-    wire->body = "question";
+    wire->body = question;
     OpenAttempt command;
     command.attempt = {++lastAttempt};
     command.wire = wire;
@@ -226,16 +226,8 @@
 }
 
 TEST(HttpClients, AnEarlyAnswerCountsThoughTheRequestWasNotTakenWhole) {
-  auto wire = std::make_shared<WireRequest>();
-  wire->method = "POST";
-  wire->target = "/";
-  wire->body = std::string(32U << 20, 'x');
-  OpenAttempt command;
-  command.attempt = {1};
-  command.wire = wire;
-  command.clientId = "t1";
-  command.address = engine.address();
-  client->attempt(command, [this](AttemptTurned turned) { turns.push_back(turned); });
+  question = std::string(32U << 20, 'x');
+  open();
   CHECK(loop.until([&] { return !engine.peers.empty(); }));
   engine.peers[0]->stopReading();
   CHECK(loop.until([&] { return !turns.empty(); }));
