--- a/src/prompts/cost.cc
+++ b/src/prompts/cost.cc
@@ -38,6 +38,7 @@
   double known = std::min(std::max(is.reach, is.kept), is.shared);
   cost.total += std::max(0.0, known - begin) * weights.rereadToken;
   cost.total += std::max(0.0, is.shared - std::max(known, begin)) * weights.firstReadToken * is.away;
+  cost.total += std::max(0.0, known - std::min(is.kept, known)) * weights.copiedToken;
   cost.total += megabytes / 1000 * weights.movedGigabyte * priceOf(is.crossing);
   if (is.otherZone) cost.total += weights.otherZone;
   if (is.olderWeights) cost.total += weights.olderWeights;
--- a/src/prompts/placement.cc
+++ b/src/prompts/placement.cc
@@ -182,7 +182,7 @@
   const Pending& pending = found->second;
   if (pending.collects) {
     // Queues are guessed: only what is far beyond the guess is blamed on a link.
-    double base = 2 * (pending.waitMs + pending.readMs) + 100;
+    double base = 3 * (pending.waitMs + pending.readMs) + 300;
     fetches_.firstEvent({request.value}, seconds(base / 1000), now, outbox);
   } else {
     speed_.seen(pending.engine, pending.service, pending.tokens, took);
--- a/src/requests/request_state.h
+++ b/src/requests/request_state.h
@@ -120,6 +120,7 @@
   std::unordered_map<std::uint64_t, std::uint64_t> attempts;  // attempt to its request
   std::set<std::pair<MonotonicTime, std::uint64_t>> dues;
   std::map<ServiceName, AttemptBudget> budgets;
+  std::map<EngineId, MonotonicTime> heardOf;  // when an engine last answered anything here
   FrontCount fronts;
   MonotonicTime frontsSeen = kNever;
   // Read out of the configuration that is in force:
--- a/src/requests/request_times.cc
+++ b/src/requests/request_times.cc
@@ -8,6 +8,8 @@
 /// How soon a silent attempt is looked at again when no other engine could be had.
 constexpr Duration kLookAgain = milliseconds(250);
 constexpr Duration kFrontsEvery = seconds(1);
+/// An engine that answered anything within this is taken for a living one.
+constexpr Duration kAnswersOthers = seconds(1);
 }  // namespace
 
 /// When the attempt under way will have been silent for too long; nothing if silence is to be
@@ -50,6 +52,7 @@
   if (now - frontsSeen >= kFrontsEvery) {
     frontsSeen = now;
     fronts.see(parts.facts.liveFronts(), now);
+    std::erase_if(heardOf, [&](const auto& entry) { return now - entry.second > seconds(10); });
   }
   while (!dues.empty() && dues.begin()->first <= now) {
     LiveRequest& request = requests.at(dues.begin()->second);
@@ -70,6 +73,15 @@
 void Requests::State::silent(LiveRequest& request, MonotonicTime now, Outbox& outbox) {
   LiveAttempt& attempt = *request.attempt;
   bool hadFirst = attempt.first;
+  // An engine that answers others is no dead one: its queue is long, and elsewhere the prompt would
+  // have to be read once more.
+  auto heard = heardOf.find(attempt.engine);
+  if (heard != heardOf.end() && now - heard->second < kAnswersOthers) {
+    outbox.count("attempts.slow_kept");
+    Duration limit = hadFirst ? eventSilence(*request.route) : firstSilence(*request.route);
+    request.heard = now + kLookAgain - limit;
+    return arm(request);
+  }
   if (!hadFirst) parts.placer.dropped(request.asked.request);
   auto planned = plan(request, now, outbox);
   if (auto* next = std::get_if<AttemptPlan>(&planned)) {
--- a/src/requests/request_turns.cc
+++ b/src/requests/request_turns.cc
@@ -36,6 +36,8 @@
   if (turned.turn == AttemptTurn::kNotWritten && !attempt.written)
     return notWritten(request, now, outbox);
   attempt.written = true;
+  if (turned.turn == AttemptTurn::kHead || turned.turn == AttemptTurn::kBody)
+    heardOf[attempt.engine] = now;
   switch (turned.turn) {
     case AttemptTurn::kWritten: return;
     case AttemptTurn::kHead: return head(request, turned, now, outbox);
