--- a/src/core/core_node.h
+++ b/src/core/core_node.h
@@ -45,7 +45,7 @@
   Outbox& outbox() override { return outbox_; }
   Json status(MonotonicTime now) const override;
   void reload(const Props& props) override { props_ = props; }
-  bool drained(MonotonicTime) const override { return draining_ && !leadership_->leadsHere(); }
+  bool drained(MonotonicTime) const override { return draining_ && leadership_->gone(); }
   /// From now on the one in charge lists engines and orders weights. Example: in a fleet whose
   /// routers are told of engines by the core.
   void takeEngineDuties();
