--- a/src/prompts/placement.cc
+++ b/src/prompts/placement.cc
@@ -84,7 +84,7 @@
     survey.shape = &*found->second.engine;
   if (auto name = weights.models.find(ask.model); name != weights.models.end())
     survey.named = std::max(survey.named, name->second);
-  survey.wall = wallOf(ask.tenant, ask.isolated);
+  survey.wall = wallOf(ask.tenant, ask.isolated && props_.guards(Guard::kWall));
   survey.tokens = toRead(ask, 0);
   for (std::size_t index = 0; index + 1 < ask.parts.size(); ++index)
     survey.shared += ask.parts[index].tokens;
@@ -122,6 +122,8 @@
   const EngineId& engine = choice.engine->listed.id;
   auto source = fetches_.roomiest(prompt.sources, engine);
   if (!source || plan_.rungs.empty()) return false;
+  auto address = addressOf(*source);
+  if (!address) return false;
   int urgency = survey.ask.route ? survey.ask.route->urgency : 5;
   Fetch fetch;
   fetch.want.stream = {survey.ask.request.value};
@@ -140,8 +142,8 @@
              fetch.megabytes)
     ++fetch.want.topRung;
   if (!fetches_.join(std::move(fetch), plan_, survey.now, outbox)) return false;
-  placed.collectFrom = addressOf(*source);
-  return placed.collectFrom.has_value();
+  placed.collectFrom = std::move(address);
+  return true;
 }
 
 Placed Placement::settled(Survey& survey, const Choice& choice, Placed placed, Outbox& outbox) {
--- a/src/prompts/survey.cc
+++ b/src/prompts/survey.cc
@@ -78,7 +78,7 @@
 }
 
 bool Placement::mayServe(const Survey& survey, WeightsVersion version) const {
-  if (version >= survey.named) return true;
+  if (version >= survey.named || !props_.guards(Guard::kOldWeights)) return true;
   auto named = named_.find(survey.ask.model);
   return named != named_.end() &&
          survey.now - named->second.at < props_.weightsWithin * kOldWeightsPart;
@@ -135,17 +135,23 @@
         consider(survey, static_cast<std::size_t>(found - survey.engines.begin()));
     }
   }
+  for (auto& choice : survey.choices) choice.near = false;
   const auto& order = survey.service.byPoint;
   std::uint64_t key = homeKey(survey);
   auto near = std::ranges::lower_bound(order, mixed(key), {}, [&](std::uint32_t place) {
     return survey.service.points[place];
   });
   std::size_t start = static_cast<std::size_t>(near - order.begin());
-  for (std::size_t step = 0; key != 0 && step < kHomeWindow; ++step)
-    consider(survey, order[(start + step) % order.size()]);
-  for (std::size_t tries = 0, found = survey.choices.size();
-       tries < 16 && survey.choices.size() < found + 2; ++tries)
+  for (std::size_t step = 0; key != 0 && step < kHomeWindow; ++step) {
+    std::size_t place = order[(start + step) % order.size()];
+    consider(survey, place);
+    auto choice = std::ranges::find(survey.choices, place, &Choice::place);
+    if (choice != survey.choices.end()) choice->near = true;
+  }
+  std::size_t found = survey.choices.size();
+  for (std::size_t tries = 0; tries < 16 && survey.choices.size() < found + 2; ++tries)
     consider(survey, random_.below(survey.engines.size()));
+  for (; found < survey.choices.size(); ++found) survey.choices[found].near = false;
 }
 
 void Placement::survey(Survey& survey) {
@@ -173,6 +179,7 @@
   std::size_t home = survey.choices.size(), second = home;
   std::uint64_t most = 0, next = 0;
   for (std::size_t index = 0; key != 0 && index < survey.choices.size(); ++index) {
+    if (!survey.choices[index].near) continue;
     std::uint64_t rank = mixed(key ^ survey.service.points[survey.choices[index].place]);
     if (rank > most) {
       second = home, next = most;
--- a/src/prompts/survey.h
+++ b/src/prompts/survey.h
@@ -26,6 +26,7 @@
   std::size_t place = 0;             // in the book's order
   std::size_t prompt = 0;            // in the survey's prompts
   std::int64_t kept = 0;
+  bool near = true;                  // may be the home
   CandidateNumbers numbers;
   CandidateCost cost;
 };
