--- a/src/app/daemon_command.cc
+++ b/src/app/daemon_command.cc
@@ -76,7 +76,7 @@
   setup.dataFolder = values["data"].as<std::string>();
   if (!front && setup.dataFolder.empty())
     return absl::InvalidArgumentError("data: a core needs its data folder");
-  setup.found = values["found"].as<std::size_t>();
+  setup.founding.cores = values["found"].as<std::size_t>();
   setup.rehearsal = values["rehearsal"].as<bool>();
   auto props = readProps(values);
   if (!props.ok()) return props.status();
@@ -141,6 +141,7 @@
 }
 
 int checkCommand(const Words& words) {
+  if (words.size() == 2 && words[0] == "--node") return checkNode(words[1]);
   po::variables_map values;
   std::string file;
   if (int code = readAll(words, values, file); code >= 0) return code;
--- a/src/core/core_node.h
+++ b/src/core/core_node.h
@@ -8,6 +8,7 @@
 #include "core/follower.h"
 #include "core/leadership.h"
 #include "core/operator_desk.h"
+#include "engines/engine_duties.h"
 
 namespace peppergate {
 
@@ -33,18 +34,21 @@
   virtual bool drained(MonotonicTime now) const = 0;
 };
 
-/// Example: `CoreNode core(props, self, seeds, found, 7, now, 4); core.step(Ticked{}, now);`
+/// Example: `CoreNode core(props, self, seeds, found, 7, now, founding); core.step(Ticked{}, now);`
 class CoreNode final : public Node {
  public:
   CoreNode(const Props& props, MemberRecord self, std::vector<Address> seeds,
            const DiskFound& found, std::uint64_t seed, MonotonicTime now,
-           std::size_t foundCores);
+           const Founding& founding = {});
 
   void step(const Event& event, MonotonicTime now) override;
   Outbox& outbox() override { return outbox_; }
   Json status(MonotonicTime now) const override;
   void reload(const Props& props) override { props_ = props; }
-  bool drained(MonotonicTime) const override { return draining_; }
+  bool drained(MonotonicTime) const override { return draining_ && !leadership_->leadsHere(); }
+  /// From now on the one in charge lists engines and orders weights. Example: in a fleet whose
+  /// routers are told of engines by the core.
+  void takeEngineDuties();
   /// For checkers and tests. Example: `core.leadership().leads(now)`.
   const Leadership& leadership() const { return *leadership_; }
   const Voter& voter() const { return *voter_; }
@@ -68,6 +72,7 @@
     Address from;
     NewsAsk ask;
     MonotonicTime since;
+    bool first = false;  // its first question to this primary: answered at once
   };
   struct EngineGrant {
     MemberId holder;
@@ -82,9 +87,11 @@
   std::unique_ptr<Follower> follower_;
   std::unique_ptr<Caretaker> caretaker_;
   std::unique_ptr<OperatorDesk> desk_;
+  std::unique_ptr<EngineDuties> duties_;
   std::map<MemberId, Asker> askers_;
   std::map<EngineId, EngineGrant> engineGrants_;
   SectionVersions told_;
+  Epoch toldView_;
   MonotonicTime lastNotice_ = kNever;
   std::map<MemberId, SectionVersions> frontsHave_;  // as their questions said
   MonotonicTime started_;
@@ -93,7 +100,9 @@
 
 /// The identity on a disk, if one is there. Example: `identityOn(found)`.
 CoreId identityOn(const DiskFound& found);
-/// What a new disk gets first. Example: written before the node starts.
-std::string identityFile(CoreId core);
+/// What a new disk gets first, with how its core founds. Example: written before the node starts.
+std::string identityFile(CoreId core, const Founding& founding = {});
+/// How the core of this disk founds, as it was told at its birth. Example: `foundingOn(found)`.
+Founding foundingOn(const DiskFound& found);
 
 }  // namespace peppergate
--- a/src/core/follower.cc
+++ b/src/core/follower.cc
@@ -51,6 +51,16 @@
   for (int turn = 0; turn < 3; ++turn) ask(membership_.randomMember(), true, now, outbox);
 }
 
+void Follower::askNow(MonotonicTime now, Outbox& outbox) {
+  Address primary = membership_.addressOf(view_.primary);
+  if (!primary.value.empty()) {
+    waiting_ = true;
+    askedPrimary_ = now;
+    ask(primary, true, now, outbox);  // as a relay's question it is answered without any wait
+  }
+  if (primary.value.empty() || now - primaryOrigin_ > props_.newsTimeout) askRelay(now, outbox);
+}
+
 void Follower::askAgain(MonotonicTime now, Outbox& outbox) {
   // The next question tells the primary what is in force here now: its yes waits for that.
   waiting_ = true;
@@ -114,6 +124,7 @@
 
 void Follower::hear(const Address& from, const NewsAnswer& answer, MonotonicTime now, Outbox& outbox) {
   if (answer.sentAt == kUnasked) {  // what was acknowledged, sent ahead of the next question
+    noteView(answer.view);  // only whom to ask: no proof
     std::uint64_t before = changesSeen_;
     install(answer, now, outbox);
     if (changesSeen_ != before) askAgain(now, outbox);
@@ -176,12 +187,14 @@
                     Outbox& outbox) {
   noteView(view);
   if (view.epoch > settledView_.epoch) settledView_ = view;
-  NewsAnswer answer;
-  answer.now = state.sections();
-  answer.setup = state.setupText();
-  answer.keys = state.keysText();
-  answer.weights = state.weightsText();
-  if (have_ != answer.now) install(answer, now, outbox);
+  if (have_ != state.sections()) {
+    NewsAnswer answer;
+    answer.now = state.sections();
+    answer.setup = state.setupText();
+    answer.keys = state.keysText();
+    answer.weights = state.weightsText();
+    install(answer, now, outbox);
+  }
   proofOrigin_ = primaryOrigin_ = now;
 }
 
--- a/src/core/props.h
+++ b/src/core/props.h
@@ -43,8 +43,11 @@
   Duration yesWait = seconds(1.45);  // for fronts whose proof may be of an older state
   Duration copyTimeout = seconds(1.0);
   Duration syncTimeout = seconds(1.0);
-  Duration seatAfter = seconds(10);
-  std::int64_t largestSetup = 1 << 20;
+  Duration seatAfter = seconds(1.5);  // a voter silent for so long loses its seat to a newcomer
+  std::int64_t backups = 1;           // that have a change on disk before the yes
+  std::int64_t voterSeats = 9;        // at most; 2 * backups + 1 have to fit
+  Duration applyWithin = seconds(2.1);  // after a yes no front acts on what it replaced
+  std::int64_t largestSetup = 6 << 20;
   std::int64_t rememberedChanges = 1000;
   // Membership.
   Duration shuffleEvery = seconds(0.3);
@@ -56,6 +59,7 @@
   Duration newsTimeout = seconds(1.0);
   Duration proofLimit = seconds(3.5);
   Duration liveLimit = seconds(4.5);  // a live stream ends where the proof is older
+  Duration withdrawWithin = seconds(5);  // after the yes a withdrawn key does nothing anywhere
   // Engine watch.
   Duration engineHold = seconds(3);
   Duration engineHoldStop = seconds(2.4);
@@ -67,6 +71,8 @@
   Duration orderTimeout = seconds(4);
   Duration listEvery = seconds(0.5);
   double listRate = 10;  // calls a second that the platform takes from all daemons together
+  Duration listLag = seconds(0.8);  // how far the platform's list may be behind
+  Duration drainWithin = seconds(3);  // from an engine's listing as draining until none is sent
   std::int64_t loadsAtOnce = 3;  // engines that load new weights without slowing each other
   Duration weightsWithin = seconds(12);  // from the naming until no engine starts on older ones
   Duration leaseLength = seconds(3);  // orders of two holders to one engine are this far apart
@@ -82,6 +88,11 @@
   std::int64_t streamsLimit = 2000;
   std::int64_t engineStreams = 32;
   std::int64_t largestBody = 256 << 10;
+  // Requests: attempts beyond the first, summed over the fleet.
+  double budgetShare = 0.15;  // of a service's first attempts within the window
+  double budgetSlack = 0;     // allowed on top of the share, by all fronts together
+  Duration connectTimeout = seconds(0.5);  // for a connection to an engine to come up
+  Duration graceTime = seconds(8);  // from the word to leave until the process is killed
   // Fetch plan; the starting values that the design marks as free.
   double levelTolerance = 100;   // bytes a second times the unit below
   double rateUnit = 1e6;         // a rate of 1 is a megabyte a second
--- a/src/prompts/placement.h
+++ b/src/prompts/placement.h
@@ -14,6 +14,7 @@
 #include "prompts/part_index.h"
 #include "prompts/reading_speed.h"
 #include "requests/events.h"
+#include "requests/placer.h"
 
 namespace peppergate {
 
@@ -52,7 +53,7 @@
 
 /// Weighs what is kept against queues, batches and moves. Example:
 /// `auto placed = placement.place(ask, config, weights, now, outbox);`
-class Placement {
+class Placement final : public Placer {
  public:
   Placement(const Props& props, EngineBook& book, PartIndex& index, FetchDesk& fetches,
             Random& random);
@@ -63,11 +64,11 @@
   /// The engine for one attempt, or why there is none.
   std::variant<Placed, PlaceRefusal> place(const PlacementAsk& ask, const FleetConfig& config,
                                            const Weights& weights, MonotonicTime now,
-                                           Outbox& outbox);
+                                           Outbox& outbox) override;
   /// The first event came, after so long; the move, if one was planned, is over.
-  void firstEvent(RequestId request, Duration took, MonotonicTime now, Outbox& outbox);
+  void firstEvent(RequestId request, Duration took, MonotonicTime now, Outbox& outbox) override;
   /// The attempt ended without one. Example: on kBroken.
-  void dropped(RequestId request);
+  void dropped(RequestId request) override;
   /// Tokens that the engine will have to read for this placing. Example: for the book.
   static std::int64_t toRead(const PlacementAsk& ask, std::int64_t kept);
   /// Follows the list and the configuration, and reruns the plan when due. Example: each tick.
