--- a/src/core/fetch_desk.h
+++ b/src/core/fetch_desk.h
@@ -22,6 +22,7 @@
   double topRate = 0;
   double megabytes = 0;
   MonotonicTime sent;
+  bool arrived = false;  // so long ago that its bytes are taken to be over
   bool joined = false;  // booked on its links one by one
 };
 
--- a/src/core/fetch_join.cc
+++ b/src/core/fetch_join.cc
@@ -5,6 +5,11 @@
 #include "core/fetch_desk.h"
 
 namespace peppergate {
+namespace {
+
+constexpr Duration kUnderWay = milliseconds(100);  // of a move's bytes, at most, on a calm link
+
+}  // namespace
 
 int FetchDesk::crossing(const District& from, const District& to) const {
   if (from == to || from.value.empty() || to.value.empty()) return 1;
@@ -120,7 +125,8 @@
     if (found == books_.end()) continue;
     found->second.booked = std::max(0.0, found->second.booked + sign * fetch.rate * crossing);
     found->second.waiting =
-        std::max(0.0, found->second.waiting + sign * fetch.megabytes * crossing);
+        std::max(0.0, found->second.waiting +
+                          (fetch.arrived ? 0 : sign * fetch.megabytes * crossing));
   }
 }
 
@@ -132,8 +138,11 @@
     book.common = commonCapacity(link, now);
     book.booked = book.waiting = book.others = 0;
   }
-  for (const auto& [stream, fetch] : fetches_)
-    if (fetch.joined) book(fetch, 1);
+  for (auto& [stream, fetch] : fetches_) {
+    if (!fetch.joined) continue;
+    fetch.arrived = fetch.arrived || now - fetch.sent > kUnderWay;
+    book(fetch, 1);
+  }
   for (const auto& [member, noted] : noted_) {
     if (member == self_ || now - noted.heard > seconds(3)) continue;
     for (const auto& [link, usage] : noted.links)
--- a/src/prompts/fetch_setup.cc
+++ b/src/prompts/fetch_setup.cc
@@ -11,8 +11,10 @@
   std::string_view name;
   double part;  // of the smallest link
 };
-constexpr std::array kRungParts{RungPart{"thin", 1.0 / 32}, RungPart{"half", 1.0 / 16},
-                                RungPart{"most", 1.0 / 8}, RungPart{"whole", 1.0 / 4}};
+// A move is booked until its stream's first event, many times longer than its bytes are under way:
+// the thinnest rung lets some two hundred of them share a link.
+constexpr std::array kRungParts{RungPart{"thin", 1.0 / 256}, RungPart{"half", 1.0 / 64},
+                                RungPart{"most", 1.0 / 16}, RungPart{"whole", 1.0 / 4}};
 
 /// The lower the worth of a rate, the higher the rung under a common level.
 struct ClassPart {
--- a/src/prompts/placement.cc
+++ b/src/prompts/placement.cc
@@ -171,6 +171,14 @@
       outbox.count(prompt.reach > choice.kept ? "parts.readAgain" : "parts.readFirst");
     } else {
       outbox.count(placed.collectFrom ? "parts.collected" : "parts.kept");
+      // What is believed kept may be gone: then it is taken from the store instead of read. An
+      // engine that keeps all takes nothing.
+      auto stored = std::ranges::find(prompt.holdings, storeId(), &Holding::engine);
+      if (!placed.collectFrom && store_ && stored != prompt.holdings.end() &&
+          sourceUsable(storeId(), survey.now)) {
+        placed.collectFrom = store_->address;
+        outbox.count("parts.insured");
+      }
     }
   }
   outbox.count("place.placed");
