Simulator of router fleets: world, clients, operators, checker, first scenarios

The real RouterNode and CoreNode run on simulated time with batch engines, a platform's list, a store, operators and clients.

--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -32,6 +32,8 @@
 int traceCommand(const Words& words);
 /// Example: `rehearseCommand({"scenarios", "--seeds", "1-20"})`.
 int rehearseCommand(const Words& words);
+/// Example: `routerRehearseCommand({"scenarios/routers", "--seeds", "1-20"})`.
+int routerRehearseCommand(const Words& words);
 /// Example: `placeCommand({"placement.json"})`.
 int placeCommand(const Words& words);
 /// Example: `standinCommand({"engine", "--listen", "127.0.0.1:9001"})`.
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -30,6 +30,8 @@
     CommandRow{"check", &checkCommand, "check a settings file and its props"},
 #ifndef PEPPERGATE_DAEMONS_ONLY
     CommandRow{"rehearse", &rehearseCommand, "run scenarios on simulated time, over seeds"},
+    CommandRow{"rehearse-routers", &routerRehearseCommand,
+               "run scenarios of fleets of routers on simulated time"},
     CommandRow{"place", &placeCommand, "solve placements in districts from constraints in a file"},
     CommandRow{"hollow", &hollowCommand, "measure a hollow fleet's slopes on simulated time"},
     CommandRow{"standin", &standinCommand, "run a stand-in: engine, store, desk, platform, requester"},
@@ -40,7 +42,7 @@
 void printHelp(std::FILE* to) {
   std::fprintf(to, "usage: peppergate COMMAND [FLAGS]\n\ncommands:\n");
   for (const auto& row : kCommands)
-    std::fprintf(to, "  %-9.*s %.*s\n", static_cast<int>(row.name.size()), row.name.data(),
+    std::fprintf(to, "  %-16.*s %.*s\n", static_cast<int>(row.name.size()), row.name.data(),
                  static_cast<int>(row.help.size()), row.help.data());
   std::fprintf(to, "\n'peppergate COMMAND --help' tells a command's flags.\n");
 }
--- /dev/null
+++ b/src/app/router_rehearse_command.cc
@@ -0,0 +1,111 @@
+// Scenarios of fleets of routers over seeds, several at a time; a failing seed replays exactly.
+#include <atomic>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+#include <sstream>
+#include <thread>
+
+#include "app/commands.h"
+#include "sim/router_scenario.h"
+#include "sim/runner.h"
+
+namespace peppergate {
+namespace {
+
+namespace po = boost::program_options;
+
+bool readSeeds(const std::string& text, std::uint64_t& first, std::uint64_t& last) {
+  char* end = nullptr;
+  first = last = std::strtoull(text.c_str(), &end, 10);
+  if (*end == '-') last = std::strtoull(end + 1, &end, 10);
+  return !text.empty() && *end == '\0' && first >= 1 && last >= first;
+}
+
+struct Job {
+  RouterScenario scenario;
+  std::uint64_t seed;
+};
+
+/// All of a path's scenarios with all seeds; false if one can't be read.
+bool gather(const std::string& path, std::uint64_t first, std::uint64_t last,
+            std::vector<Job>& jobs) {
+  auto files = std::filesystem::is_directory(path) ? scenarioFiles(path) : std::vector{path};
+  for (const auto& file : files) {
+    std::ifstream stream(file);
+    std::stringstream text;
+    text << stream.rdbuf();
+    auto scenario = parseRouterScenario(text.str());
+    if (!scenario.ok()) {
+      std::fprintf(stderr, "%s: %s\n", file.c_str(),
+                   std::string(scenario.status().message()).c_str());
+      return false;
+    }
+    for (std::uint64_t seed = first; seed <= last; ++seed) jobs.push_back({*scenario, seed});
+  }
+  return true;
+}
+
+void print(const RouterReport& report, bool figures) {
+  auto seed = static_cast<unsigned long long>(report.seed);
+  if (!report.failures.empty()) {
+    std::printf("FAILED %s seed %llu\n", report.scenario.c_str(), seed);
+    for (const auto& failure : report.failures) std::printf("    %s\n", failure.c_str());
+  }
+  if (figures) {
+    std::printf("%s seed %llu:", report.scenario.c_str(), seed);
+    for (const auto& [name, value] : report.figures) std::printf(" %s=%.4g", name.c_str(), value);
+    std::printf("\n");
+  }
+  std::fflush(stdout);
+}
+
+}  // namespace
+
+int routerRehearseCommand(const Words& words) {
+  po::options_description options("peppergate rehearse-routers FILE|FOLDER");
+  options.add_options()("help", "this text")
+      ("path", po::value<std::string>()->default_value(""), "a scenario, or a folder of them")
+      ("days", po::bool_switch(), "draw a day of failures from each seed instead of a scenario")
+      ("print", po::bool_switch(), "print the drawn days, run nothing")
+      ("seeds", po::value<std::string>()->default_value("1-2"), "FIRST-LAST, or one seed")
+      ("jobs", po::value<unsigned>()->default_value(std::thread::hardware_concurrency()), "how many at a time")
+      ("figures", po::bool_switch(), "print each run's figures");
+  po::variables_map values;
+  if (int code = parseWords(words, options, values, {"path"}); code >= 0) return code;
+  std::uint64_t first = 0, last = 0;
+  std::string path = values["path"].as<std::string>();
+  bool days = values["days"].as<bool>();
+  if (!readSeeds(values["seeds"].as<std::string>(), first, last) || days == !path.empty()) {
+    std::fprintf(stderr, "wanted: a path or --days, and --seeds FIRST-LAST\n");
+    return kExitUsage;
+  }
+  std::vector<Job> jobs;
+  if (days)
+    for (std::uint64_t seed = first; seed <= last; ++seed) jobs.push_back({drawRouterDay(seed), seed});
+  else if (!gather(path, first, last, jobs)) return kExitUsage;
+  if (days && values["print"].as<bool>()) {
+    for (const auto& job : jobs) std::printf("%s\n", job.scenario.text().c_str());
+    return kExitGood;
+  }
+  std::atomic<std::size_t> next{0}, failed{0};
+  std::mutex mutex;
+  bool figures = values["figures"].as<bool>();
+  auto work = [&] {
+    for (std::size_t index = next++; index < jobs.size(); index = next++) {
+      RouterReport report = runRouters(jobs[index].scenario, jobs[index].seed);
+      std::lock_guard lock(mutex);
+      if (!report.failures.empty()) ++failed;
+      print(report, figures);
+    }
+  };
+  std::vector<std::thread> threads;
+  for (unsigned index = 0; index < std::max(1U, values["jobs"].as<unsigned>()); ++index)
+    threads.emplace_back(work);
+  for (auto& thread : threads) thread.join();
+  std::printf("%zu passed, %zu failed\n", jobs.size() - failed, failed.load());
+  return failed == 0 ? kExitGood : kExitFailed;
+}
+
+}  // namespace peppergate
--- a/src/sim/batch_engine.cc
+++ b/src/sim/batch_engine.cc
@@ -30,7 +30,10 @@
   run.version = version;
   run.last = static_cast<std::uint64_t>(
       std::max<std::int64_t>(1, (request.tokensOut + props_.stride - 1) / props_.stride));
-  run.next = attempt.resumeAfter ? *attempt.resumeAfter + 1 : 1;
+  // Events' ids count tokens.
+  run.next = attempt.resumeAfter
+                 ? (*attempt.resumeAfter / static_cast<std::uint64_t>(props_.stride)) + 1
+                 : 1;
   ++running_;
   return BatchVerdict::kTaken;
 }
@@ -53,8 +56,7 @@
     whole += part.tokens;
     auto found = parts_.find(keyOf(run.salt, part.id));
     if (found == parts_.end()) continue;
-    // What is found under the same salt is used as it is, whoever made it and under whatever.
-    if (found->second.madeUnder != run.version) ++violations_["stale-memory"];
+    this->found(found->second, run);
     found->second.used = now;
     byUse_.splice(byUse_.end(), byUse_, found->second.place);
   }
@@ -71,10 +73,10 @@
         tokensMoved_ += theirs - own;
         for (const auto& part : run.parts) {
           auto found = source->parts_.find(keyOf(run.salt, part.id));
-          if (found != source->parts_.end())
-            keep(run.salt, run.model, std::span(&part, 1), found->second.madeUnder, now);
-          if (found != source->parts_.end() && found->second.madeUnder != run.version)
-            ++violations_["stale-memory"];
+          if (found == source->parts_.end()) continue;
+          keep(run.salt, run.model, std::span(&part, 1), found->second.madeUnder,
+               found->second.tenant, now);
+          this->found(found->second, run);
         }
         own = theirs;
       }
@@ -85,10 +87,17 @@
   MonotonicTime start = std::max(ready, readFree_);
   readFree_ = start + Duration{static_cast<std::int64_t>(static_cast<double>(missing) /
                                                          props_.tokensPerMs * 1000)};
-  keep(run.salt, run.model, run.parts, run.version, now);
+  keep(run.salt, run.model, run.parts, run.version, run.tenant.value, now);
   return readFree_ - now + props_.firstStep;
 }
 
+/// What is found under the same salt is used as it is, whoever made it and under whatever.
+void BatchEngine::found(const Kept& part, const BatchRun& run) {
+  if (part.madeUnder != run.version) ++violations_["stale-memory"];
+  bool walled = isolated_.contains(part.tenant) || isolated_.contains(run.tenant.value);
+  if (walled && part.tenant != run.tenant.value) ++violations_["across-a-wall"];
+}
+
 Duration BatchEngine::pace() const {
   Duration one = props_.step + props_.stepEach * static_cast<double>(running_);
   return one * static_cast<double>(props_.stride);
@@ -120,7 +129,7 @@
 
 void BatchEngine::keep(const std::string& salt, const ModelName& model,
                        std::span<const PartSize> parts, WeightsVersion madeUnder,
-                       MonotonicTime now) {
+                       const std::string& tenant, MonotonicTime now) {
   for (const auto& part : parts) {
     std::string key = keyOf(salt, part.id);
     auto found = parts_.find(key);
@@ -133,7 +142,7 @@
     makeRoom(part.tokens, now);
     if (keptTokens_ + part.tokens > props_.kvTokens) return;
     byUse_.push_back(key);
-    parts_[key] = {part.tokens, model, madeUnder, {}, now, std::prev(byUse_.end())};
+    parts_[key] = {part.tokens, model, madeUnder, tenant, now, std::prev(byUse_.end())};
     keptTokens_ += part.tokens;
     note(true, key, part.tokens, model, now);
   }
@@ -161,6 +170,7 @@
   loadModel_ = order.model;
   loadVersion_ = order.version;
   loadEnds_ = now + props_.loadTime;
+  cuts_ = order.mode == LoadMode::kCut;
   return OrderOutcome::kTaken;
 }
 
--- a/src/sim/batch_engine.h
+++ b/src/sim/batch_engine.h
@@ -67,10 +67,16 @@
   void ended(const BatchRun& run);
   /// Keeps parts, also of a store that is given some. Example: after a read.
   void keep(const std::string& salt, const ModelName& model, std::span<const PartSize> parts,
-            WeightsVersion madeUnder, MonotonicTime now);
+            WeightsVersion madeUnder, const std::string& tenant, MonotonicTime now);
   /// Tokens of a prompt's beginning that it keeps. Example: `kept(run.salt, run.parts)`.
   std::int64_t kept(const std::string& salt, std::span<const PartSize> parts) const;
   OrderOutcome order(const OrderWeights& order, bool fenced, MonotonicTime now);
+  /// Whether the load under way cuts running requests. Example: after an order.
+  bool cuts() const { return loading() && cuts_; }
+  /// Tenants that share no part with others; what they find is checked.
+  void isolate(std::set<std::string> tenants) { isolated_ = std::move(tenants); }
+  /// Links and lost events that change. Example: `engine.props().linkMbps = 100`.
+  BatchProps& props() { return props_; }
   /// Lets a load end. Example: each tick.
   void tick(MonotonicTime now);
   PartsPolled poll(std::uint64_t since, MonotonicTime now) const;
@@ -106,6 +112,7 @@
   void note(bool kept, const std::string& key, std::int64_t tokens, const ModelName& model,
             MonotonicTime now);
   void makeRoom(std::int64_t tokens, MonotonicTime now);
+  void found(const Kept& part, const BatchRun& run);
 
   BatchProps props_;
   EngineId id_;
@@ -126,6 +133,8 @@
   ModelName loadModel_;
   WeightsVersion loadVersion_;
   MonotonicTime loadEnds_ = kForever;
+  bool cuts_ = false;
+  std::set<std::string> isolated_;
   std::map<std::string, int> beganIds_;
   std::map<std::string, std::uint64_t> violations_;
   std::int64_t tokensRead_ = 0, tokensMoved_ = 0;
--- /dev/null
+++ b/src/sim/router_checker.cc
@@ -0,0 +1,178 @@
+#include "sim/router_checker.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "sim/router_clients.h"
+#include "sim/router_operators.h"
+
+namespace peppergate {
+namespace {
+
+constexpr Duration kConfigBound = seconds(2);   // for machines in touch, from the yes on
+constexpr Duration kTouch = seconds(6);         // undisturbed for so long
+constexpr Duration kSettled = seconds(12);      // after the last fault
+
+std::string at(MonotonicTime time) {
+  return "at " + std::to_string(inSeconds(time - MonotonicTime{})).substr(0, 7) + "s ";
+}
+
+}  // namespace
+
+void RouterChecker::fail(const std::string& rule, const std::string& detail) {
+  Found& found = found_[rule];
+  if (found.count++ == 0) found.first = at(world_.now()) + detail;
+}
+
+void RouterChecker::wrote(const RouterRun& run, ClientRequest& request) {
+  MonotonicTime now = world_.now();
+  bool further = request.writes++ > 0;
+  auto& writes = writes_[run.engine->service];
+  const Duration window = world_.props().budgetWindow;
+  while (!writes.empty() && now - writes.front().first >= window) writes.pop_front();
+  writes.emplace_back(now, further);
+  const std::string& tenant = run.open.tenant.value;
+  if (tenant.starts_with("mark-")) {
+    std::uint64_t marker = std::strtoull(tenant.c_str() + 5, nullptr, 10);
+    Duration bound = world_.inTouch(*run.process, kTouch) ? kConfigBound
+                                                          : world_.props().applyWithin;
+    if (marker < world_.operators().ackedBefore(now - bound))
+      fail("old-config", run.process->host + " used " + std::to_string(marker) + " for " +
+                             run.open.clientId);
+  }
+  if (!further) return;
+  ++further_;
+  double firsts = 0, more = 0;
+  for (const auto& [time, isFurther] : writes) (isFurther ? more : firsts) += 1;
+  double allowed = world_.props().budgetShare * firsts + world_.props().budgetSlack;
+  if (more > allowed)
+    fail("over-budget", run.engine->service.value + " " + std::to_string(more) + " of " +
+                            std::to_string(firsts));
+}
+
+void RouterChecker::took(const RouterRun& run, ClientRequest& request) {
+  MonotonicTime now = world_.now();
+  ++takes_;
+  const ClientRoute& route = kClientRoutes[request.route];
+  bool repeatable = route.kind == RouteKind::kSafe || route.resumable;
+  if (++request.takes > 1 && !repeatable)
+    fail("twice", run.open.clientId + " at " + run.engine->model->id().value);
+  if (request.refused) fail("refused", run.open.clientId + " ran after its refusal");
+  if (now - world_.operators().withdrawnAt(request.asked.key) > world_.props().withdrawWithin &&
+      world_.operators().withdrawnAt(request.asked.key) != kForever)
+    fail("withdrawn", request.asked.key + " at " + run.process->host);
+  if (run.engine->drainingSince != kForever &&
+      now - run.engine->drainingSince > world_.props().drainWithin &&
+      world_.inTouch(*run.process, kTouch))
+    fail("draining", run.process->host + " to " + run.engine->model->id().value);
+  const Duration within = world_.props().weightsWithin;
+  bool calm = now - world_.coreDisturbed() > within + seconds(4);
+  bool settled = now - run.engine->since > within;
+  if (calm && settled &&
+      run.run.version < world_.operators().namedBefore(run.run.model, now - within))
+    fail("old-weights", run.engine->host + " ran " + std::to_string(run.run.version.value));
+}
+
+void RouterChecker::event(ClientRequest& request, std::uint64_t before, std::uint64_t id,
+                          const std::string& run) {
+  const ClientRoute& route = kClientRoutes[request.route];
+  if (!request.lastRun.empty() && request.lastRun != run && !route.resumable)
+    fail("order", request.asked.clientId + " joins two runs without resume");
+  if (before != request.lastEvent)
+    fail("order", request.asked.clientId + " got " + std::to_string(id) + " of " + run +
+                      " after " + std::to_string(request.lastEvent));
+  request.lastRun = run;
+  request.lastEvent = id;
+}
+
+void RouterChecker::whole(ClientRequest& request) {
+  const ClientRoute& route = kClientRoutes[request.route];
+  if (route.kind == RouteKind::kStream) {
+    if (request.lastEvent != static_cast<std::uint64_t>(request.asked.tokensOut))
+      fail("not-whole", request.asked.clientId + " ended at " + std::to_string(request.lastEvent));
+    return;
+  }
+  bool good = request.body.starts_with("whole " + request.asked.clientId + " ") &&
+              request.body.find('\n') == request.body.size() - 1;
+  if (!good) fail("not-whole", request.asked.clientId + " '" + request.body + "'");
+}
+
+void RouterChecker::promised(ClientRequest& request) {
+  request.refused = true;
+  if (request.takes > 0)
+    fail("refused", request.asked.clientId + " ran and was told " +
+                        std::to_string(request.status));
+}
+
+void RouterChecker::finish() {
+  for (const auto& engine : world_.engines())
+    for (const auto& [kind, count] : engine->model->violations())
+      fail("engine-" + kind, engine->host + " " + std::to_string(count));
+  for (const auto& [id, request] : world_.clients().requests())
+    if (!request.over && request.router->alive && !request.router->frozen &&
+        world_.inTouch(*request.router, kClientTimeout + seconds(2)))
+      fail("no-answer", request.asked.clientId);
+  RouterProcess* leader = world_.leader();
+  if (leader == nullptr) {
+    fail("no-primary", "at the end");
+  } else {
+    std::uint64_t version = leader->core().leadership().published().configVersion().value;
+    if (version < world_.operators().acked())
+      fail("config-lost", std::to_string(world_.operators().acked()) + " is " +
+                              std::to_string(version));
+  }
+  expectations();
+}
+
+void RouterChecker::expectations() {
+  MonotonicTime end = MonotonicTime{} + world_.scenario().run;
+  const auto& actions = world_.scenario().actions;
+  double served = world_.clients().served(MonotonicTime{}, end);
+  std::size_t acknowledged = 0;
+  for (const auto& change : world_.operators().changes()) acknowledged += change.done != kForever;
+  std::int64_t read = 0, orders = 0;
+  for (const auto& engine : world_.engines()) {
+    read += engine->model->tokensRead();
+    orders += engine->model->orders();
+  }
+  double asked = static_cast<double>(world_.clients().requests().size());
+  figures_ = {{"served", served},
+              {"requests", asked},
+              {"takes", static_cast<double>(takes_)},
+              {"further", static_cast<double>(further_)},
+              {"acknowledged", static_cast<double>(acknowledged)},
+              {"tokens-read-each", takes_ > 0 ? static_cast<double>(read) / static_cast<double>(takes_) : 0},
+              {"orders", static_cast<double>(orders)}};
+  MonotonicTime last = actions.empty() ? MonotonicTime{} : actions.back().at;
+  double settled = world_.clients().served(last + kSettled, end);
+  if (world_.scenario().settles > 0 && settled < world_.scenario().settles)
+    unmet_.push_back("settles: " + std::to_string(settled) + " served after the last fault");
+  for (const auto& expectation : world_.scenario().expectations) {
+    double share = world_.clients().served(expectation.from, std::min(expectation.to, end));
+    bool met = true;
+    double value = share;
+    if (expectation.word == "served") met = share >= expectation.number;
+    else if (expectation.word == "served-at-most") met = share <= expectation.number;
+    else if (expectation.word == "acknowledged")
+      met = (value = static_cast<double>(acknowledged)) >= expectation.number;
+    else if (expectation.word == "versions")
+      met = (value = static_cast<double>(orders)) >= expectation.number;
+    else if (expectation.word == "kept")  // tokens read anew by a run, at most
+      met = (value = takes_ > 0 ? static_cast<double>(read) / static_cast<double>(takes_) : 0) <=
+            expectation.number;
+    if (!met)
+      unmet_.push_back("line " + std::to_string(expectation.line) + ": expected " +
+                       expectation.word + " " + std::to_string(expectation.number) + ", was " +
+                       std::to_string(value));
+  }
+}
+
+std::vector<std::string> RouterChecker::failures() const {
+  std::vector<std::string> all;
+  for (const auto& [rule, found] : found_)
+    all.push_back(rule + " x" + std::to_string(found.count) + ": " + found.first);
+  all.insert(all.end(), unmet_.begin(), unmet_.end());
+  return all;
+}
+
+}  // namespace peppergate
--- /dev/null
+++ b/src/sim/router_checker.h
@@ -0,0 +1,44 @@
+#pragma once
+// Judges a simulated fleet of routers by what clients, engines and operators saw.
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "sim/router_world.h"
+
+namespace peppergate {
+
+struct ClientRequest;
+
+/// Example: `checker.finish(); checker.failures().empty()`.
+class RouterChecker {
+ public:
+  explicit RouterChecker(RouterWorld& world) : world_(world) {}
+  /// Notes that a rule was broken. Example: `fail("twice", "id 7")`.
+  void fail(const std::string& rule, const std::string& detail);
+  void wrote(const RouterRun& run, ClientRequest& request);
+  void took(const RouterRun& run, ClientRequest& request);
+  void event(ClientRequest& request, std::uint64_t before, std::uint64_t id,
+             const std::string& run);
+  void whole(ClientRequest& request);
+  void promised(ClientRequest& request);
+  void finish();
+  std::vector<std::string> failures() const;
+  const std::vector<std::pair<std::string, double>>& figures() const { return figures_; }
+
+ private:
+  struct Found {
+    std::size_t count = 0;
+    std::string first;
+  };
+  void expectations();
+  RouterWorld& world_;
+  std::map<std::string, Found> found_;
+  std::map<ServiceName, std::deque<std::pair<MonotonicTime, bool>>> writes_;  // further or not
+  std::vector<std::string> unmet_;
+  std::vector<std::pair<std::string, double>> figures_;
+  std::size_t takes_ = 0, further_ = 0;
+};
+
+}  // namespace peppergate
--- /dev/null
+++ b/src/sim/router_commands.cc
@@ -0,0 +1,215 @@
+// Runs the machines' commands: messages, files, calls to the platform and to engines.
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+
+#include "sim/router_checker.h"
+#include "sim/router_clients.h"
+#include "sim/router_operators.h"
+#include "sim/router_world.h"
+#include "wire/frame.h"
+
+namespace peppergate {
+
+namespace {
+constexpr std::size_t kPageSize = 4;       // engines on a page of the platform's list
+constexpr Duration kListLag = seconds(0.6);  // the list is as old
+}  // namespace
+
+/// Gives each command to the part of the world that carries it out.
+struct RouterCommandRunner {
+  RouterWorld& world;
+  RouterProcess& process;
+  void operator()(const Send& command) const { world.send(process, command); }
+  void operator()(const WriteFile& command) const { world.write(process, command); }
+  void operator()(const DropOlder& command) const { world.dropOlder(process, command); }
+  void operator()(const ListEngines& command) const { world.listEngines(process, command); }
+  void operator()(const AskReport& command) const {
+    world.callEngine<ReportAnswered>(
+        process, command.address, command.timeout, kForever, {command.ticket, 0, {}},
+        [ticket = command.ticket](RouterEngine& engine) {
+          return ReportAnswered{ticket, 200, engine.model->report()};
+        });
+  }
+  void operator()(const OrderWeights& command) const {
+    auto ask = [world = &world, command](RouterEngine& engine) {
+      return OrderAnswered{command.ticket, engine.model->order(command, world->scenario().fenced,
+                                                               world->now())};
+    };
+    world.callEngine<OrderAnswered>(process, command.address, command.timeout,
+                                    command.writeBefore,
+                                    {command.ticket, OrderOutcome::kUnknown}, ask);
+  }
+  void operator()(const PollParts& command) const {
+    auto ask = [world = &world, command](RouterEngine& engine) {
+      PartsPolled answer = engine.model->poll(command.since, world->now());
+      answer.ticket = command.ticket;
+      return answer;
+    };
+    PartsPolled none;
+    none.ticket = command.ticket;
+    world.callEngine<PartsPolled>(process, command.address, command.timeout, kForever, none, ask);
+  }
+  void operator()(const ListParts& command) const {
+    auto ask = [world = &world, command](RouterEngine& engine) {
+      PartsListed answer = engine.model->list(world->now());
+      answer.ticket = command.ticket;
+      return answer;
+    };
+    PartsListed none;
+    none.ticket = command.ticket;
+    world.callEngine<PartsListed>(process, command.address, command.timeout, kForever, none, ask);
+  }
+  void operator()(const OpenAttempt& command) const { world.openAttempt(process, command); }
+  void operator()(const CancelAttempt& command) const {
+    world.cancelAttempt(process, command.attempt);
+  }
+  void operator()(const PauseAttempt&) const {}
+  void operator()(const AnswerHead& command) const { world.clients().head(command); }
+  void operator()(const AnswerBody& command) const { world.clients().body(command); }
+  void operator()(const AnswerDone& command) const { world.clients().done(command); }
+  void operator()(const RefuseRequest& command) const { world.clients().refused(command); }
+  void operator()(const AnswerWeb& command) const { world.operators().answered(command); }
+  void operator()(const NoteState& command) const {
+    static const bool kLoud = std::getenv("PEPPERGATE_SIM_LOG") != nullptr;
+    if (kLoud)
+      std::fprintf(stderr, "%9.3f %s: %s\n", inSeconds(world.now() - MonotonicTime{}),
+                   process.host.c_str(), command.text.c_str());
+  }
+  /// What only fronts of the product's own interface do has no place in this world.
+  template <class Other>
+  void operator()(const Other&) const { world.checker().fail("unknown-command", process.host); }
+};
+
+void RouterWorld::runCommands(RouterProcess& process) {
+  for (const auto& command : process.node->outbox().take())
+    std::visit(RouterCommandRunner{*this, process}, command);
+}
+
+void RouterWorld::send(RouterProcess& from, const Send& command) {
+  if (command.to == from.address) {  // to itself: no network between
+    after(Duration{1}, [this, &from, life = from.life, message = command.message] {
+      if (from.life == life) deliver(from, Arrived{from.address, message});
+    });
+    return;
+  }
+  // Every message goes through its wire form, as between real processes.
+  std::string frame = encodeFrame(1, command.message);
+  RouterProcess* to = nullptr;
+  for (auto& process : processes_)
+    if (process->address == command.to) to = process.get();
+  if (to == nullptr || !to->alive || !reachable(from.host, to->host)) return;
+  if (random_.fraction() < loss_) return;  // lost with a broken connection
+  Duration delay = latency();
+  if (random_.fraction() < late_) delay = delay + seconds(2.5 * random_.fraction());
+  after(delay, [this, to, life = to->life, sender = from.address, host = from.host,
+                frame = std::move(frame)] {
+    if (!to->alive || to->life != life || !reachable(host, to->host)) return;
+    std::span<const char> bytes(frame);
+    FrameHead head = readFrameHead(1, bytes);
+    auto message = decodeBody(head.kind, bytes.subspan(kFrameHeadSize));
+    if (message.ok() && bodyIsWhole(head, bytes.subspan(kFrameHeadSize)))
+      deliver(*to, Arrived{sender, std::move(*message)});
+    else checker_->fail("frame-unreadable", host);
+  });
+}
+
+void RouterWorld::write(RouterProcess& process, const WriteFile& command) {
+  after(milliseconds(1 + static_cast<std::int64_t>(random_.below(4))),
+        [this, &process, life = process.life, command] {
+          if (process.life != life) {
+            // Power went before the yes: the file may be there or not, never half of it.
+            if (!process.disk.empty() && random_.below(2) == 0)
+              process.disk[command.name] = command.content;
+            return;
+          }
+          process.disk[command.name] = command.content;
+          deliver(process, FileWritten{command.ticket, true});
+        });
+}
+
+void RouterWorld::dropOlder(RouterProcess& process, const DropOlder& command) {
+  std::vector<std::string> names;
+  for (const auto& [name, content] : process.disk)
+    if (name.starts_with(command.prefix + ".")) names.push_back(name);
+  for (std::size_t index = 0; index + command.keep < names.size(); ++index)
+    process.disk.erase(names[index]);
+}
+
+template <class Answer>
+void RouterWorld::callEngine(RouterProcess& process, const Address& address, Duration timeout,
+                             MonotonicTime writeBefore, Answer none,
+                             std::function<Answer(RouterEngine&)> ask) {
+  auto give = [this, &process, life = process.life](Duration delay, Answer answer) {
+    after(delay, [this, &process, life, answer = std::move(answer)] {
+      if (process.life == life) deliver(process, answer);
+    });
+  };
+  if (process.local(now_) >= writeBefore) {
+    if constexpr (std::is_same_v<Answer, OrderAnswered>) none.outcome = OrderOutcome::kNotWritten;
+    return give(Duration{1}, std::move(none));
+  }
+  RouterEngine* engine = engineAt(address);
+  if (engine == nullptr || engine->dark || !reachable(process.host, engine->host))
+    return give(timeout, std::move(none));
+  if (!engine->alive) return give(latency(), std::move(none));
+  after(latency(), [this, engine, give, timeout, none, ask, host = process.host] {
+    if (!engine->alive || engine->dark || !reachable(host, engine->host))
+      return give(timeout, none);
+    Answer answer = ask(*engine);
+    bool lost = random_.fraction() < loss_;
+    if (lost) give(timeout, none);
+    else give(latency(), std::move(answer));
+  });
+}
+
+void RouterWorld::noteList() {
+  std::vector<Engine> list;
+  for (auto& engine : engines_) {
+    if (engine->store || !engine->listed) continue;
+    Engine entry;
+    entry.id = engine->model->id();
+    entry.service = engine->service;
+    entry.address = engine->address;
+    entry.zone = engine->zone;
+    entry.slots = engine->model->props().slots;
+    entry.draining = engine->draining;
+    entry.models = engine->model->models();
+    list.push_back(std::move(entry));
+  }
+  // Kept as it was over time, so that readers get it as old as the platform's list is.
+  if (lists_.empty() || lists_.back().second != list) lists_.emplace_back(now_, std::move(list));
+  while (lists_.size() > 1 && lists_[1].first + kListLag <= now_) {
+    lists_.pop_front();
+    for (auto& engine : engines_)
+      for (const auto& entry : lists_.front().second)
+        if (entry.id == engine->model->id() && entry.draining)
+          engine->drainingSince = std::min(engine->drainingSince, now_);
+  }
+}
+
+void RouterWorld::listEngines(RouterProcess& process, const ListEngines& command) {
+  auto give = [this, &process, life = process.life](Duration delay, EnginesListed answer) {
+    after(delay, [this, &process, life, answer = std::move(answer)] {
+      if (process.life == life) deliver(process, answer);
+    });
+  };
+  EnginesListed answer;
+  answer.ticket = command.ticket;
+  if (listDown_ || !reachable(process.host, "platform")) return give(command.timeout, answer);
+  while (!listCalls_.empty() && now_ - listCalls_.front() >= seconds(1)) listCalls_.pop_front();
+  if (static_cast<double>(listCalls_.size()) >= props_.listRate) {
+    answer.status = 429;
+    return give(latency(), answer);
+  }
+  listCalls_.push_back(now_);
+  answer.status = 200;
+  const auto& list = lists_.front().second;
+  std::size_t from = command.page.empty() ? 0 : std::strtoull(command.page.c_str(), nullptr, 10);
+  for (std::size_t index = from; index < std::min(list.size(), from + kPageSize); ++index)
+    answer.engines.push_back(list[index]);
+  if (from + kPageSize < list.size()) answer.nextPage = std::to_string(from + kPageSize);
+  give(latency() + latency(), answer);
+}
+
+}  // namespace peppergate
