Hollow fleets found by Founding and know several backups; the whole tree builds

The merged views hold a list of backups, cores take a Founding and placements a forecast; the hollow fleet and three tests still used the older forms. The hollow fleet founds as the simulator does, counts each backup of the view as one, and names the kind PartAsk; a kind without a name no longer compiles.

--- a/src/sim/hollow_fleet.cc
+++ b/src/sim/hollow_fleet.cc
@@ -22,7 +22,8 @@
     "HoldAnswer", "EngineListNews", "EngineListAsk", "PictureNote", "IndexPut",
     "IndexAsk", "UsageNote", "HolderAsk", "HolderAnswer", "CaretakerAsk",
     "CaretakerAnswer", "CaretakerNote", "PartNews", "RosterNews", "RosterAsk",
-    "EngineTrouble", "EngineUse"};
+    "EngineTrouble", "EngineUse", "PartAsk"};
+static_assert(!kKindNames.back().empty(), "a kind of message without a name");
 
 const Follower& followerOf(const HollowMember& member) {
   if (member.role == Role::kCore) return static_cast<CoreNode&>(*member.node).follower();
@@ -95,10 +96,11 @@
   std::vector<Address> seeds{members_[0]->address, members_[1 % members_.size()]->address,
                              members_.back()->address};
   if (member.role == Role::kCore) {
-    std::size_t founds = index == 0 && member.disk.empty() ? static_cast<std::size_t>(shape_.cores) : 0;
+    Founding founding;
+    if (index == 0 && member.disk.empty()) founding.cores = static_cast<std::size_t>(shape_.cores);
     if (member.disk.empty()) member.disk["identity"] = identityFile({random_.next() >> 1});
     member.node = std::make_unique<CoreNode>(props_, self, seeds, DiskFound{member.disk},
-                                             random_.next(), now_, founds);
+                                             random_.next(), now_, founding);
   } else {
     Address platform{shape_.engines > 0 ? "10.200.0.1:80" : ""};
     member.node = std::make_unique<FrontNode>(props_, self, seeds, platform, random_.next());
@@ -259,15 +261,17 @@
   return std::nullopt;
 }
 
-std::optional<std::size_t> HollowFleet::backup() const {
+std::vector<std::size_t> HollowFleet::backups() const {
   auto leader = primary();
-  if (!leader) return std::nullopt;
-  CoreId core = static_cast<CoreNode&>(*members_[*leader]->node).leadership().view().backup;
-  for (std::size_t index = 0; index < static_cast<std::size_t>(shape_.cores); ++index)
-    if (members_[index]->node &&
-        static_cast<CoreNode&>(*members_[index]->node).voter().record().identity == core)
-      return index;
-  return std::nullopt;
+  if (!leader) return {};
+  const View& view = static_cast<CoreNode&>(*members_[*leader]->node).leadership().view();
+  std::vector<std::size_t> found;
+  for (std::size_t index = 0; index < static_cast<std::size_t>(shape_.cores); ++index) {
+    if (!members_[index]->node) continue;
+    CoreId core = static_cast<CoreNode&>(*members_[index]->node).voter().record().identity;
+    if (std::ranges::find(view.backups, core) != view.backups.end()) found.push_back(index);
+  }
+  return found;
 }
 
 std::vector<int> HollowFleet::zonesOf(int region) const {
--- a/src/sim/hollow_fleet.h
+++ b/src/sim/hollow_fleet.h
@@ -74,8 +74,8 @@
   const HollowCost& cost(std::size_t index) const { return members_[index]->cost; }
   /// The leading core's index, if one leads. Example: `fleet.primary()`.
   std::optional<std::size_t> primary() const;
-  /// Its backup's index. Example: `fleet.backup()`.
-  std::optional<std::size_t> backup() const;
+  /// The indices of its backups. Example: `fleet.backups()`.
+  std::vector<std::size_t> backups() const;
 
   /// An operator asks a front for a change; true at the yes. Example: see `changeBody`.
   void ask(std::size_t front, Json body);
--- a/src/sim/hollow_measures.cc
+++ b/src/sim/hollow_measures.cc
@@ -47,13 +47,14 @@
       double tick = 0, webCalls = 0, webBytes = 0, worst = 0;
     };
     std::map<std::string, Sum> sums;
-    auto primary = fleet.primary(), backup = fleet.backup();
+    auto primary = fleet.primary();
+    auto backups = fleet.backups();
     for (std::size_t index = 0; index < fleet.size(); ++index) {
       const HollowCost& now = fleet.cost(index);
       const HollowCost& then = before_[index];
       bool core = fleet.member(index).role == Role::kCore;
-      Sum& sum = sums[!core ? "front" : index == primary ? "primary"
-                      : index == backup ? "backup" : "witness"];
+      bool backup = std::ranges::find(backups, index) != backups.end();
+      Sum& sum = sums[!core ? "front" : index == primary ? "primary" : backup ? "backup" : "witness"];
       ++sum.members;
       for (std::size_t kind = 0; kind < kMessageKinds; ++kind) {
         sum.messages += static_cast<double>(now.messages[kind] - then.messages[kind]);
--- a/tests/config_cores_test.cc
+++ b/tests/config_cores_test.cc
@@ -31,11 +31,13 @@
       DiskFound disk;
       disk.files["identity"] = identityFile({static_cast<std::uint64_t>(1 + index)});
       std::vector<Address> seeds{addressOf(0)};
+      Founding founding;
+      if (index == 0) founding.cores = kCores;
       if (index == kFront)
         nodes_.push_back(std::make_unique<FrontNode>(props_, self, seeds, Address{}, 9));
       else
         nodes_.push_back(std::make_unique<CoreNode>(props_, self, seeds, disk, 5 + index, now_,
-                                                    index == 0 ? kCores : 0));
+                                                    founding));
     }
   }
 
--- a/tests/hollow_test.cc
+++ b/tests/hollow_test.cc
@@ -32,13 +32,14 @@
   STRCMP_EQUAL("CaretakerNote",
                std::string(messageKindName(Message{CaretakerNote{}}.index())).c_str());
   STRCMP_EQUAL("EngineUse", std::string(messageKindName(Message{EngineUse{}}.index())).c_str());
+  STRCMP_EQUAL("PartAsk", std::string(messageKindName(Message{PartAsk{}}.index())).c_str());
 }
 
 TEST(Hollow, AFleetFoundsItselfAndKnowsAllMembers) {
   HollowFleet fleet(smallShape());
   fleet.run(seconds(6));
   CHECK(fleet.primary().has_value());
-  CHECK(fleet.backup().has_value());
+  UNSIGNED_LONGS_EQUAL(1, fleet.backups().size());
   CHECK(fleet.whole());
   UNSIGNED_LONGS_EQUAL(0, fleet.wronglyDead());
 }
--- a/tests/requests_fakes.h
+++ b/tests/requests_fakes.h
@@ -43,7 +43,7 @@
   PlaceRefusal refusal{PlaceFault::kNoEngine, {}};
   int droppedCount = 0, firstEvents = 0;
   std::vector<ServiceName> services;
-  Placed like{{}, {}, WeightsVersion{3}, "salt", Address{"store:1"}, Address{"store:2"}, 70};
+  Placed like{{}, {}, WeightsVersion{3}, "salt", Address{"store:1"}, Address{"store:2"}, 70, {}};
 
   std::variant<Placed, PlaceRefusal> place(const PlacementAsk& ask, const FleetConfig&,
                                            const Weights&, MonotonicTime, Outbox&) override {
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -14,7 +14,7 @@
   answer.sentAt = at(12.5);
   answer.proof = true;
   answer.age = seconds(0.25);
-  answer.view = {{7}, {11}, {12}, {6}, {{11}, {12}, {13}}};
+  answer.view = {{7}, {11}, {CoreId{12}, CoreId{13}}, {6}, {{11}, {12}, {13}}};
   answer.now = {{{7}, {1}}, {{7}, {2}}, {{6}, {3}}};
   answer.setup = std::string("with\0zero", 9);
   std::string frame = encodeFrame(5, Message{answer});
