--- a/src/sim/router_days.cc
+++ b/src/sim/router_days.cc
@@ -26,7 +26,7 @@
   std::string engine = draw.number(day.engines);
   constexpr std::array kGarbles{"lost", "foreign", "short", "fails", "busy",
                                 "unstamped", "repeat", "skip"};
-  switch (draw.random.below(19)) {
+  switch (draw.random.below(21)) {
     case 0: draw.add(at, "kill", {"primary"}); draw.add(at + length, "start", {"all"}); break;
     case 1: draw.add(at, "kill", {"core", core}); draw.add(at + length, "start", {"core", core}); break;
     case 2:  // one lost disk a day: two at once may be too many for the fleet
@@ -49,6 +49,8 @@
     case 14: draw.add(at, "link", {"0.002"}); draw.add(at + length * 2, "link", {"1"}); break;
     case 15: draw.add(at, "list", {"off"}); draw.add(at + length, "list", {"on"}); break;
     case 17: draw.add(at, "stop", {"router", router}); draw.add(at + 9, "start", {"router", router}); break;
+    case 18: draw.add(at, "traffic", {"6"}); draw.add(at + length, "traffic", {"1"}); break;
+    case 19: draw.add(at, "events", {"0.5"}); draw.add(at + length * 2, "events", {"0.02"}); break;
     case 16: draw.add(at, "late", {"0.05"}); draw.add(at + length, "late", {"0.003"}); break;
     default: draw.add(at, "cut", {"router", router, "core", core}); draw.add(at + length, "heal"); break;
   }
@@ -76,10 +78,10 @@
   day.cores = 3 + static_cast<int>(draw.random.below(2));
   day.engines = 6 + static_cast<int>(draw.random.below(4));
   day.fenced = draw.random.below(2) == 0;
-  day.requests = 30;
+  day.requests = 20 + static_cast<double>(draw.random.below(40));
   day.settles = 0.85;
   double at = 3;
-  for (int group = 0; group < 2; ++group, at += 9) {
+  for (int group = 0; group < 3; ++group, at += 8) {
     int troubles = 2 + static_cast<int>(draw.random.below(2));
     for (int index = 0; index < troubles; ++index) trouble(draw, at + draw.random.fraction());
     deed(draw, at - 0.5 + 2 * draw.random.fraction());
--- a/src/sim/router_faults.cc
+++ b/src/sim/router_faults.cc
@@ -19,9 +19,9 @@
 
 void RouterWorld::kill(RouterProcess& process, bool planned) {
   if (!process.alive) return;
+  if (!planned || process.frozen) process.disturbed = now_;
   process.alive = process.frozen = false;
   process.held.clear();
-  if (!planned) process.disturbed = now_;
   process.node.reset();
   ++process.life;
   if (process.role == Role::kCore) {
