--- a/src/io/daemon.cc
+++ b/src/io/daemon.cc
@@ -201,12 +201,17 @@
   TicketId ticket{++lastTicket_};
   operators_[ticket] = request;
   request->onGone = [this, ticket] { operators_.erase(ticket); };
-  std::optional<OperatorAsked> call;
-  if (doors_)
-    call = doors_->operatorCall(ticket, request->method, request->path, request->headers,
-                                request->body);
-  if (call) step(*call);
-  else step(OperatorAsked{ticket, request->method, request->path, request->body});
+  if (doors_) {
+    auto call = doors_->operatorCall(ticket, request->method, request->path, request->headers,
+                                     request->body);
+    if (call && std::holds_alternative<AnswerWeb>(*call)) {
+      const AnswerWeb& refusal = std::get<AnswerWeb>(*call);
+      operators_.erase(ticket);
+      return request->answer(refusal.status, refusal.headers, refusal.body);
+    }
+    if (call) return step(std::get<OperatorAsked>(*call));
+  }
+  step(OperatorAsked{ticket, request->method, request->path, request->body});
 }
 
 bool Daemon::answerReady(const std::shared_ptr<WebRequest>& request) {
@@ -217,6 +222,22 @@
   return true;
 }
 
+void Daemon::leaveWhenDone() {
+  auto stop = [this] { loop_.stop(); };
+  if (!doors_ || role_ == Role::kCore) return loop_.after(milliseconds(100), stop);
+  // A connection that is open may bring a request at any moment: the process goes after the last.
+  doors_->door().close();
+  bool over = bootNow() - leaving_ > setup_.props.graceTime - seconds(0.6);
+  if (over || doors_->door().connections() == 0) loop_.soon(stop);
+}
+
+void Daemon::logCounters() {
+  std::string line;
+  for (const auto& [name, value] : node_->outbox().counters())
+    line += " " + name + "=" + std::to_string(value);
+  LOG(INFO) << "counters" << line;
+}
+
 void Daemon::noteConfig() {
   if (!doors_ || role_ != Role::kFront) return;
   const Follower& follower = static_cast<RouterNode&>(*node_).follower();
@@ -270,10 +291,13 @@
     step(Ticked{});
     noteConfig();
     watchSlowCallers();
-    if (node_->drained(bootNow())) loop_.after(milliseconds(100), [this] { loop_.stop(); });
+    if (node_->drained(bootNow())) leaveWhenDone();
   });
+  if (setup_.countersEvery.microseconds > 0)
+    loop_.every(setup_.countersEvery, [this] { logCounters(); });
   auto drain = [this] {
     LOG(INFO) << "draining";
+    leaving_ = std::min(leaving_, bootNow());
     if (doors_ && role_ == Role::kFront) doors_->door().leave();
     step(DrainAsked{});
   };
@@ -290,6 +314,7 @@
   });
   signal(SIGPIPE, SIG_IGN);
   loop_.run();
+  logCounters();
   LOG(INFO) << "ended";
   return 0;
 }
--- a/src/io/daemon.h
+++ b/src/io/daemon.h
@@ -27,6 +27,7 @@
   std::vector<Address> seeds;
   std::string dataFolder;   // of a core
   Founding founding;        // of a core
+  Duration countersEvery;   // 0: counters are written to the log at the end only
   bool rehearsal = false;   // faults may be asked for at the pages
   // A daemon of another dialect than the product's own: its clients' door is at `callers`, the
   // operators' calls come to `pages`, readiness is asked at `pages` too.
@@ -64,6 +65,8 @@
   absl::Status openCore(const MemberRecord& self);
   absl::Status openFront(const MemberRecord& self);
   absl::Status openRouter(const MemberRecord& self);
+  void logCounters();
+  void leaveWhenDone();
   bool answerReady(const std::shared_ptr<WebRequest>& request);
   void noteConfig();
 
@@ -77,6 +80,7 @@
   std::unique_ptr<WebServer> pages_, callers_;
   std::unique_ptr<DialectDoors> doors_;  // of a daemon of another dialect
   std::uint64_t changesSeen_ = 0;
+  MonotonicTime leaving_ = kForever;  // since the word to leave
   std::map<StreamId, Answering> answering_;
   std::map<TicketId, std::shared_ptr<WebRequest>> operators_;
   std::uint64_t lastStream_ = 0, lastTicket_ = std::uint64_t{1} << 40;
--- a/src/prompts/placement.cc
+++ b/src/prompts/placement.cc
@@ -63,6 +63,10 @@
   namedBefore_ = true;
 }
 
+void Placement::coreChanged(MonotonicTime now) {
+  for (auto& [model, named] : named_) named.at = std::max(named.at, now);
+}
+
 std::int64_t Placement::toRead(const PlacementAsk& ask, std::int64_t kept) {
   std::int64_t tokens = ask.tokensIn;
   if (tokens <= 0)
@@ -84,7 +88,7 @@
     survey.shape = &*found->second.engine;
   if (auto name = weights.models.find(ask.model); name != weights.models.end())
     survey.named = std::max(survey.named, name->second);
-  survey.wall = wallOf(ask.tenant, ask.isolated);
+  survey.wall = wallOf(ask.tenant, ask.isolated && props_.guards(Guard::kWall));
   survey.tokens = toRead(ask, 0);
   for (std::size_t index = 0; index + 1 < ask.parts.size(); ++index)
     survey.shared += ask.parts[index].tokens;
@@ -122,6 +126,8 @@
   const EngineId& engine = choice.engine->listed.id;
   auto source = fetches_.roomiest(prompt.sources, engine);
   if (!source || plan_.rungs.empty()) return false;
+  auto address = addressOf(*source);
+  if (!address) return false;
   int urgency = survey.ask.route ? survey.ask.route->urgency : 5;
   Fetch fetch;
   fetch.want.stream = {survey.ask.request.value};
@@ -140,8 +146,8 @@
              fetch.megabytes)
     ++fetch.want.topRung;
   if (!fetches_.join(std::move(fetch), plan_, survey.now, outbox)) return false;
-  placed.collectFrom = addressOf(*source);
-  return placed.collectFrom.has_value();
+  placed.collectFrom = std::move(address);
+  return true;
 }
 
 Placed Placement::settled(Survey& survey, const Choice& choice, Placed placed, Outbox& outbox) {
@@ -165,6 +171,14 @@
       outbox.count(prompt.reach > choice.kept ? "parts.readAgain" : "parts.readFirst");
     } else {
       outbox.count(placed.collectFrom ? "parts.collected" : "parts.kept");
+      // What is believed kept may be gone: then it is taken from the store instead of read. An
+      // engine that keeps all takes nothing.
+      auto stored = std::ranges::find(prompt.holdings, storeId(), &Holding::engine);
+      if (!placed.collectFrom && store_ && stored != prompt.holdings.end() &&
+          sourceUsable(storeId(), survey.now)) {
+        placed.collectFrom = store_->address;
+        outbox.count("parts.insured");
+      }
     }
   }
   outbox.count("place.placed");
@@ -178,7 +192,7 @@
   const Pending& pending = found->second;
   if (pending.collects) {
     // Queues are guessed: only what is far beyond the guess is blamed on a link.
-    double base = 2 * (pending.waitMs + pending.readMs) + 100;
+    double base = 3 * (pending.waitMs + pending.readMs) + 300;
     fetches_.firstEvent({request.value}, seconds(base / 1000), now, outbox);
   } else {
     speed_.seen(pending.engine, pending.service, pending.tokens, took);
--- a/src/requests/router_node.h
+++ b/src/requests/router_node.h
@@ -24,6 +24,8 @@
   Outbox& outbox() override { return outbox_; }
   Json status(MonotonicTime now) const override;
   void reload(const Props& props) override;
+  /// Whether no new clients come any more; what is open still ends whole. Example: then the door
+  /// closes, and the process goes when its last connection ended.
   bool drained(MonotonicTime now) const override;
   /// Whether clients' new connections are welcome. Example: asked by the platform each second.
   bool ready(MonotonicTime now) const;
@@ -57,6 +59,7 @@
   std::unique_ptr<FollowerFacts> facts_;
   std::unique_ptr<Requests> requests_;
   std::uint64_t changesSeen_ = 0;
+  CoreId primary_;  // who led when last looked at
   ListVersion bookVersion_;
   MonotonicTime nextTell_{}, drainSince_ = kForever;
 };
