--- a/src/sim/hollow_fleet.cc
+++ b/src/sim/hollow_fleet.cc
@@ -95,10 +95,12 @@
   std::vector<Address> seeds{members_[0]->address, members_[1 % members_.size()]->address,
                              members_.back()->address};
   if (member.role == Role::kCore) {
-    std::size_t founds = index == 0 && member.disk.empty() ? static_cast<std::size_t>(shape_.cores) : 0;
-    if (member.disk.empty()) member.disk["identity"] = identityFile({random_.next() >> 1});
+    Founding founding;
+    if (index == 0 && member.disk.empty()) founding.cores = static_cast<std::size_t>(shape_.cores);
+    if (member.disk.empty())
+      member.disk["identity"] = identityFile({random_.next() >> 1}, founding);
     member.node = std::make_unique<CoreNode>(props_, self, seeds, DiskFound{member.disk},
-                                             random_.next(), now_, founds);
+                                             random_.next(), now_, founding);
   } else {
     Address platform{shape_.engines > 0 ? "10.200.0.1:80" : ""};
     member.node = std::make_unique<FrontNode>(props_, self, seeds, platform, random_.next());
@@ -262,7 +264,9 @@
 std::optional<std::size_t> HollowFleet::backup() const {
   auto leader = primary();
   if (!leader) return std::nullopt;
-  CoreId core = static_cast<CoreNode&>(*members_[*leader]->node).leadership().view().backup;
+  const View& view = static_cast<CoreNode&>(*members_[*leader]->node).leadership().view();
+  if (view.backups.empty()) return std::nullopt;
+  CoreId core = view.backups.front();
   for (std::size_t index = 0; index < static_cast<std::size_t>(shape_.cores); ++index)
     if (members_[index]->node &&
         static_cast<CoreNode&>(*members_[index]->node).voter().record().identity == core)
