--- a/src/sim/hollow_fleet.cc
+++ b/src/sim/hollow_fleet.cc
@@ -98,7 +98,8 @@
   if (member.role == Role::kCore) {
     Founding founding;
     if (index == 0 && member.disk.empty()) founding.cores = static_cast<std::size_t>(shape_.cores);
-    if (member.disk.empty()) member.disk["identity"] = identityFile({random_.next() >> 1});
+    if (member.disk.empty())
+      member.disk["identity"] = identityFile({random_.next() >> 1}, founding);
     member.node = std::make_unique<CoreNode>(props_, self, seeds, DiskFound{member.disk},
                                              random_.next(), now_, founding);
   } else {
