--- a/src/core/leadership.cc
+++ b/src/core/leadership.cc
@@ -289,22 +289,6 @@
   startCopies(now, outbox);
 }
 
-void Leadership::propose(MonotonicTime now, Outbox& outbox) {
-  phase_ = LeaderPhase::kAccepting;
-  phaseSince_ = now;
-  accepted_.clear();
-  if (settledHere_ && wanted_.voters != view_.voters) proposed_.push_back(wanted_.voters);
-  askAcceptance(outbox);
-}
-
-void Leadership::askAcceptance(Outbox& outbox) {
-  std::set<CoreId> asked(old_.voters.begin(), old_.voters.end());
-  asked.insert(wanted_.voters.begin(), wanted_.voters.end());
-  for (CoreId voter : asked)
-    if (!accepted_.contains(voter))
-      outbox.send(membership_.addressOf(voter), AcceptAsk{wanted_, false});
-}
-
 void Leadership::repeat(Outbox& outbox) {
   // One lost message must not cost a whole try: what is unanswered goes out with each renewal.
   if (phase_ == LeaderPhase::kAccepting) askAcceptance(outbox);
@@ -314,30 +298,6 @@
   if (settledHere_ && heldState_ && !majority(holders_, view_.voters)) tellHolders(true, outbox);
 }
 
-void Leadership::hear(const AcceptAnswer& answer, MonotonicTime now, Outbox& outbox) {
-  seen_ = std::max(seen_, answer.promised);
-  if (answer.epoch != wanted_.epoch || !answer.accepted) {
-    bool here = phase_ == LeaderPhase::kFounding && answer.epoch == wanted_.epoch;
-    if (here && !founds_) {
-      outbox.push(NoteState{"core: founding declined, a voter belongs to a fleet already"});
-      founding_.cores = 0;
-      phase_ = LeaderPhase::kFollowing;
-    } else if (here) {
-      giveUpPhase(now, outbox);
-    }
-    return;
-  }
-  if (phase_ != LeaderPhase::kAccepting && phase_ != LeaderPhase::kFounding) return;
-  accepted_.insert(answer.voter);
-  bool all = std::ranges::all_of(wanted_.voters,
-                                 [&](CoreId core) { return accepted_.contains(core); });
-  bool enough = founds_ ? accepted_.size() >= foundersNeeded()
-                : phase_ == LeaderPhase::kFounding
-                    ? all
-                    : majority(accepted_, wanted_.voters) && majority(accepted_, old_.voters);
-  if (enough) settled(now, outbox);
-}
-
 void Leadership::settled(MonotonicTime now, Outbox& outbox) {
   view_ = wanted_;
   old_ = wanted_;
--- a/tests/prompts_placement_test.cc
+++ b/tests/prompts_placement_test.cc
@@ -16,6 +16,9 @@
 const ServiceName kService{"model"};
 const ModelName kModel{"llm"};
 const std::vector<PartSize> kPrompt{{"rules", 8000}, {"own", 2000}};
+constexpr double kNamedAt = 2;
+constexpr double kOldServe = 11;   // seconds: a bound of 12, less one in which a request begins
+constexpr double kMoment = 0.001;
 
 FleetConfig makeConfig(bool withStore, double linkMbps = 80000) {
   FleetConfig config;
@@ -64,8 +67,10 @@
   std::vector<EngineId> tried;
   std::uint64_t last = 0;
 
-  explicit Front(std::uint64_t seed, int engines = 4, bool withStore = false)
-      : random(seed), placement(props, book, index, fetches, random), config(makeConfig(withStore)) {
+  explicit Front(std::uint64_t seed, int engines = 4, bool withStore = false,
+                 const Props& its = {})
+      : props(its), random(seed), placement(props, book, index, fetches, random),
+        config(makeConfig(withStore)) {
     route.target = milliseconds(400);
     std::vector<Engine> list;
     for (int number = 1; number <= engines; ++number) list.push_back(makeEngine(number));
@@ -97,6 +102,13 @@
     CHECK(std::holds_alternative<Placed>(placed));
     return std::get<Placed>(placed);
   }
+  /// Engines with old weights are chosen just before this time, and from it on no more.
+  void servesUntil(double edge) {
+    STRCMP_EQUAL("/llm.1", place(kPrompt, edge - kMoment).salt.c_str());
+    auto refused = ask(kPrompt, edge);
+    CHECK(std::holds_alternative<PlaceRefusal>(refused));
+    CHECK(std::get<PlaceRefusal>(refused).fault == PlaceFault::kNoEngine);
+  }
   void busy(const EngineId& engine, std::int64_t tokens, int requests = 1) {
     for (int one = 0; one < requests; ++one) book.sent(engine, tokens / requests);
   }
@@ -306,15 +318,23 @@
   front.place(kPrompt);  // the weights of the start were seen
   std::vector<Engine> list;
   for (int number = 1; number <= 4; ++number) list.push_back(makeEngine(number, number == 1 ? 1 : 2));
-  front.book.take(list, {2}, at(2));
+  front.book.take(list, {2}, at(kNamedAt));
   front.weights.models[kModel] = {2};
-  Placed soon = front.place(kPrompt, 2);
+  Placed soon = front.place(kPrompt, kNamedAt);
   if (soon.engine != EngineId{"e1"}) {
     STRCMP_EQUAL("/llm.2", soon.salt.c_str());
     CHECK_FALSE(soon.collectFrom.has_value());
   }
+  // Just before the edge the engine with old weights is good enough for whom no other is left.
+  front.tried = {{"e2"}, {"e3"}, {"e4"}};
+  Placed last = front.place(kPrompt, kNamedAt + kOldServe - kMoment);
+  STRCMP_EQUAL("e1", last.engine.value.c_str());
+  STRCMP_EQUAL("/llm.1", last.salt.c_str());
+  CHECK(std::get<PlaceRefusal>(front.ask(kPrompt, kNamedAt + kOldServe)).fault ==
+        PlaceFault::kNoEngine);
+  front.tried.clear();
   for (int turn = 0; turn < 20; ++turn) {
-    Placed late = front.place(kPrompt, 13.9);  // just before the bound: none starts on old weights
+    Placed late = front.place(kPrompt, kNamedAt + kOldServe);  // none starts on old weights
     CHECK(late.engine != EngineId{"e1"});
     CHECK_EQUAL(2, late.version->value);
     STRCMP_EQUAL("/llm.2", late.salt.c_str());
@@ -326,16 +346,41 @@
   Front front(1);
   front.place(kPrompt);
   front.weights.models[kModel] = {2};
-  STRCMP_EQUAL("/llm.1", front.place(kPrompt, 2).salt.c_str());
-  CHECK(std::holds_alternative<Placed>(front.ask(kPrompt, 9.9)));
-  auto refused = front.ask(kPrompt, 13.9);  // weightsWithin is 12 s, some of it for the way
-  CHECK(std::get<PlaceRefusal>(refused).fault == PlaceFault::kNoEngine);
+  STRCMP_EQUAL("/llm.1", front.place(kPrompt, kNamedAt).salt.c_str());
+  front.servesUntil(kNamedAt + kOldServe);
   // A front that began after the naming can't know how old it is.
   Front later(2);
   later.weights.models[kModel] = {2};
   CHECK(std::holds_alternative<PlaceRefusal>(later.ask(kPrompt, 1)));
 }
 
+TEST(Placement, TheTimeOfOldWeightsFollowsTheConfiguredBound) {
+  Props props;
+  props.weightsWithin = seconds(7);
+  Front front(1, 4, false, props);
+  front.place(kPrompt);
+  front.weights.models[kModel] = {2};
+  front.place(kPrompt, kNamedAt);
+  front.servesUntil(kNamedAt + 6);
+}
+
+TEST(Placement, TheTimeOfOldWeightsBeginsAnewWithAnotherCore) {
+  Front front(1);
+  front.place(kPrompt);
+  front.weights.models[kModel] = {2};
+  front.place(kPrompt, kNamedAt);
+  front.placement.coreChanged(at(8));
+  front.servesUntil(8 + kOldServe);
+  // Also when it was over already, and no earlier trouble takes it back.
+  front.placement.coreChanged(at(30));
+  front.placement.coreChanged(at(25));
+  front.servesUntil(30 + kOldServe);
+  // A later name has its own time.
+  front.weights.models[kModel] = {3};
+  STRCMP_EQUAL("/llm.1", front.place(kPrompt, 50).salt.c_str());
+  front.servesUntil(50 + kOldServe);
+}
+
 TEST(Placement, FullEnginesRefuseWithAForecast) {
   Front front(1, 2);
   front.busy({"e1"}, 1600, 16);
