--- a/src/app/daemon_command.cc
+++ b/src/app/daemon_command.cc
@@ -1,4 +1,4 @@
-// The front, core and check subcommands: flags, the settings file, props.
+// The front, core and check subcommands: flags, the settings file, options.
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -15,18 +15,22 @@
 
 po::options_description settingsOptions() {
   po::options_description options("Settings (flags, or 'name = value' lines in a file)");
-  options.add_options()
-      ("fleet", po::value<std::string>()->default_value("peppergate"), "the fleet's name; frames of others are not taken")
-      ("member", po::value<std::string>()->default_value(""), "IP:PORT for frames between members")
-      ("pages", po::value<std::string>()->default_value(""), "IP:PORT of the operators' pages")
-      ("callers", po::value<std::string>()->default_value(""), "IP:PORT of the callers' door (front)")
-      ("platform", po::value<std::string>()->default_value(""), "IP:PORT of the platform's engine list (front)")
-      ("district", po::value<std::string>()->default_value(""), "the district of this machine")
-      ("seed", po::value<std::vector<std::string>>()->composing(), "IP:PORT of another process; up to three")
-      ("data", po::value<std::string>()->default_value(""), "the data folder (core)")
-      ("found", po::value<std::size_t>()->default_value(0), "found a new fleet once so many cores are seen (core, one machine, once)")
-      ("rehearsal", po::bool_switch(), "let POST /rehearsal bring about faults")
-      ("prop", po::value<std::vector<std::string>>()->composing(), "NAME=NUMBER; times in seconds");
+  options.add_options()("fleet", po::value<std::string>()->default_value("peppergate"),
+                        "the fleet's name; frames of others are not taken")(
+      "member", po::value<std::string>()->default_value(""), "IP:PORT for frames between members")(
+      "pages", po::value<std::string>()->default_value(""), "IP:PORT of the operators' pages")(
+      "callers", po::value<std::string>()->default_value(""),
+      "IP:PORT of the callers' door (front)")("platform",
+                                              po::value<std::string>()->default_value(""),
+                                              "IP:PORT of the platform's engine list (front)")(
+      "district", po::value<std::string>()->default_value(""), "the district of this machine")(
+      "seed", po::value<std::vector<std::string>>()->composing(),
+      "IP:PORT of another process; up to three")(
+      "data", po::value<std::string>()->default_value(""), "the data folder (core)")(
+      "found", po::value<std::size_t>()->default_value(0),
+      "found a new fleet once so many cores are seen (core, one machine, once)")(
+      "rehearsal", po::bool_switch(), "let POST /rehearsal bring about faults")(
+      "prop", po::value<std::vector<std::string>>()->composing(), "NAME=NUMBER; times in seconds");
   return options;
 }
 
@@ -41,19 +45,19 @@
   return absl::OkStatus();
 }
 
-absl::StatusOr<Props> readProps(const po::variables_map& values) {
-  Props props;
+absl::StatusOr<Options> readOptions(const po::variables_map& values) {
+  Options options;
   if (values.count("prop") > 0)
     for (const auto& text : values["prop"].as<std::vector<std::string>>()) {
       auto equals = text.find('=');
       if (equals == std::string::npos)
         return absl::InvalidArgumentError("prop '" + text + "' is not NAME=NUMBER");
-      if (auto status = setProp(props, text.substr(0, equals), text.substr(equals + 1));
+      if (auto status = setOption(options, text.substr(0, equals), text.substr(equals + 1));
           !status.ok())
         return status;
     }
-  if (auto status = checkProps(props); !status.ok()) return status;
-  return props;
+  if (auto status = checkOptions(options); !status.ok()) return status;
+  return options;
 }
 
 absl::StatusOr<DaemonSetup> readSetup(std::string_view role, const po::variables_map& values) {
@@ -65,7 +69,7 @@
         std::tuple{"callers", front, &setup.callers},
         std::tuple{"platform", front, &setup.platform}})
     if (auto status = checkAddress(values, name, needed, *address); !status.ok()) return status;
-  setup.district = {values["district"].as<std::string>()};
+  setup.zone = {values["district"].as<std::string>()};
   if (values.count("seed") > 0)
     for (const auto& seed : values["seed"].as<std::vector<std::string>>()) {
       sockaddr_in parsed{};
@@ -76,11 +80,11 @@
   setup.dataFolder = values["data"].as<std::string>();
   if (!front && setup.dataFolder.empty())
     return absl::InvalidArgumentError("data: a core needs its data folder");
-  setup.founding.cores = values["found"].as<std::size_t>();
+  setup.bootstrap.cores = values["found"].as<std::size_t>();
   setup.rehearsal = values["rehearsal"].as<bool>();
-  auto props = readProps(values);
-  if (!props.ok()) return props.status();
-  setup.props = *props;
+  auto options = readOptions(values);
+  if (!options.ok()) return options.status();
+  setup.options = *options;
   return setup;
 }
 
@@ -127,16 +131,16 @@
     std::fprintf(stderr, "%s\n", std::string(status.message()).c_str());
     return kExitCannotStart;
   }
-  Props running = setup->props;
-  return daemon.run([words, running]() -> absl::StatusOr<Props> {
+  Options running = setup->options;
+  return daemon.run([words, running]() -> absl::StatusOr<Options> {
     po::variables_map again;
     std::string unused;
     if (readAll(words, again, unused) >= 0)
       return absl::InvalidArgumentError("the settings can't be read");
-    auto props = readProps(again);
-    if (!props.ok()) return props.status();
-    // Props that hold the protocols together only change with a restart.
-    return mayReloadOnly(running, *props);
+    auto options = readOptions(again);
+    if (!options.ok()) return options.status();
+    // Options that hold the protocols together only change with a restart.
+    return mayReloadOnly(running, *options);
   });
 }
 
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -25,7 +25,8 @@
     CommandRow{"node", &nodeCommand, "run a daemon by the platform's settings file"},
     CommandRow{"front", &frontCommand, "run a front: the callers' door, one of many"},
     CommandRow{"core", &coreCommand, "run a core machine: control state, votes and holds"},
-    CommandRow{"setup", &setupCommand, "apply, change, show or stamp the setup; name weights; keys"},
+    CommandRow{"setup", &setupCommand,
+               "apply, change, show or stamp the setup; name weights; keys"},
     CommandRow{"trace", &traceCommand, "follow one change through all daemons"},
     CommandRow{"check", &checkCommand, "check a settings file and its props"},
 #ifndef PEPPERGATE_DAEMONS_ONLY
@@ -34,7 +35,8 @@
                "run scenarios of fleets of routers on simulated time"},
     CommandRow{"place", &placeCommand, "solve placements in districts from constraints in a file"},
     CommandRow{"hollow", &hollowCommand, "measure a hollow fleet's slopes on simulated time"},
-    CommandRow{"standin", &standinCommand, "run a stand-in: engine, store, desk, platform, requester"},
+    CommandRow{"standin", &standinCommand,
+               "run a stand-in: engine, store, desk, platform, requester"},
 #endif
     CommandRow{"version", &versionCommand, "print the version"},
 };
--- a/src/app/place_command.cc
+++ b/src/app/place_command.cc
@@ -13,8 +13,8 @@
 
 int placeCommand(const Words& words) {
   po::options_description options("peppergate place FILE");
-  options.add_options()("help", "this text")
-      ("file", po::value<std::string>()->required(), "districts, engines, tenants and constraints, JSON");
+  options.add_options()("help", "this text")("file", po::value<std::string>()->required(),
+                                             "districts, engines, tenants and constraints, JSON");
   po::variables_map values;
   if (int code = parseWords(words, options, values, {"file"}); code >= 0) return code;
   std::ifstream file(values["file"].as<std::string>());
@@ -26,12 +26,15 @@
     return kExitUsage;
   }
   if (!placement->possible) {
-    std::printf("%s\n", Json{{"possible", false}, {"conflict", placement->conflict}}.dump(2).c_str());
+    std::printf("%s\n",
+                Json{{"possible", false}, {"conflict", placement->conflict}}.dump(2).c_str());
     return kExitFailed;
   }
-  std::printf("%s\n", Json{{"possible", true},
-                           {"engines", placement->engines},
-                           {"tenants", placement->tenants}}.dump(2).c_str());
+  std::printf(
+      "%s\n",
+      Json{{"possible", true}, {"engines", placement->engines}, {"tenants", placement->tenants}}
+          .dump(2)
+          .c_str());
   return kExitGood;
 }
 
--- a/src/app/rehearse_command.cc
+++ b/src/app/rehearse_command.cc
@@ -31,22 +31,24 @@
 
 /// Prints a failing drawn day, cut down to what matters, as a scenario file.
 void printCutDown(const RandomDay& day, const RunReport& report) {
-  std::printf("---- the same failure with less ----\n%s----\n", cutDown(day, report).text().c_str());
+  std::printf("---- the same failure with less ----\n%s----\n",
+              cutDown(day, report).text().c_str());
 }
 
 }  // namespace
 
 int rehearseCommand(const Words& words) {
   po::options_description options("peppergate rehearse FILE|FOLDER");
-  options.add_options()("help", "this text")
-      ("path", po::value<std::string>()->default_value(""), "a scenario, or a folder of them")
-      ("days", po::bool_switch(), "draw a day of failures from each seed instead of a scenario")
-      ("requests", po::value<double>()->default_value(25), "streams a second of a drawn day")
-      ("print", po::bool_switch(), "print the drawn days, run nothing")
-      ("seeds", po::value<std::string>()->default_value("1-3"), "FIRST-LAST, or one seed")
-      ("jobs", po::value<unsigned>()->default_value(std::thread::hardware_concurrency()), "how many at a time")
-      ("bounds", po::bool_switch(), "print the worst of each bound that was seen")
-      ("figures", po::bool_switch(), "print each run's figures");
+  options.add_options()("help", "this text")("path", po::value<std::string>()->default_value(""),
+                                             "a scenario, or a folder of them")(
+      "days", po::bool_switch(), "draw a day of failures from each seed instead of a scenario")(
+      "requests", po::value<double>()->default_value(25), "streams a second of a drawn day")(
+      "print", po::bool_switch(), "print the drawn days, run nothing")(
+      "seeds", po::value<std::string>()->default_value("1-3"), "FIRST-LAST, or one seed")(
+      "jobs", po::value<unsigned>()->default_value(std::thread::hardware_concurrency()),
+      "how many at a time")("bounds", po::bool_switch(),
+                            "print the worst of each bound that was seen")(
+      "figures", po::bool_switch(), "print each run's figures");
   po::variables_map values;
   if (int code = parseWords(words, options, values, {"path"}); code >= 0) return code;
   std::uint64_t first = 0, last = 0;
--- a/src/app/router_rehearse_command.cc
+++ b/src/app/router_rehearse_command.cc
@@ -65,13 +65,13 @@
 
 int routerRehearseCommand(const Words& words) {
   po::options_description options("peppergate rehearse-routers FILE|FOLDER");
-  options.add_options()("help", "this text")
-      ("path", po::value<std::string>()->default_value(""), "a scenario, or a folder of them")
-      ("days", po::bool_switch(), "draw a day of failures from each seed instead of a scenario")
-      ("print", po::bool_switch(), "print the drawn days, run nothing")
-      ("seeds", po::value<std::string>()->default_value("1-2"), "FIRST-LAST, or one seed")
-      ("jobs", po::value<unsigned>()->default_value(std::thread::hardware_concurrency()), "how many at a time")
-      ("figures", po::bool_switch(), "print each run's figures");
+  options.add_options()("help", "this text")("path", po::value<std::string>()->default_value(""),
+                                             "a scenario, or a folder of them")(
+      "days", po::bool_switch(), "draw a day of failures from each seed instead of a scenario")(
+      "print", po::bool_switch(), "print the drawn days, run nothing")(
+      "seeds", po::value<std::string>()->default_value("1-2"), "FIRST-LAST, or one seed")(
+      "jobs", po::value<unsigned>()->default_value(std::thread::hardware_concurrency()),
+      "how many at a time")("figures", po::bool_switch(), "print each run's figures");
   po::variables_map values;
   if (int code = parseWords(words, options, values, {"path"}); code >= 0) return code;
   std::uint64_t first = 0, last = 0;
@@ -83,7 +83,8 @@
   }
   std::vector<Job> jobs;
   if (days)
-    for (std::uint64_t seed = first; seed <= last; ++seed) jobs.push_back({drawRouterDay(seed), seed});
+    for (std::uint64_t seed = first; seed <= last; ++seed)
+      jobs.push_back({drawRouterDay(seed), seed});
   else if (!gather(path, first, last, jobs)) return kExitUsage;
   if (days && values["print"].as<bool>()) {
     for (const auto& job : jobs) std::printf("%s\n", job.scenario.text().c_str());
--- a/src/app/setup_command.cc
+++ b/src/app/setup_command.cc
@@ -99,7 +99,8 @@
 }
 
 Json makeRemove(const Asked& asked) {
-  return {{"kind", "remove"}, {"basedOn", currentBase(asked, "setup")},
+  return {{"kind", "remove"},
+          {"basedOn", currentBase(asked, "setup")},
           {"tenant", asked.text("tenant")}};
 }
 
@@ -109,8 +110,10 @@
     std::fprintf(stderr, "made: no JSON\n");
     return {};
   }
-  return {{"kind", "template"}, {"basedOn", currentBase(asked, "setup")},
-          {"template", asked.text("template")}, {"made", made}};
+  return {{"kind", "template"},
+          {"basedOn", currentBase(asked, "setup")},
+          {"template", asked.text("template")},
+          {"made", made}};
 }
 
 Json makeParameters(const Asked& asked) {
@@ -126,7 +129,8 @@
 }
 
 Json makeWeights(const Asked& asked) {
-  return {{"kind", "weights"}, {"basedOn", currentBase(asked, "weights")},
+  return {{"kind", "weights"},
+          {"basedOn", currentBase(asked, "weights")},
           {"label", asked.text("label")}};
 }
 
@@ -151,16 +155,16 @@
   Json (*make)(const Asked&);
 };
 constexpr std::array<VerbRow, 11> kVerbs{{{"apply", &makeApply},
-                                         {"change", &makeApply},
-                                         {"stamp", &makeStamp},
-                                         {"remove", &makeRemove},
-                                         {"weights", &makeWeights},
-                                         {"key-add", &makeKeyAdd},
-                                         {"key-withdraw", &makeKeyWithdraw},
-                                         {"template", &makeTemplate},
-                                         {"parameters", &makeParameters},
-                                         {"revert", &makeRevert},
-                                         {"example", &makeExample}}};
+                                          {"change", &makeApply},
+                                          {"stamp", &makeStamp},
+                                          {"remove", &makeRemove},
+                                          {"weights", &makeWeights},
+                                          {"key-add", &makeKeyAdd},
+                                          {"key-withdraw", &makeKeyWithdraw},
+                                          {"template", &makeTemplate},
+                                          {"parameters", &makeParameters},
+                                          {"revert", &makeRevert},
+                                          {"example", &makeExample}}};
 
 }  // namespace
 
@@ -168,22 +172,26 @@
   po::options_description options(
       "peppergate setup show|apply|change|template|stamp|parameters|remove|revert|weights|key-add|"
       "key-withdraw|example|schema");
-  options.add_options()("help", "this text")
-      ("verb", po::value<std::string>()->default_value("show"), "what to do")
-      ("at", po::value<std::vector<std::string>>()->composing(), "IP:PORT of any daemon's pages; may be repeated")
-      ("file", po::value<std::string>(), "apply, change: the JSON file")
-      ("tenant", po::value<std::string>(), "the tenant")
-      ("template", po::value<std::string>(), "stamp: the template")
-      ("parameters", po::value<std::string>()->default_value("{}"), "stamp: JSON with rank, wall, keys, weights")
-      ("made", po::value<std::string>()->default_value("{}"), "template: JSON with class and defaults")
-      ("to", po::value<std::string>(), "revert: the version of an earlier setup")
-      ("dry-run", po::bool_switch(), "only say what would change")
-      ("label", po::value<std::string>(), "weights: the label to load")
-      ("key", po::value<std::string>(), "key-add, key-withdraw: the key itself")
-      ("digest", po::value<std::string>(), "the same by digest")
-      ("profile", po::value<std::string>()->default_value("hutline"), "example: hutline or fjordsyn")
-      ("based-on", po::value<std::string>(), "the version this builds on; else the newest")
-      ("change-id", po::value<std::string>(), "the id of a change that is repeated");
+  options.add_options()("help", "this text")(
+      "verb", po::value<std::string>()->default_value("show"), "what to do")(
+      "at", po::value<std::vector<std::string>>()->composing(),
+      "IP:PORT of any daemon's pages; may be repeated")("file", po::value<std::string>(),
+                                                        "apply, change: the JSON file")(
+      "tenant", po::value<std::string>(), "the tenant")("template", po::value<std::string>(),
+                                                        "stamp: the template")(
+      "parameters", po::value<std::string>()->default_value("{}"),
+      "stamp: JSON with rank, wall, keys, weights")("made",
+                                                    po::value<std::string>()->default_value("{}"),
+                                                    "template: JSON with class and defaults")(
+      "to", po::value<std::string>(), "revert: the version of an earlier setup")(
+      "dry-run", po::bool_switch(), "only say what would change")("label", po::value<std::string>(),
+                                                                  "weights: the label to load")(
+      "key", po::value<std::string>(), "key-add, key-withdraw: the key itself")(
+      "digest", po::value<std::string>(), "the same by digest")(
+      "profile", po::value<std::string>()->default_value("hutline"),
+      "example: hutline or fjordsyn")("based-on", po::value<std::string>(),
+                                      "the version this builds on; else the newest")(
+      "change-id", po::value<std::string>(), "the id of a change that is repeated");
   Asked asked;
   if (int code = parseWords(words, options, asked.values, {"verb"}); code >= 0) return code;
   std::string verb = asked.text("verb");
@@ -215,10 +223,10 @@
 
 int traceCommand(const Words& words) {
   po::options_description options("peppergate trace");
-  options.add_options()("help", "this text")
-      ("at", po::value<std::string>()->required(), "IP:PORT of any daemon's pages")
-      ("section", po::value<std::string>()->default_value("setup"), "setup, keys or weights")
-      ("version", po::value<std::string>()->default_value(""), "EPOCH.SEQUENCE; else the newest");
+  options.add_options()("help", "this text")("at", po::value<std::string>()->required(),
+                                             "IP:PORT of any daemon's pages")(
+      "section", po::value<std::string>()->default_value("setup"), "setup, keys or weights")(
+      "version", po::value<std::string>()->default_value(""), "EPOCH.SEQUENCE; else the newest");
   po::variables_map values;
   if (int code = parseWords(words, options, values); code >= 0) return code;
   std::string section = values["section"].as<std::string>();
@@ -248,8 +256,8 @@
                  " ms ago, in force " +
                  std::to_string(record["inForceMillisecondsAgo"].get<std::int64_t>()) + " ms ago";
     if (line.starts_with("no")) ++missing;
-    std::printf("  %-6s %-21s %-10s %s\n", member["role"].get<std::string>().c_str(),
-                pages.c_str(), member["district"].get<std::string>().c_str(), line.c_str());
+    std::printf("  %-6s %-21s %-10s %s\n", member["role"].get<std::string>().c_str(), pages.c_str(),
+                member["district"].get<std::string>().c_str(), line.c_str());
   }
   return missing == 0 ? kExitGood : kExitFailed;
 }
--- a/src/app/standin_command.cc
+++ b/src/app/standin_command.cc
@@ -31,7 +31,7 @@
   setup.id = values["id"].as<std::string>();
   setup.weights = {values["weights"].as<std::uint64_t>()};
   setup.link = values["link"].as<double>();
-  setup.props.cacheParts = kind == "store" ? 4000 : values["cache"].as<std::size_t>();
+  setup.options.cacheParts = kind == "store" ? 4000 : values["cache"].as<std::size_t>();
   Loop loop;
   EngineProcess process(loop, setup);
   return serve(loop, process.open());
@@ -80,20 +80,23 @@
 
 int standinCommand(const Words& words) {
   po::options_description options("peppergate standin engine|desk|store|platform|requester");
-  options.add_options()("help", "this text")
-      ("kind", po::value<std::string>()->required(), "which stand-in")
-      ("listen", po::value<std::string>()->default_value("127.0.0.1:9000"), "IP:PORT")
-      ("id", po::value<std::string>()->default_value("engine"), "the engine's id")
-      ("weights", po::value<std::uint64_t>()->default_value(1), "the weights an engine starts with")
-      ("link", po::value<double>()->default_value(60), "megabytes a second of its link")
-      ("cache", po::value<std::size_t>()->default_value(24), "how many parts an engine keeps")
-      ("documents", po::value<std::uint64_t>()->default_value(4), "requester: documents of each tenant")
-      ("list", po::value<std::string>()->default_value(""), "platform: the engine list, JSON")
-      ("profile", po::value<std::string>()->default_value("hutline"), "requester: hutline or fjordsyn")
-      ("rate", po::value<double>()->default_value(50), "requester: streams a second")
-      ("seconds", po::value<double>()->default_value(10), "requester: how long")
-      ("seed", po::value<std::uint64_t>()->default_value(1), "requester: its random seed")
-      ("front", po::value<std::vector<std::string>>()->composing(), "requester: a front's callers' door");
+  options.add_options()("help", "this text")("kind", po::value<std::string>()->required(),
+                                             "which stand-in")(
+      "listen", po::value<std::string>()->default_value("127.0.0.1:9000"), "IP:PORT")(
+      "id", po::value<std::string>()->default_value("engine"), "the engine's id")(
+      "weights", po::value<std::uint64_t>()->default_value(1), "the weights an engine starts with")(
+      "link", po::value<double>()->default_value(60), "megabytes a second of its link")(
+      "cache", po::value<std::size_t>()->default_value(24), "how many parts an engine keeps")(
+      "documents", po::value<std::uint64_t>()->default_value(4),
+      "requester: documents of each tenant")("list", po::value<std::string>()->default_value(""),
+                                             "platform: the engine list, JSON")(
+      "profile", po::value<std::string>()->default_value("hutline"),
+      "requester: hutline or fjordsyn")("rate", po::value<double>()->default_value(50),
+                                        "requester: streams a second")(
+      "seconds", po::value<double>()->default_value(10), "requester: how long")(
+      "seed", po::value<std::uint64_t>()->default_value(1), "requester: its random seed")(
+      "front", po::value<std::vector<std::string>>()->composing(),
+      "requester: a front's callers' door");
   po::variables_map values;
   if (int code = parseWords(words, options, values, {"kind"}); code >= 0) return code;
   std::string kind = values["kind"].as<std::string>();
--- a/src/config/fleet_config.h
+++ b/src/config/fleet_config.h
@@ -61,7 +61,7 @@
 /// A store of kept parts; it serves no requests.
 struct StoreShape {
   Address address;
-  District zone;
+  Zone zone;
   std::int64_t kvTokens = 0;
   double linkMbps = 0;
   std::int64_t largestPolls = 1;
--- a/src/config/fleet_reader.cc
+++ b/src/config/fleet_reader.cc
@@ -112,9 +112,7 @@
   }
 
  private:
-  std::string inside(std::string_view name) const {
-    return place_ + "[" + std::string(name) + "]";
-  }
+  std::string inside(std::string_view name) const { return place_ + "[" + std::string(name) + "]"; }
 
   const Json& object_;
   std::string place_;
@@ -125,9 +123,8 @@
   std::string_view name;
   RouteKind kind;
 };
-constexpr std::array<KindRow, 3> kKinds{{{"safe", RouteKind::kSafe},
-                                         {"unsafe", RouteKind::kUnsafe},
-                                         {"stream", RouteKind::kStream}}};
+constexpr std::array<KindRow, 3> kKinds{
+    {{"safe", RouteKind::kSafe}, {"unsafe", RouteKind::kUnsafe}, {"stream", RouteKind::kStream}}};
 
 /// A kind that isn't known is taken for unsafe: that never runs anything twice.
 RouteKind kindOf(std::string_view name) {
@@ -146,8 +143,7 @@
     fields.each("routes", [this](const Fields& route) { readRoute(route); });
     fields.each("tenants", [this](const Fields& tenant) { readTenant(tenant); });
     if (auto limits = fields.within("limits")) readLimits(*limits);
-    for (auto& [host, routes] : config_.byHost)
-      std::ranges::sort(routes.lengths, std::greater{});
+    for (auto& [host, routes] : config_.byHost) std::ranges::sort(routes.lengths, std::greater{});
     return std::move(config_);
   }
 
@@ -160,8 +156,7 @@
              std::floor(version->get<double>()) == version->get<double>() &&
              version->get<double>() > 0)
       config_.version = {static_cast<std::uint64_t>(version->get<double>())};
-    if (config_.version.value == 0)
-      fields.wrong("version", "a whole number above 0 is needed");
+    if (config_.version.value == 0) fields.wrong("version", "a whole number above 0 is needed");
   }
 
   void readService(const Fields& fields) {
@@ -313,8 +308,7 @@
   auto remove = fields.within("remove");
   for (const char* section : kSections) {
     std::string name;
-    if (upsert)
-      upsert->each(section, [&name](const Fields& item) { item.needText("name", name); });
+    if (upsert) upsert->each(section, [&name](const Fields& item) { item.needText("name", name); });
     if (remove) remove->eachText(section, [](const std::string&, const std::string&) {});
   }
   return fault;
--- a/src/core/voter.h
+++ b/src/core/acceptor.h
@@ -4,15 +4,15 @@
 #include <optional>
 #include <vector>
 
+#include "core/options.h"
 #include "core/outbox.h"
-#include "core/props.h"
 
 namespace peppergate {
 
-/// How a core takes part in the founding of its fleet; by default it doesn't. Only an empty disk
+/// How a core takes part in the bootstrap of its fleet; by default it doesn't. Only an empty disk
 /// takes it, and keeps it: a core that finds its identity on disk founds as told at its birth.
-/// Example: `Founding{true, {{"10.0.0.1:7100"}, {"10.0.0.2:7100"}, {"10.0.0.3:7100"}}}`.
-struct Founding {
+/// Example: `Bootstrap{true, {{"10.0.0.1:7100"}, {"10.0.0.2:7100"}, {"10.0.0.3:7100"}}}`.
+struct Bootstrap {
   bool first = false;           // the very first start of the whole fleet
   std::vector<Address> voters;  // three at most, alike at all; the first of them goes first
   std::size_t cores = 0;        // or: found as soon as exactly so many cores are seen
@@ -20,14 +20,14 @@
 };
 
 /// Whether a view is one that was just founded: nothing was ever acknowledged in it.
-/// Example: `isFounding(record.accepted)`.
-inline bool isFounding(const View& view) { return view.backups.empty(); }
+/// Example: `isBootstrap(record.accepted)`.
+inline bool isBootstrap(const View& view) { return view.backups.empty(); }
 
 /// Whether a core keeps a copy of the state in this view. Example: `isMember(view, self())`.
 bool isMember(const View& view, CoreId core);
 
 /// What is on a voter's disk.
-struct VoterRecord {
+struct AcceptorRecord {
   CoreId identity;
   Epoch promised;
   CoreId promisedTo;
@@ -37,68 +37,70 @@
 };
 
 /// Promises and holds are one thing here: a promise to one core shuts out all others for a hold.
-/// Example: `voter.ask(from, PromiseAsk{...}, now, outbox);`
-class Voter {
+/// Example: `acceptor.ask(from, PrepareRequest{...}, now, outbox);`
+class Acceptor {
  public:
   /// `founder`: one of those that found the fleet, with the disk of its birth.
-  Voter(const Props& props, VoterRecord record, MonotonicTime started, bool founder = false);
+  Acceptor(const Options& options, AcceptorRecord record, MonotonicTime started,
+           bool bootstrapper = false);
 
   /// Takes a request for a promise or its renewal. Example: see the class.
-  void ask(const Address& from, const PromiseAsk& ask, MonotonicTime now, Outbox& outbox);
-  /// Takes a view to accept. Example: `voter.ask(from, AcceptAsk{view}, now, outbox);`
-  void ask(const Address& from, const AcceptAsk& ask, MonotonicTime now, Outbox& outbox);
+  void ask(const Address& from, const PrepareRequest& ask, MonotonicTime now, Outbox& outbox);
+  /// Takes a view to accept. Example: `acceptor.ask(from, AcceptRequest{view}, now, outbox);`
+  void ask(const Address& from, const AcceptRequest& ask, MonotonicTime now, Outbox& outbox);
   /// Ends a write; true if the ticket was the voter's. Example: on FileWritten.
   bool written(const FileWritten& event, MonotonicTime now, Outbox& outbox);
 
-  /// What is on disk for certain. Example: `voter.record().accepted.epoch`.
-  const VoterRecord& record() const { return durable_; }
-  /// Whether another core than this may hold now. Example: `voter.grantedToOther(self, now)`.
+  /// What is on disk for certain. Example: `acceptor.record().accepted.epoch`.
+  const AcceptorRecord& record() const { return durable_; }
+  /// Whether another core than this may hold now. Example: `acceptor.grantedToOther(self, now)`.
   bool grantedToOther(CoreId core, MonotonicTime now) const;
   /// Whether a copy of this epoch from this core may still be taken. Example: in the backup.
-  bool allowsCopy(Epoch epoch, CoreId from) const;
+  bool allowsReplica(Epoch epoch, CoreId from) const;
   /// This machine's own candidate gave up and holds nothing: its vote is free at once.
   void release(CoreId core) {
     if (grantedTo_ == core) grantedUntil_ = kNever;
   }
   /// Grants this core to vouch for its part, if nobody else holds a grant and the views are equal.
-  /// `sentAt` is the asker's own stamp. Example: `voter.grantCaretaker(core, view, sentAt, now)`.
-  bool grantCaretaker(CoreId core, const View& view, MonotonicTime sentAt, MonotonicTime now);
+  /// `sentAt` is the asker's own stamp. Example: `acceptor.grantReadLease(core, view, sentAt,
+  /// now)`.
+  bool grantReadLease(CoreId core, const View& view, MonotonicTime sentAt, MonotonicTime now);
   /// Who holds a live grant; 0: nobody. Example: told with a decline.
   CoreId grantedTo(MonotonicTime now) const { return now < grantedUntil_ ? grantedTo_ : CoreId{}; }
-  /// Whether its disk is good. Example: told with each answer to a caretaker.
+  /// Whether its disk is good. Example: told with each answer to a read-only leader.
   bool votes() const { return !suspect_; }
   /// Time passed: a clock that leapt between two ticks must not end a grant early.
   /// Example: each tick, before anything else.
   void notice(MonotonicTime now);
-  /// A failed or stalled disk: it votes for nothing more. Example: `voter.suspect();`
+  /// A failed or stalled disk: it votes for nothing more. Example: `acceptor.suspect();`
   void suspect() { suspect_ = true; }
 
  private:
   struct Waiting {
     Address from;
-    std::variant<PromiseAsk, AcceptAsk> ask;
+    std::variant<PrepareRequest, AcceptRequest> ask;
   };
-  bool founds() const { return founder_ || !props_.guards(Guard::kFounders); }
-  bool mayPromise(const PromiseAsk& ask, MonotonicTime now) const;
-  bool mayAccept(const AcceptAsk& ask, MonotonicTime now) const;
-  void write(VoterRecord next, Waiting waiting, Outbox& outbox);
-  void answerPromise(const Address& to, const PromiseAsk& ask, bool granted, Outbox& outbox);
-  void answerAccept(const Address& to, const AcceptAsk& ask, bool accepted, Outbox& outbox);
+  bool bootstraps() const { return bootstrapper_ || !options_.guards(Guard::kBootstrappers); }
+  bool mayPromise(const PrepareRequest& ask, MonotonicTime now) const;
+  bool mayAccept(const AcceptRequest& ask, MonotonicTime now) const;
+  void write(AcceptorRecord next, Waiting waiting, Outbox& outbox);
+  void replyToPrepare(const Address& to, const PrepareRequest& ask, bool granted, Outbox& outbox);
+  void replyToAccept(const Address& to, const AcceptRequest& ask, bool accepted, Outbox& outbox);
   void grant(CoreId core, MonotonicTime now);
-  void released(const PromiseAsk& ask);
+  void released(const PrepareRequest& ask);
 
-  Props props_;
-  bool founder_;
-  VoterRecord durable_;
-  VoterRecord writing_;
+  Options options_;
+  bool bootstrapper_;
+  AcceptorRecord durable_;
+  AcceptorRecord writing_;
   std::optional<Waiting> inFlight_;
   TicketId ticket_;
   std::deque<Waiting> queue_;
-  MonotonicTime quietUntil_;  // after a start it grants nothing for one hold
+  MonotonicTime grantsNothingUntil_;  // after a start it grants nothing for one hold
   CoreId grantedTo_;
   MonotonicTime grantedUntil_ = kNever;
-  bool grantIsCaretakers_ = false;
-  MonotonicTime caretakerSentAt_ = kNever;  // by the caretaker's clock
+  bool grantIsReadLease_ = false;
+  MonotonicTime readLeaseSentAt_ = kNever;  // by the read-only leader's clock
   MonotonicTime lastNotice_ = kNever;
   bool suspect_ = false;
 };
--- a/src/core/control_changes.cc
+++ b/src/core/control_changes.cc
@@ -6,8 +6,8 @@
 namespace peppergate {
 namespace {
 
-std::optional<ChangeAnswer> checkTenant(const Json& setup, const std::string& id,
-                                        const Json& tenant, std::uint64_t named) {
+std::optional<ChangeReply> checkTenant(const Json& setup, const std::string& id, const Json& tenant,
+                                       std::uint64_t named) {
   std::string place = "[tenants][" + id + "]";
   const Json& templates = setup.at("templates");
   std::string templateName = tenant.at("template");
@@ -25,7 +25,7 @@
   return std::nullopt;
 }
 
-std::optional<ChangeAnswer> checkSetup(const Json& setup, std::uint64_t named) {
+std::optional<ChangeReply> checkSetup(const Json& setup, std::uint64_t named) {
   const Json& rungs = setup.at("rungs");
   for (std::size_t index = 1; index < rungs.size(); ++index)
     if (rungs[index]["rate"].get<double>() <= rungs[index - 1]["rate"].get<double>())
@@ -44,7 +44,7 @@
   return std::nullopt;
 }
 
-std::optional<ChangeAnswer> addKeys(Json& keys, const std::string& tenant, const Json& digests) {
+std::optional<ChangeReply> addKeys(Json& keys, const std::string& tenant, const Json& digests) {
   for (const auto& digest : digests) {
     std::string text = digest;
     if (keys["withdrawn"].contains(text))
@@ -56,7 +56,7 @@
   return std::nullopt;
 }
 
-std::optional<ChangeAnswer> applySetup(Json& body, const Json& change) {
+std::optional<ChangeReply> applySetup(Json& body, const Json& change) {
   if (!change.contains("setup")) return invalid("[setup]", "is needed");
   Json setup = change["setup"];
   if (!setup.contains("tenants")) setup["tenants"] = Json::object();
@@ -71,7 +71,7 @@
   return std::nullopt;
 }
 
-std::optional<ChangeAnswer> applyStamp(Json& body, const Json& change) {
+std::optional<ChangeReply> applyStamp(Json& body, const Json& change) {
   for (const char* needed : {"template", "tenant", "parameters"})
     if (!change.contains(needed)) return invalid(std::string("[") + needed + "]", "is needed");
   std::string id = change["tenant"];
@@ -85,7 +85,7 @@
   return std::nullopt;
 }
 
-std::optional<ChangeAnswer> applyTemplate(Json& body, const Json& change) {
+std::optional<ChangeReply> applyTemplate(Json& body, const Json& change) {
   // One template anew, or changed; every tenant stamped from it has to fit it still.
   for (const char* needed : {"template", "made"})
     if (!change.contains(needed)) return invalid(std::string("[") + needed + "]", "is needed");
@@ -93,7 +93,7 @@
   return checkSetup(body["setup"], body["weights"]["version"]);
 }
 
-std::optional<ChangeAnswer> applyParameters(Json& body, const Json& change) {
+std::optional<ChangeReply> applyParameters(Json& body, const Json& change) {
   // Some of one tenant's parameters; the others stay as they are.
   std::string id = change.value("tenant", "");
   if (!body["setup"]["tenants"].contains(id)) return invalid("[tenant]", "there is no such tenant");
@@ -106,7 +106,7 @@
   return checkTenant(body["setup"], id, tenant, body["weights"]["version"]);
 }
 
-std::optional<ChangeAnswer> applyRevert(Json& body, const Json& change) {
+std::optional<ChangeReply> applyRevert(Json& body, const Json& change) {
   // An earlier setup as a new version. Keys stay as they are: a withdrawn one never comes back.
   std::string wanted = change.value("to", "");
   std::string known;
@@ -120,7 +120,7 @@
   return invalid("[to]", known.empty() ? "no earlier setup is kept" : "kept are " + known);
 }
 
-std::optional<ChangeAnswer> applyRemove(Json& body, const Json& change) {
+std::optional<ChangeReply> applyRemove(Json& body, const Json& change) {
   std::string id = change.value("tenant", "");
   if (!body["setup"]["tenants"].contains(id)) return invalid("[tenant]", "there is no such tenant");
   body["setup"]["tenants"].erase(id);
@@ -131,7 +131,7 @@
   return std::nullopt;
 }
 
-std::optional<ChangeAnswer> applyWeights(Json& body, const Json& change) {
+std::optional<ChangeReply> applyWeights(Json& body, const Json& change) {
   if (!change.contains("label")) return invalid("[label]", "is needed");
   std::uint64_t named = body["weights"]["version"];
   body["weights"]["version"] = named + 1;
@@ -139,7 +139,7 @@
   return std::nullopt;
 }
 
-std::optional<ChangeAnswer> applyModelVersion(Json& body, const Json& change) {
+std::optional<ChangeReply> applyModelVersion(Json& body, const Json& change) {
   for (const char* needed : {"model", "version"})
     if (!change.contains(needed)) return invalid(std::string("[") + needed + "]", "is needed");
   std::string model = change["model"];
@@ -152,14 +152,14 @@
   return std::nullopt;
 }
 
-std::optional<ChangeAnswer> applyKeyAdd(Json& body, const Json& change) {
+std::optional<ChangeReply> applyKeyAdd(Json& body, const Json& change) {
   if (!change.contains("digest")) return invalid("[digest]", "is needed");
   std::string id = change.value("tenant", "");
   if (!body["setup"]["tenants"].contains(id)) return invalid("[tenant]", "there is no such tenant");
   return addKeys(body["keys"], id, Json::array({change["digest"]}));
 }
 
-std::optional<ChangeAnswer> applyKeyWithdraw(Json& body, const Json& change) {
+std::optional<ChangeReply> applyKeyWithdraw(Json& body, const Json& change) {
   if (!change.contains("digest")) return invalid("[digest]", "is needed");
   std::string digest = change["digest"];
   // A key never heard of is withdrawn all the same: the yes holds for it from now on.
@@ -173,27 +173,27 @@
   Applier applier;
 };
 constexpr std::array<KindRow, 10> kKinds{{{"apply", &applySetup},
-                                         {"stamp", &applyStamp},
-                                         {"remove", &applyRemove},
-                                         {"weights", &applyWeights},
-                                         {"key-add", &applyKeyAdd},
-                                         {"key-withdraw", &applyKeyWithdraw},
-                                         {"template", &applyTemplate},
-                                         {"parameters", &applyParameters},
-                                         {"revert", &applyRevert},
-                                         {"model-version", &applyModelVersion}}};
+                                          {"stamp", &applyStamp},
+                                          {"remove", &applyRemove},
+                                          {"weights", &applyWeights},
+                                          {"key-add", &applyKeyAdd},
+                                          {"key-withdraw", &applyKeyWithdraw},
+                                          {"template", &applyTemplate},
+                                          {"parameters", &applyParameters},
+                                          {"revert", &applyRevert},
+                                          {"model-version", &applyModelVersion}}};
 
 }  // namespace
 
-ChangeAnswer faultAnswer(ChangeOutcome outcome, std::string field, std::string detail) {
-  ChangeAnswer answer;
+ChangeReply faultAnswer(ChangeOutcome outcome, std::string field, std::string detail) {
+  ChangeReply answer;
   answer.outcome = outcome;
   answer.field = std::move(field);
   answer.detail = std::move(detail);
   return answer;
 }
 
-ChangeAnswer invalid(std::string field, std::string detail) {
+ChangeReply invalid(std::string field, std::string detail) {
   return faultAnswer(ChangeOutcome::kInvalid, std::move(field), std::move(detail));
 }
 
@@ -204,11 +204,11 @@
 
 /// What a change would do, as patches of each section; keys are told by number only.
 std::string whatWouldChange(const Json& before, const Json& after) {
-  Json told{{"setup", Json::diff(before["setup"], after["setup"])},
-            {"weights", Json::diff(before["weights"], after["weights"])},
-            {"liveKeys", {before["keys"]["live"].size(), after["keys"]["live"].size()}},
-            {"withdrawnKeys",
-             {before["keys"]["withdrawn"].size(), after["keys"]["withdrawn"].size()}}};
+  Json told{
+      {"setup", Json::diff(before["setup"], after["setup"])},
+      {"weights", Json::diff(before["weights"], after["weights"])},
+      {"liveKeys", {before["keys"]["live"].size(), after["keys"]["live"].size()}},
+      {"withdrawnKeys", {before["keys"]["withdrawn"].size(), after["keys"]["withdrawn"].size()}}};
   std::string text = told.dump();
   if (text.size() > 64 << 10) {
     told["setup"] = std::to_string(told["setup"].size()) + " steps, too many to show";
--- a/src/core/control_changes.h
+++ b/src/core/control_changes.h
@@ -10,15 +10,15 @@
 namespace peppergate {
 
 /// Changes a draft of the sections; what it returns is a fault, if any.
-using Applier = std::optional<ChangeAnswer> (*)(Json& body, const Json& change);
+using Applier = std::optional<ChangeReply> (*)(Json& body, const Json& change);
 
 /// The applier of a kind; none for those that change the fleet's configuration.
 /// Example: `applierOf("key-add")(draft, change)`.
 Applier applierOf(std::string_view kind);
 /// An answer that is no yes. Example: `faultAnswer(ChangeOutcome::kTooLarge, "<root>", "...")`.
-ChangeAnswer faultAnswer(ChangeOutcome outcome, std::string field, std::string detail);
+ChangeReply faultAnswer(ChangeOutcome outcome, std::string field, std::string detail);
 /// The answer to a change with a wrong field. Example: `invalid("[setup]", "is needed")`.
-ChangeAnswer invalid(std::string field, std::string detail);
+ChangeReply invalid(std::string field, std::string detail);
 /// What a change would do, as patches of each section; keys are told by number only.
 /// Example: `whatWouldChange(before, draft)`.
 std::string whatWouldChange(const Json& before, const Json& after);
--- a/src/core/control_state.cc
+++ b/src/core/control_state.cc
@@ -12,17 +12,17 @@
 
 bool changesFleet(std::string_view kind) { return kind == "replace" || kind == "amend"; }
 
-ChangeAnswer done(const SetupVersion& version) {
-  ChangeAnswer answer;
+ChangeReply done(const SectionVersion& version) {
+  ChangeReply answer;
   answer.outcome = ChangeOutcome::kDone;
   answer.version = version;
   return answer;
 }
 
-std::optional<SetupVersion> parseVersion(const std::string& text) {
+std::optional<SectionVersion> parseVersion(const std::string& text) {
   auto dot = text.find('.');
   if (dot == std::string::npos || dot > 18 || text.size() - dot > 18) return std::nullopt;
-  return SetupVersion{{std::stoull(text.substr(0, dot))}, {std::stoull(text.substr(dot + 1))}};
+  return SectionVersion{{std::stoull(text.substr(0, dot))}, {std::stoull(text.substr(dot + 1))}};
 }
 
 std::string quoted(const std::string& text) {
@@ -38,12 +38,12 @@
 
 }  // namespace
 
-const SetupVersion* RememberedChanges::find(const std::string& changeId) const {
+const SectionVersion* RememberedChanges::find(const std::string& changeId) const {
   auto found = versions_.find(changeId);
   return found == versions_.end() ? nullptr : &found->second;
 }
 
-void RememberedChanges::add(const std::string& changeId, const SetupVersion& version,
+void RememberedChanges::add(const std::string& changeId, const SectionVersion& version,
                             std::size_t limit) {
   if (versions_.insert_or_assign(changeId, version).second) order_.push_back(changeId);
   while (order_.size() > limit) {
@@ -55,7 +55,7 @@
 std::string RememberedChanges::text() const {
   std::string text = "[";
   for (const auto& changeId : order_) {
-    const SetupVersion& version = versions_.at(changeId);
+    const SectionVersion& version = versions_.at(changeId);
     if (text.size() > 1) text += ',';
     text += "{\"id\":" + quoted(changeId) +
             ",\"version\":{\"epoch\":" + std::to_string(version.epoch.value) +
@@ -126,7 +126,7 @@
     fromJson(document.at("sections"), state.sections_);
     Json& body = document.at("body");
     for (const auto& change : body.at("changes")) {
-      SetupVersion version;
+      SectionVersion version;
       fromJson(change.at("version"), version);
       state.remembered_->add(change.at("id"), version, SIZE_MAX);
     }
@@ -153,8 +153,8 @@
   std::string text = "{\"body\":{\"changes\":" + remembered_->text() + ",\"earlier\":[";
   for (const auto& earlier : earlier_) {
     if (text.back() != '[') text += ',';
-    text += "{\"setup\":" + *earlier.text + ",\"version\":\"" + versionText(earlier.version) +
-            "\"}";
+    text +=
+        "{\"setup\":" + *earlier.text + ",\"version\":\"" + versionText(earlier.version) + "\"}";
   }
   text.reserve(text.size() + size() + 512);
   text += "],\"keys\":";
@@ -173,8 +173,8 @@
   return size;
 }
 
-std::optional<ChangeAnswer> ControlState::checkBase(const std::string& kind,
-                                                    const Json& change) const {
+std::optional<ChangeReply> ControlState::checkBase(const std::string& kind,
+                                                   const Json& change) const {
   bool namesBase = change.contains("basedOn");
   // A key's withdrawal is never declined as stale, a model's version only rises, and the fleet's
   // configuration has versions of its own; everything else names what it builds on.
@@ -183,16 +183,15 @@
   if (!namesBase) return std::nullopt;
   auto base = parseVersion(change["basedOn"]);
   bool ofWeights = kind == "weights" || kind == "model-version";
-  const SetupVersion& current = ofWeights                  ? sections_.weights
-                                : kind.starts_with("key") ? sections_.keys
-                                                          : sections_.setup;
+  const SectionVersion& current = ofWeights                 ? sections_.weights
+                                  : kind.starts_with("key") ? sections_.keys
+                                                            : sections_.setup;
   if (base && *base == current) return std::nullopt;
-  return faultAnswer(ChangeOutcome::kStale, "[basedOn]",
-                     "the newest is " + versionText(current));
+  return faultAnswer(ChangeOutcome::kStale, "[basedOn]", "the newest is " + versionText(current));
 }
 
-std::optional<ChangeAnswer> ControlState::changeSections(const std::string& kind,
-                                                         const Json& change) {
+std::optional<ChangeReply> ControlState::changeSections(const std::string& kind,
+                                                        const Json& change) {
   Json draft = *body_;
   if (kind == "revert")
     for (const auto& earlier : earlier_)
@@ -212,7 +211,7 @@
   return std::nullopt;
 }
 
-std::optional<ChangeAnswer> ControlState::changeFleet(const std::string& kind, Json& change) {
+std::optional<ChangeReply> ControlState::changeFleet(const std::string& kind, Json& change) {
   const char* part = kind == "replace" ? "config" : "amendment";
   for (const char* needed : {"basedOnVersion", part})
     if (!change.contains(needed)) return invalid(std::string("[") + needed + "]", "is needed");
@@ -220,8 +219,8 @@
   // The very configuration that is in place, sent once more, is no second change.
   if (kind == "replace" && fleet_ && given == *fleet_) return std::nullopt;
   if (change["basedOnVersion"].get<std::uint64_t>() != fleetVersion_.value) {
-    ChangeAnswer stale = faultAnswer(ChangeOutcome::kStale, "[basedOnVersion]",
-                                     "the newest is " + std::to_string(fleetVersion_.value));
+    ChangeReply stale = faultAnswer(ChangeOutcome::kStale, "[basedOnVersion]",
+                                    "the newest is " + std::to_string(fleetVersion_.value));
     stale.newest = fleetVersion_.value;
     return stale;
   }
@@ -249,11 +248,11 @@
   return Json{{"fleet", told}}.dump();
 }
 
-ChangeAnswer ControlState::apply(const std::string& change, const std::string& changeId,
-                                 Epoch epoch, const Props& props) {
-  if (const SetupVersion* version = remembered_->find(changeId))
+ChangeReply ControlState::apply(const std::string& change, const std::string& changeId, Epoch epoch,
+                                const Options& options) {
+  if (const SectionVersion* version = remembered_->find(changeId))
     return done(*version);  // a repeated command is no second change
-  if (change.size() > static_cast<std::size_t>(props.largestSetup))
+  if (change.size() > static_cast<std::size_t>(options.largestSetup))
     return faultAnswer(ChangeOutcome::kTooLarge, "<root>", "the change is above the limit");
   Json document = parseDocument(change);
   if (document.is_discarded()) return invalid("<root>", "is no JSON, or nested too deep");
@@ -262,23 +261,22 @@
   std::string kind = document["kind"];
   if (auto wrong = checkBase(kind, document)) return *wrong;
   ControlState next = *this;
-  auto wrong = changesFleet(kind) ? next.changeFleet(kind, document)
-                                  : next.changeSections(kind, document);
+  auto wrong =
+      changesFleet(kind) ? next.changeFleet(kind, document) : next.changeSections(kind, document);
   bytesWritten_ = next.bytesWritten_;
   if (wrong) return *wrong;
   if (document.value("dryRun", false))
     return faultAnswer(ChangeOutcome::kWould, {}, wouldBecome(next));
-  return adopt(std::move(next), changeId, epoch, props);
+  return adopt(std::move(next), changeId, epoch, options);
 }
 
-ChangeAnswer ControlState::adopt(ControlState next, const std::string& changeId, Epoch epoch,
-                                 const Props& props) {
-  const std::size_t limit = 2 * static_cast<std::size_t>(props.largestSetup);
-  while (!next.earlier_.empty() && next.size() > limit)
-    next.earlier_.erase(next.earlier_.begin());
+ChangeReply ControlState::adopt(ControlState next, const std::string& changeId, Epoch epoch,
+                                const Options& options) {
+  const std::size_t limit = 2 * static_cast<std::size_t>(options.largestSetup);
+  while (!next.earlier_.empty() && next.size() > limit) next.earlier_.erase(next.earlier_.begin());
   if (next.size() > limit)
     return faultAnswer(ChangeOutcome::kTooLarge, "<root>", "the state would be above the limit");
-  SetupVersion newVersion{epoch, {version_.sequence.value + 1}};
+  SectionVersion newVersion{epoch, {version_.sequence.value + 1}};
   bool setup = *next.setupText_ != *setupText_;
   bool keys = *next.keysText_ != *keysText_;
   bool weights = *next.weightsText_ != *weightsText_;
@@ -290,16 +288,16 @@
   next.version_ = newVersion;
   *this = std::move(next);
   if (remembered_.use_count() > 1) remembered_ = std::make_shared<RememberedChanges>(*remembered_);
-  remembered_->add(changeId, newVersion, static_cast<std::size_t>(props.rememberedChanges));
+  remembered_->add(changeId, newVersion, static_cast<std::size_t>(options.rememberedChanges));
   return done(newVersion);
 }
 
 bool ControlState::stampOver(const SectionVersions& seen, Epoch epoch) {
-  SetupVersion next{epoch, {version_.sequence.value + 1}};
+  SectionVersion next{epoch, {version_.sequence.value + 1}};
   bool any = false;
-  for (auto [mine, theirs] : {std::pair{&sections_.setup, &seen.setup},
-                              std::pair{&sections_.keys, &seen.keys},
-                              std::pair{&sections_.weights, &seen.weights}})
+  for (auto [mine, theirs] :
+       {std::pair{&sections_.setup, &seen.setup}, std::pair{&sections_.keys, &seen.keys},
+        std::pair{&sections_.weights, &seen.weights}})
     if (*theirs > *mine && theirs->epoch < epoch) {
       *mine = next;
       any = true;
--- a/src/core/control_state.h
+++ b/src/core/control_state.h
@@ -13,7 +13,7 @@
 
 #include "config/fleet_config.h"
 #include "core/messages.h"
-#include "core/props.h"
+#include "core/options.h"
 #include "wire/json_fields.h"
 
 namespace peppergate {
@@ -71,7 +71,7 @@
 
 /// A setup that a change replaced, as its text, without the fleet's configuration.
 struct EarlierSetup {
-  SetupVersion version;
+  SectionVersion version;
   std::shared_ptr<const std::string> text;
 };
 
@@ -79,20 +79,20 @@
 class RememberedChanges {
  public:
   /// The version that a change made; none if it isn't remembered. Example: see the class.
-  const SetupVersion* find(const std::string& changeId) const;
+  const SectionVersion* find(const std::string& changeId) const;
   /// Adds one and forgets the oldest beyond the limit. Example: `add("c1", version, 1000)`.
-  void add(const std::string& changeId, const SetupVersion& version, std::size_t limit);
+  void add(const std::string& changeId, const SectionVersion& version, std::size_t limit);
   /// All of them as a JSON list, oldest first. Example: in the state's text.
   std::string text() const;
 
  private:
   std::deque<std::string> order_;
-  std::unordered_map<std::string, SetupVersion> versions_;
+  std::unordered_map<std::string, SectionVersion> versions_;
 };
 
 /// The whole state with the versions of its sections. A copy shares all parts with its original,
 /// and a change makes anew, and writes out once, only what it changes.
-/// Example: `state.apply(change, "id-1", Epoch{3}, props)` gives the outcome.
+/// Example: `state.apply(change, "id-1", Epoch{3}, options)` gives the outcome.
 class ControlState {
  public:
   /// Example: an empty one, for copies that aren't there yet.
@@ -103,15 +103,15 @@
   static absl::StatusOr<ControlState> parse(const std::string& text);
 
   /// Checks and applies one operator's change. The answer names the field that was wrong.
-  /// Example: `apply(R"({"kind":"weights","label":"spring"})", "c1", epoch, props)`.
-  ChangeAnswer apply(const std::string& change, const std::string& changeId, Epoch epoch,
-                     const Props& props);
+  /// Example: `apply(R"({"kind":"weights","label":"spring"})", "c1", epoch, options)`.
+  ChangeReply apply(const std::string& change, const std::string& changeId, Epoch epoch,
+                    const Options& options);
   /// Stamps a section anew, for fronts that saw a newer, never acknowledged one.
   /// Example: `state.stampOver(news.have, epoch);`
   bool stampOver(const SectionVersions& seen, Epoch epoch);
 
   /// The version of the last change. Example: `versionText(state.version())`.
-  SetupVersion version() const { return version_; }
+  SectionVersion version() const { return version_; }
   /// The versions of the sections. Example: `state.sections().keys`.
   SectionVersions sections() const { return sections_; }
   /// The sections' texts. Example: `state.setupText()`.
@@ -128,7 +128,7 @@
 
  private:
   using Text = std::shared_ptr<const std::string>;
-  using Fault = std::optional<ChangeAnswer>;
+  using Fault = std::optional<ChangeReply>;
   Text write(const Json& value);
   void joinSetup();
   void writeSections();
@@ -137,8 +137,8 @@
   Fault changeFleet(const std::string& kind, Json& change);
   std::string wouldBecome(const ControlState& next) const;
   std::size_t size() const;
-  ChangeAnswer adopt(ControlState next, const std::string& changeId, Epoch epoch,
-                     const Props& props);
+  ChangeReply adopt(ControlState next, const std::string& changeId, Epoch epoch,
+                    const Options& options);
 
   std::shared_ptr<const Json> body_;   // setup without the fleet's configuration, keys, weights
   std::shared_ptr<const Json> fleet_;  // the configuration as it was sent; null: none yet
@@ -146,7 +146,7 @@
   Text bareSetupText_, fleetText_, setupText_, keysText_, weightsText_;
   std::vector<EarlierSetup> earlier_;
   std::shared_ptr<RememberedChanges> remembered_;
-  SetupVersion version_;
+  SectionVersion version_;
   SectionVersions sections_;
   std::size_t bytesWritten_ = 0;
 };
--- a/src/core/core_node.cc
+++ b/src/core/core_node.cc
@@ -12,8 +12,8 @@
   return newest;
 }
 
-VoterRecord loadVoter(const DiskFound& found, CoreId core) {
-  VoterRecord record;
+AcceptorRecord loadAcceptor(const DiskFound& found, CoreId core) {
+  AcceptorRecord record;
   record.identity = core;
   std::string name = newestFile(found, "voter.");
   if (name.empty()) return record;
@@ -23,7 +23,7 @@
   return record;
 }
 
-CopyOnDisk loadCopy(const DiskFound& found) {
+ReplicaOnDisk loadReplica(const DiskFound& found) {
   // Only the newest file counts: an older one may lack what was acknowledged.
   std::string name = newestFile(found, "state.");
   if (name.empty()) return {};
@@ -41,7 +41,7 @@
   return content ? Json::parse(*content, nullptr, false) : Json();
 }
 
-bool voterTorn(const DiskFound& found) {
+bool acceptorRecordTorn(const DiskFound& found) {
   std::string name = newestFile(found, "voter.");
   return !name.empty() && !opened(found.files.at(name));
 }
@@ -53,34 +53,34 @@
   return {document.is_object() ? document.value("core", std::uint64_t{0}) : 0};
 }
 
-std::string identityFile(CoreId core, const Founding& founding) {
-  return sealed(Json{{"core", core.value}, {"founding", toJson(founding)}}.dump());
+std::string identityFile(CoreId core, const Bootstrap& bootstrap) {
+  return sealed(Json{{"core", core.value}, {"founding", toJson(bootstrap)}}.dump());
 }
 
-Founding foundingOn(const DiskFound& found) {
-  Founding founding;
+Bootstrap bootstrapOn(const DiskFound& found) {
+  Bootstrap bootstrap;
   Json document = identityDocument(found);
   if (document.is_object() && document.contains("founding"))
-    fromJson(document["founding"], founding);
-  return founding;
+    fromJson(document["founding"], bootstrap);
+  return bootstrap;
 }
 
-CoreNode::CoreNode(const Props& props, MemberRecord self, std::vector<Address> seeds,
+CoreNode::CoreNode(const Options& options, MemberRecord self, std::vector<Address> seeds,
                    const DiskFound& found, std::uint64_t seed, MonotonicTime now,
-                   const Founding& founding)
-    : props_(props), random_(seed), started_(now) {
+                   const Bootstrap& bootstrap)
+    : options_(options), random_(seed), started_(now) {
   self.core = identityOn(found);
-  membership_ = std::make_unique<Membership>(props, self, std::move(seeds), random_);
-  Founding born = foundingOn(found);
-  born.cores = founding.cores;
-  voter_ = std::make_unique<Voter>(props, loadVoter(found, self.core), now, born.first);
-  leadership_ = std::make_unique<Leadership>(props, *voter_, *membership_, random_,
-                                             loadCopy(found));
-  follower_ = std::make_unique<Follower>(props, *membership_, random_);
-  caretaker_ = std::make_unique<Caretaker>(props, *voter_, *leadership_, *membership_, *follower_,
-                                           random_, now);
-  desk_ = std::make_unique<OperatorDesk>(props, *membership_, *follower_);
-  if (voterTorn(found)) leadership_->suspect(outbox_);
+  membership_ = std::make_unique<Membership>(options, self, std::move(seeds), random_);
+  Bootstrap born = bootstrapOn(found);
+  born.cores = bootstrap.cores;
+  acceptor_ = std::make_unique<Acceptor>(options, loadAcceptor(found, self.core), now, born.first);
+  leadership_ =
+      std::make_unique<Leadership>(options, *acceptor_, *membership_, random_, loadReplica(found));
+  follower_ = std::make_unique<Follower>(options, *membership_, random_);
+  readOnlyLeader_ = std::make_unique<ReadOnlyLeader>(options, *acceptor_, *leadership_,
+                                                     *membership_, *follower_, random_, now);
+  operatorHandler_ = std::make_unique<OperatorHandler>(options, *membership_, *follower_);
+  if (acceptorRecordTorn(found)) leadership_->suspect(outbox_);
   leadership_->found(born);
   membership_->carry(
       [this](Shuffle& shuffle) { shuffle.withdrawn = follower_->recentWithdrawn(); });
@@ -92,15 +92,15 @@
   } else if (auto* message = std::get_if<Arrived>(&event)) {
     arrived(*message, now);
   } else if (auto* written = std::get_if<FileWritten>(&event)) {
-    if (!voter_->written(*written, now, outbox_)) leadership_->written(*written, now, outbox_);
-  } else if (auto* asked = std::get_if<OperatorAsked>(&event)) {
+    if (!acceptor_->written(*written, now, outbox_)) leadership_->written(*written, now, outbox_);
+  } else if (auto* asked = std::get_if<OperatorRequest>(&event)) {
     putInForce(now);  // what a primary has published is the newest, with no question
     if (asked->path == "/status")
-      outbox_.push(AnswerWeb{asked->ticket, 200, {{"Content-Type", "application/json"}},
-                             status(now).dump()});
-    else if (!desk_->take(*asked, now, outbox_))
+      outbox_.push(AnswerWeb{
+          asked->ticket, 200, {{"Content-Type", "application/json"}}, status(now).dump()});
+    else if (!operatorHandler_->take(*asked, now, outbox_))
       outbox_.push(AnswerWeb{asked->ticket, 404, {}, R"({"outcome":"no-such-page"})"});
-  } else if (std::holds_alternative<DrainAsked>(event)) {
+  } else if (std::holds_alternative<DrainRequest>(event)) {
     draining_ = true;
     leadership_->leave(now);
     membership_->leave(outbox_);
@@ -110,44 +110,43 @@
 }
 
 void CoreNode::takeEngineDuties() {
-  duties_ = std::make_unique<EngineDuties>(props_, *membership_, random_,
-                                           "core-" + std::to_string(membership_->self().core.value));
+  duties_ = std::make_unique<EngineDuties>(
+      options_, *membership_, random_, "core-" + std::to_string(membership_->self().core.value));
 }
 
 void CoreNode::noticeTime(MonotonicTime now) {
-  voter_->notice(now);
+  acceptor_->notice(now);
   // After a leap of the clock engines' grants hold for a whole hold more, too.
   bool leapt = lastNotice_ != kNever && now - lastNotice_ > seconds(0.4);
-  if (leapt && props_.guards(Guard::kClockLeap))
+  if (leapt && options_.guards(Guard::kClockLeap))
     for (auto& [engine, grant] : engineGrants_)
-      if (lastNotice_ < grant.until + props_.engineHoldGap)
-        grant.until = std::max(grant.until, now + props_.engineHold);
+      if (lastNotice_ < grant.until + options_.engineLeaseGap)
+        grant.until = std::max(grant.until, now + options_.engineLease);
   lastNotice_ = now;
 }
 
 void CoreNode::putInForce(MonotonicTime now) {
   if (leadership_->names(now))
     follower_->lead(leadership_->published(), leadership_->view(), now, outbox_);
-  else if (caretaker_->vouches(now))
-    follower_->vouch(now);
+  else if (readOnlyLeader_->attests(now)) follower_->attest(now);
 }
 
 void CoreNode::tick(MonotonicTime now) {
   noticeTime(now);
   membership_->tick(now, outbox_);
-  leadership_->noteSettled(follower_->settledView(), now, outbox_);
-  caretaker_->tick(now, outbox_);
-  leadership_->mayStand(!caretaker_->wants());
+  leadership_->noteChosen(follower_->chosenView(), now, outbox_);
+  readOnlyLeader_->tick(now, outbox_);
+  leadership_->mayCampaign(!readOnlyLeader_->wants());
   leadership_->tick(now, outbox_);
   follower_->noteView(leadership_->view());
   putInForce(now);
   if (!leadership_->names(now)) follower_->tick(now, outbox_);
-  desk_->tick(now, outbox_);
+  operatorHandler_->tick(now, outbox_);
   if (duties_)
-    duties_->tick({leadership_->names(now), caretaker_->vouches(now), leadership_->view().epoch,
-                   leadership_->holdUntil(), &follower_->weights()},
+    duties_->tick({leadership_->names(now), readOnlyLeader_->attests(now),
+                   leadership_->view().epoch, leadership_->leaseUntil(), &follower_->weights()},
                   now, outbox_);
-  answerNews(now);
+  replyToStateRequests(now);
 }
 
 void CoreNode::arrived(const Arrived& event, MonotonicTime now) {
@@ -155,54 +154,58 @@
   const Message& message = event.message;
   noticeTime(now);
   if (auto* shuffle = std::get_if<Shuffle>(&message)) heard(*shuffle, now);
-  else if (auto* promise = std::get_if<PromiseAsk>(&message)) {
-    bool release = promise->kind == PromiseKind::kRelease;
-    bool other = promise->candidate != voter_->record().identity;
-    if (other && !release) caretaker_->candidateHeard(now, outbox_);
-    voter_->ask(from, *promise, now, outbox_);
-    if (other && release && promise->epoch.value == 0) caretaker_->makeRoom(now);
+  else if (auto* promise = std::get_if<PrepareRequest>(&message)) {
+    bool release = promise->kind == PrepareKind::kRelease;
+    bool other = promise->candidate != acceptor_->record().identity;
+    if (other && !release) readOnlyLeader_->candidateHeard(now, outbox_);
+    acceptor_->ask(from, *promise, now, outbox_);
+    if (other && release && promise->epoch.value == 0) readOnlyLeader_->allowElection(now);
     else if (other && release) leadership_->released(promise->candidate, now);
-  } else if (auto* promised = std::get_if<PromiseAnswer>(&message)) {
-    caretaker_->heardVoter(promised->voter, now);
+  } else if (auto* promised = std::get_if<PrepareReply>(&message)) {
+    readOnlyLeader_->heardVoter(promised->voter, now);
     leadership_->hear(*promised, now, outbox_);
-  } else if (auto* accept = std::get_if<AcceptAsk>(&message)) voter_->ask(from, *accept, now, outbox_);
-  else if (auto* accepted = std::get_if<AcceptAnswer>(&message))
+  } else if (auto* accept = std::get_if<AcceptRequest>(&message))
+    acceptor_->ask(from, *accept, now, outbox_);
+  else if (auto* accepted = std::get_if<AcceptReply>(&message))
     leadership_->hear(*accepted, now, outbox_);
-  else if (auto* copy = std::get_if<CopyAsk>(&message))
+  else if (auto* copy = std::get_if<ReplicateRequest>(&message))
     leadership_->hear(from, *copy, now, outbox_);
-  else if (auto* copied = std::get_if<CopyAnswer>(&message))
+  else if (auto* copied = std::get_if<ReplicateReply>(&message))
     leadership_->hear(*copied, now, outbox_);
-  else if (auto* news = std::get_if<NewsAsk>(&message)) heard(from, *news, now);
-  else if (auto* answer = std::get_if<NewsAnswer>(&message)) follower_->hear(from, *answer, now, outbox_);
-  else if (auto* change = std::get_if<ChangeAsk>(&message))
+  else if (auto* news = std::get_if<StateRequest>(&message)) heard(from, *news, now);
+  else if (auto* answer = std::get_if<StateReply>(&message))
+    follower_->hear(from, *answer, now, outbox_);
+  else if (auto* change = std::get_if<ChangeRequest>(&message))
     leadership_->take(from, *change, now, outbox_);
-  else if (auto* changed = std::get_if<ChangeAnswer>(&message)) desk_->hear(*changed, now, outbox_);
-  else if (auto* hold = std::get_if<HoldAsk>(&message)) grantEngines(from, *hold, now);
-  else if (auto* holder = std::get_if<HolderAsk>(&message)) heard(from, *holder, now);
-  else if (auto* held = std::get_if<HolderAnswer>(&message)) leadership_->hear(*held, now, outbox_);
-  else if (auto* care = std::get_if<CaretakerAsk>(&message))
-    caretaker_->ask(from, *care, now, outbox_);
-  else if (auto* cared = std::get_if<CaretakerAnswer>(&message))
-    caretaker_->hear(*cared, now, outbox_);
-  else if (std::holds_alternative<CaretakerNote>(message))
-    follower_->noteCaretaker(from, now, outbox_);
+  else if (auto* changed = std::get_if<ChangeReply>(&message))
+    operatorHandler_->hear(*changed, now, outbox_);
+  else if (auto* lease = std::get_if<EngineLeaseRequest>(&message)) grantEngines(from, *lease, now);
+  else if (auto* holder = std::get_if<WitnessUpdateRequest>(&message)) heard(from, *holder, now);
+  else if (auto* witnessed = std::get_if<WitnessUpdateReply>(&message))
+    leadership_->hear(*witnessed, now, outbox_);
+  else if (auto* care = std::get_if<ReadLeaseRequest>(&message))
+    readOnlyLeader_->ask(from, *care, now, outbox_);
+  else if (auto* cared = std::get_if<ReadLeaseReply>(&message))
+    readOnlyLeader_->hear(*cared, now, outbox_);
+  else if (std::holds_alternative<ReadLeaderNotification>(message))
+    follower_->noteReadOnlyLeader(from, now, outbox_);
   else if (!duties_ || !duties_->hear(from, message, now, outbox_))
     outbox_.count("messages.unexpected");
   putInForce(now);
-  desk_->settle(now, outbox_);
-  if (leadership_->names(now)) answerNews(now);
+  operatorHandler_->settle(now, outbox_);
+  if (leadership_->names(now)) replyToStateRequests(now);
 }
 
-void CoreNode::heard(const Address& from, const HolderAsk& ask, MonotonicTime now) {
+void CoreNode::heard(const Address& from, const WitnessUpdateRequest& ask, MonotonicTime now) {
   if (leadership_->isSuspect()) return;
-  NewsAnswer news;
+  StateReply news;
   news.now = ask.now;
   news.setup = ask.setup;
   news.keys = ask.keys;
   news.weights = ask.weights;
   follower_->adopt(news, now, outbox_);
-  outbox_.send(from, HolderAnswer{ask.epoch, voter_->record().identity, ask.version,
-                                  follower_->have()});
+  outbox_.send(from, WitnessUpdateReply{ask.epoch, acceptor_->record().identity, ask.version,
+                                        follower_->have()});
 }
 
 void CoreNode::heard(const Shuffle& shuffle, MonotonicTime now) {
@@ -210,10 +213,11 @@
   membership_->hear(shuffle, now, outbox_);
 }
 
-void CoreNode::heard(const Address& from, const NewsAsk& ask, MonotonicTime now) {
+void CoreNode::heard(const Address& from, const StateRequest& ask, MonotonicTime now) {
   if (!leadership_->names(now)) {
-    NewsAnswer answer = follower_->relay(ask, now);
-    if (!answer.proof && leadership_->view().epoch > answer.view.epoch) answer.view = leadership_->view();
+    StateReply answer = follower_->relay(ask, now);
+    if (!answer.proof && leadership_->view().epoch > answer.view.epoch)
+      answer.view = leadership_->view();
     outbox_.send(from, std::move(answer));
     return;
   }
@@ -221,33 +225,34 @@
   if (ask.have.setup > mine.setup || ask.have.keys > mine.keys || ask.have.weights > mine.weights)
     leadership_->sawNewer(ask.have);
   bool first = !frontsHave_.contains(ask.asker);  // it may have no proof that is young enough
-  askers_[ask.asker] = {from, ask, now, first};
+  requesters_[ask.asker] = {from, ask, now, first};
   frontsHave_[ask.asker] = ask.have;
 }
 
-void CoreNode::answerNews(MonotonicTime now) {
+void CoreNode::replyToStateRequests(MonotonicTime now) {
   if (!leadership_->names(now)) {
-    askers_.clear();
+    requesters_.clear();
     frontsHave_.clear();
     toldView_ = {};
     return;
   }
-  tellTheRest();
-  leadership_->sayYes([this](const SectionVersions& sections) { return inForceEverywhere(sections); },
-                      now, outbox_);
+  notifyOthers();
+  leadership_->acknowledge(
+      [this](const SectionVersions& sections) { return inForceEverywhere(sections); }, now,
+      outbox_);
   const SectionVersions sections = leadership_->published().sections();
   int large = 0;
-  for (auto entry = askers_.begin(); entry != askers_.end();) {
-    const Asker& asker = entry->second;
+  for (auto entry = requesters_.begin(); entry != requesters_.end();) {
+    const StateRequester& asker = entry->second;
     const SectionVersions& have = asker.ask.have;
-    bool news = sections.setup > have.setup || sections.keys > have.keys ||
-                sections.weights > have.weights;
-    bool due = asker.first || asker.ask.relayed || now - asker.since >= props_.newsWait;
+    bool news =
+        sections.setup > have.setup || sections.keys > have.keys || sections.weights > have.weights;
+    bool due = asker.first || asker.ask.relayed || now - asker.since >= options_.stateRequestWait;
     if ((!news && !due) || (news && large >= 8)) {
       ++entry;
       continue;
     }
-    NewsAnswer answer;
+    StateReply answer;
     answer.sentAt = asker.ask.sentAt;
     answer.proof = true;
     answer.view = leadership_->view();
@@ -258,7 +263,7 @@
     if (news) ++large;
     outbox_.count("news.answered");
     outbox_.send(asker.from, std::move(answer));
-    entry = askers_.erase(entry);
+    entry = requesters_.erase(entry);
   }
 }
 
@@ -273,14 +278,14 @@
   return true;
 }
 
-void CoreNode::tellTheRest() {
+void CoreNode::notifyOthers() {
   // Fronts whose question is not open just now hear of news all the same: the yes that goes out
   // with it may be this machine's last act.
   const ControlState& state = leadership_->published();
   bool newView = leadership_->view().epoch != toldView_;
   if (state.sections() == told_ && !newView) return;
-  NewsAnswer news;
-  news.sentAt = kUnasked;
+  StateReply news;
+  news.sentAt = kUnsolicited;
   news.view = leadership_->view();
   news.now = state.sections();
   // A new primary says that it is there; who lacks anything then asks for it.
@@ -291,20 +296,21 @@
   if (news.now.weights > told_.weights) news.weights = state.weightsText();
   told_ = news.now;
   for (const auto& front : membership_->liveFronts())
-    if (!askers_.contains(front.member)) outbox_.send(front.address, news);
+    if (!requesters_.contains(front.member)) outbox_.send(front.address, news);
 }
 
-void CoreNode::grantEngines(const Address& from, const HoldAsk& ask, MonotonicTime now) {
-  HoldAnswer answer{voter_->record().identity, ask.sentAt, {}};
+void CoreNode::grantEngines(const Address& from, const EngineLeaseRequest& ask, MonotonicTime now) {
+  EngineLeaseReply answer{acceptor_->record().identity, ask.sentAt, {}};
   // A restarted granter waits out a hold and the gap, for it forgot what it granted.
-  bool quiet = now - started_ < props_.engineHold + props_.engineHoldGap;
+  bool quiet = now - started_ < options_.engineLease + options_.engineLeaseGap;
   if (quiet || leadership_->isSuspect()) return;
   for (const auto& engine : ask.engines) {
     EngineGrant& grant = engineGrants_[engine];
     bool other = grant.holder != ask.holder && grant.holder.value != 0;
-    if (other && now < grant.until + props_.engineHoldGap && props_.guards(Guard::kEngineHold))
+    if (other && now < grant.until + options_.engineLeaseGap &&
+        options_.guards(Guard::kEngineLease))
       continue;
-    grant = {ask.holder, now + props_.engineHold};
+    grant = {ask.holder, now + options_.engineLease};
     answer.granted.push_back(engine);
   }
   outbox_.count("engineHolds.granted", answer.granted.size());
@@ -312,8 +318,8 @@
 }
 
 Json CoreNode::status(MonotonicTime now) const {
-  static constexpr std::array<std::string_view, 6> kPhases{
-      "following", "founding", "gathering", "copying", "accepting", "leading"};
+  static constexpr std::array<std::string_view, 6> kPhases{"following", "founding",  "gathering",
+                                                           "copying",   "accepting", "leading"};
   const View& view = leadership_->view();
   Json counters = Json::object();
   for (const auto& [name, value] : outbox_.counters()) counters[name] = value;
@@ -323,13 +329,13 @@
   Json backups = Json::array();
   for (CoreId backup : view.backups) backups.push_back(membership_->addressOf(backup).value);
   return {{"role", "core"},
-          {"core", voter_->record().identity.value},
+          {"core", acceptor_->record().identity.value},
           {"address", membership_->self().address.value},
-          {"district", membership_->self().district.value},
+          {"district", membership_->self().zone.value},
           {"phase", kPhases[static_cast<std::size_t>(leadership_->phase())]},
           {"leads", leadership_->leads(now)},
-          {"vouches", caretaker_->vouches(now)},
-          {"proofFrom", follower_->vouchedBy(now)},
+          {"vouches", readOnlyLeader_->attests(now)},
+          {"proofFrom", follower_->attestedBy(now)},
           {"diskSuspect", leadership_->isSuspect()},
           {"diskStalled", leadership_->isStalled()},
           {"view",
@@ -338,7 +344,7 @@
             {"backups", backups},
             {"confirmed", view.base == view.epoch && !view.backups.empty()},
             {"voters", voters}}},
-          {"copyTag", leadership_->copyTag().value},
+          {"copyTag", leadership_->replicaTag().value},
           {"proofAgeMilliseconds", inMilliseconds(follower_->proofAge(now))},
           {"hasPrimary", follower_->fresh(now)},
           {"members", membership_->live().size()},
--- a/src/core/engine_list.cc
+++ b/src/core/engine_list.cc
@@ -18,7 +18,7 @@
     engine.address = {entry["address"].get<std::string>()};
     engine.service = entry["service"] == "desk" ? Service::kDesk : Service::kModel;
     engine.rack = entry.value("rack", "");
-    engine.district = {entry.value("district", "")};
+    engine.zone = {entry.value("district", "")};
     engine.link = entry.value("link", 100.0);
     engine.draining = entry.value("draining", false);
     list.engines[engine.id] = engine;
--- a/src/core/engine_list.h
+++ b/src/core/engine_list.h
@@ -18,7 +18,7 @@
   Address address;
   Service service = Service::kModel;
   std::string rack;
-  District district;
+  Zone zone;
   double link = 100;
   bool draining = false;
 };
--- a/src/core/engine_orders.cc
+++ b/src/core/engine_orders.cc
@@ -8,8 +8,8 @@
 void EngineWatch::askHolds(const EngineList& list, MonotonicTime now, Outbox& outbox) {
   std::erase_if(holds_, [&](const auto& entry) { return !mine_.contains(entry.first); });
   if (now < nextHolds_) return;
-  nextHolds_ = now + props_.engineHoldRenewal;
-  HoldAsk ask{membership_.self().member, now, {}};
+  nextHolds_ = now + options_.engineLeaseRenewal;
+  EngineLeaseRequest ask{membership_.self().member, now, {}};
   for (const auto& id : mine_)
     if (list.engines.at(id).service != Service::kStore) ask.engines.push_back(id);
   if (ask.engines.empty()) return;
@@ -18,23 +18,22 @@
     rounds[now.microseconds];
     while (rounds.size() > 6) rounds.erase(rounds.begin());
   }
-  for (CoreId voter : follower_.view().voters)
-    outbox.send(membership_.addressOf(voter), ask);
+  for (CoreId voter : follower_.view().voters) outbox.send(membership_.addressOf(voter), ask);
 }
 
-void EngineWatch::hear(const HoldAnswer& answer, Outbox& outbox) {
+void EngineWatch::hear(const EngineLeaseReply& answer, Outbox& outbox) {
   const auto& voters = follower_.view().voters;
   if (std::ranges::find(voters, answer.voter) == voters.end()) return;
   for (const auto& engine : answer.granted) {
-    auto hold = holds_.find(engine);
-    if (hold == holds_.end()) continue;
-    auto round = hold->second.rounds.find(answer.sentAt.microseconds);
-    if (round == hold->second.rounds.end()) continue;
+    auto lease = holds_.find(engine);
+    if (lease == holds_.end()) continue;
+    auto round = lease->second.rounds.find(answer.sentAt.microseconds);
+    if (round == lease->second.rounds.end()) continue;
     round->second.insert(answer.voter);
     if (round->second.size() * 2 <= voters.size()) continue;
-    MonotonicTime until = answer.sentAt + props_.engineHoldStop;
-    if (until > hold->second.until) {
-      hold->second.until = until;
+    MonotonicTime until = answer.sentAt + options_.engineLeaseStop;
+    if (until > lease->second.until) {
+      lease->second.until = until;
       outbox.count("engineHolds.won");
     }
   }
@@ -50,11 +49,11 @@
     if (id < engine) ++place;
     ++count;
   }
-  auto waves = static_cast<std::size_t>(1 / std::max(0.05, props_.waveShare) + 0.999);
+  auto waves = static_cast<std::size_t>(1 / std::max(0.05, options_.waveShare) + 0.999);
   waves = std::clamp<std::size_t>(waves, 1, count);
   std::size_t wave = place * waves / count;
   // The last wave begins early enough to be through before old weights may no longer start.
-  return props_.oldWeightsLimit * 0.7 * (static_cast<double>(wave) / static_cast<double>(waves));
+  return options_.oldWeightsLimit * 0.7 * (static_cast<double>(wave) / static_cast<double>(waves));
 }
 
 void EngineWatch::order(const EngineList& list, const EngineEntry& engine, MonotonicTime now,
@@ -62,7 +61,7 @@
   auto view = views_.find(engine.id);
   if (view == views_.end() || view->second.seen == kNever || !follower_.installed()) return;
   Watched& watched = watched_[engine.id];
-  if (now - watched.ordered < props_.orderTimeout) return;
+  if (now - watched.ordered < options_.orderTimeout) return;
   const Weights& weights = follower_.weights();
   MonotonicTime outdated = follower_.outdatedSince(view->second.picture.weights);
   bool old = outdated != kForever && now >= outdated + waveDelay(list, engine.id);
@@ -70,7 +69,7 @@
   if (!old && !drain) return;
   // The hold is checked here and once more at the write; without proof no order is given.
   bool held = holds(engine.id, now) && follower_.fresh(now);
-  if (!held && props_.guards(Guard::kEngineHold)) {
+  if (!held && options_.guards(Guard::kEngineLease)) {
     outbox.count("orders.withoutHold");
     return;
   }
@@ -83,8 +82,13 @@
             {"epoch", follower_.view().epoch.value}};
   if (!drain) body.update({{"weights", weights.version.value}, {"label", weights.label}});
   outbox.count(drain ? "orders.drain" : "orders.load");
-  outbox.push(CallWeb{ticket, engine.address, "POST", "/order",
-                      {{"Content-Type", "application/json"}}, body.dump(), seconds(2),
+  outbox.push(CallWeb{ticket,
+                      engine.address,
+                      "POST",
+                      "/order",
+                      {{"Content-Type", "application/json"}},
+                      body.dump(),
+                      seconds(2),
                       held ? holds_[engine.id].until : kForever});
 }
 
--- a/src/core/engine_watch.cc
+++ b/src/core/engine_watch.cc
@@ -4,22 +4,25 @@
 
 namespace peppergate {
 
-EngineWatch::EngineWatch(const Props& props, Membership& membership, Follower& follower,
+EngineWatch::EngineWatch(const Options& options, Membership& membership, Follower& follower,
                          PrefixIndex& index, Random& random)
-    : props_(props), membership_(membership), follower_(follower), index_(index),
+    : options_(options),
+      membership_(membership),
+      follower_(follower),
+      index_(index),
       random_(random) {}
 
 bool EngineWatch::mine(const EngineId& engine) const { return mine_.contains(engine); }
 
 bool EngineWatch::holds(const EngineId& engine, MonotonicTime now) const {
-  auto hold = holds_.find(engine);
-  return hold != holds_.end() && now < hold->second.until;
+  auto lease = holds_.find(engine);
+  return lease != holds_.end() && now < lease->second.until;
 }
 
 const EngineView* EngineWatch::usable(const EngineId& engine, MonotonicTime now) const {
   auto view = views_.find(engine);
   if (view == views_.end() || !view->second.picture.ready) return nullptr;
-  if (now - view->second.seen > props_.pictureLimit) return nullptr;
+  if (now - view->second.seen > options_.pictureLimit) return nullptr;
   auto rest = resting_.find(engine);
   if (rest != resting_.end() && now < rest->second) return nullptr;
   return &view->second;
@@ -57,19 +60,19 @@
     if (engine.service != Service::kStore) order(list, engine, now, outbox);
   }
   if (now >= nextTell_) {
-    nextTell_ = now + props_.probeEvery;
+    nextTell_ = now + options_.probeEvery;
     tellOthers(now, outbox);
   }
   index_.tick(ring_, now, random_, outbox);
 }
 
 void EngineWatch::probe(const EngineEntry& engine, MonotonicTime now, Outbox& outbox) {
-  watched_[engine.id].nextProbe = now + props_.probeEvery;
+  watched_[engine.id].nextProbe = now + options_.probeEvery;
   for (const auto& [ticket, call] : calls_)
     if (call.engine == engine.id && call.kind == CallKind::kHealth) return;  // one at a time
   TicketId ticket = outbox.ticket();
   calls_[ticket] = {CallKind::kHealth, engine.id, now};
-  outbox.push(CallWeb{ticket, engine.address, "GET", "/health", {}, "", props_.probeTimeout});
+  outbox.push(CallWeb{ticket, engine.address, "GET", "/health", {}, "", options_.probeTimeout});
 }
 
 bool EngineWatch::answered(const WebAnswered& answer, const EngineList& list, MonotonicTime now,
@@ -90,7 +93,8 @@
       break;
     case CallKind::kOrder:
       outbox.count(answer.status == 200 ? "orders.taken" : "orders.failed");
-      if (answer.status != 200) watched_[call.engine].ordered = now - props_.orderTimeout + seconds(1);
+      if (answer.status != 200)
+        watched_[call.engine].ordered = now - options_.orderTimeout + seconds(1);
       break;
   }
   return true;
@@ -100,7 +104,7 @@
                              MonotonicTime now, Outbox& outbox) {
   Watched& watched = watched_[engine.id];
   Json body = answer.status == 200 ? Json::parse(answer.body, nullptr, false) : Json();
-  EnginePicture picture;
+  EngineSnapshot picture;
   picture.engine = engine.id;
   bool good = body.is_object() && body.contains("life") && body["life"].is_number_unsigned();
   if (good) {
@@ -131,11 +135,11 @@
   if (!news) return;
   TicketId ticket = outbox.ticket();
   calls_[ticket] = {CallKind::kKept, engine.id, now};
-  outbox.push(CallWeb{ticket, engine.address, "GET", "/kept", {}, "", props_.probeTimeout});
+  outbox.push(CallWeb{ticket, engine.address, "GET", "/kept", {}, "", options_.probeTimeout});
 }
 
-void EngineWatch::keptCame(const EngineEntry& engine, const WebAnswered& answer,
-                           MonotonicTime now, Outbox& outbox) {
+void EngineWatch::keptCame(const EngineEntry& engine, const WebAnswered& answer, MonotonicTime now,
+                           Outbox& outbox) {
   Json body = answer.status == 200 ? Json::parse(answer.body, nullptr, false) : Json();
   if (!body.is_object()) return;
   IndexPut put;
@@ -164,7 +168,7 @@
   (void)now;
 }
 
-void EngineWatch::take(const EnginePicture& picture, MonotonicTime seen) {
+void EngineWatch::take(const EngineSnapshot& picture, MonotonicTime seen) {
   EngineView& view = views_[picture.engine];
   if (seen < view.seen) return;  // an older word that came late
   view.picture = picture;
@@ -173,18 +177,18 @@
   index_.noteLife(picture.engine, picture.life, picture.revision);
 }
 
-void EngineWatch::hear(const PictureNote& note, MonotonicTime now, Outbox& outbox) {
+void EngineWatch::hear(const EngineSnapshotNotification& note, MonotonicTime now, Outbox& outbox) {
   outbox.count("pictures.heard");
   for (const auto& picture : note.pictures)
     if (!mine_.contains(picture.engine)) take(picture, now - picture.age);
 }
 
 void EngineWatch::tellOthers(MonotonicTime now, Outbox& outbox) {
-  PictureNote note{membership_.self().member, {}};
+  EngineSnapshotNotification note{membership_.self().member, {}};
   for (const auto& id : mine_) {
     auto view = views_.find(id);
     if (view == views_.end() || view->second.seen == kNever) continue;
-    EnginePicture picture = view->second.picture;
+    EngineSnapshot picture = view->second.picture;
     picture.age = now - view->second.seen;
     note.pictures.push_back(picture);
   }
--- a/src/core/engine_watch.h
+++ b/src/core/engine_watch.h
@@ -14,26 +14,26 @@
 
 /// What this front believes of an engine, by its watcher's newest word.
 struct EngineView {
-  EnginePicture picture;
-  MonotonicTime seen = kNever;      // when the engine was so
-  std::uint64_t sentSince = 0;      // shots sent by this front since then
+  EngineSnapshot picture;
+  MonotonicTime seen = kNever;  // when the engine was so
+  std::uint64_t sentSince = 0;  // shots sent by this front since then
 };
 
 /// Example: `watch.tick(list, now, outbox); watch.usable({"e1"}, now)`.
 class EngineWatch {
  public:
-  EngineWatch(const Props& props, Membership& membership, Follower& follower, PrefixIndex& index,
-              Random& random);
+  EngineWatch(const Options& options, Membership& membership, Follower& follower,
+              PrefixIndex& index, Random& random);
 
   /// Probes, asks for holds, gives orders, tells the others. Example: each tick.
   void tick(const EngineList& list, MonotonicTime now, Outbox& outbox);
   /// Ends a probe, a report or an order; true if the ticket was its own.
   bool answered(const WebAnswered& answer, const EngineList& list, MonotonicTime now,
                 Outbox& outbox);
-  /// A watcher's word. Example: on a PictureNote.
-  void hear(const PictureNote& note, MonotonicTime now, Outbox& outbox);
-  /// A voter's grants. Example: on a HoldAnswer.
-  void hear(const HoldAnswer& answer, Outbox& outbox);
+  /// A watcher's word. Example: on a EngineSnapshotNotification.
+  void hear(const EngineSnapshotNotification& note, MonotonicTime now, Outbox& outbox);
+  /// A voter's grants. Example: on a EngineLeaseReply.
+  void hear(const EngineLeaseReply& answer, Outbox& outbox);
 
   /// The engine's picture while it is young enough and the engine ready; else nothing.
   const EngineView* usable(const EngineId& engine, MonotonicTime now) const;
@@ -47,7 +47,7 @@
   bool holds(const EngineId& engine, MonotonicTime now) const;
   const Ring& ring() const { return ring_; }
   const std::map<EngineId, EngineView>& views() const { return views_; }
-  void reload(const Props& props) { props_ = props; }
+  void reload(const Options& options) { options_ = options; }
 
  private:
   enum class CallKind : std::uint8_t { kHealth, kKept, kOrder };
@@ -74,13 +74,12 @@
   void keptCame(const EngineEntry& engine, const WebAnswered& answer, MonotonicTime now,
                 Outbox& outbox);
   void askHolds(const EngineList& list, MonotonicTime now, Outbox& outbox);
-  void order(const EngineList& list, const EngineEntry& engine, MonotonicTime now,
-             Outbox& outbox);
+  void order(const EngineList& list, const EngineEntry& engine, MonotonicTime now, Outbox& outbox);
   Duration waveDelay(const EngineList& list, const EngineId& engine) const;
   void tellOthers(MonotonicTime now, Outbox& outbox);
-  void take(const EnginePicture& picture, MonotonicTime seen);
+  void take(const EngineSnapshot& picture, MonotonicTime seen);
 
-  Props props_;
+  Options options_;
   Membership& membership_;
   Follower& follower_;
   PrefixIndex& index_;
--- a/src/core/example_setup.cc
+++ b/src/core/example_setup.cc
@@ -60,26 +60,24 @@
   Json tenants = Json::object();
   for (const auto& row : tenantRows(profile)) {
     std::string name(row.name);
-    tenants[name] = {
-        {"template", row.rank <= 1 ? "steady" : "plain"},
-        {"parameters",
-         {{"rank", row.rank},
-          {"wall", "wall-" + name},
-          {"keys", Json::array({keyDigest(exampleKey(name)).value})}}}};
+    tenants[name] = {{"template", row.rank <= 1 ? "steady" : "plain"},
+                     {"parameters",
+                      {{"rank", row.rank},
+                       {"wall", "wall-" + name},
+                       {"keys", Json::array({keyDigest(exampleKey(name)).value})}}}};
   }
-  Json setup{
-      {"rungs", Json::array({{{"name", "thin"}, {"rate", 4}},
-                             {{"name", "half"}, {"rate", 8}},
-                             {{"name", "most"}, {"rate", 16}},
-                             {{"name", "whole"}, {"rate", 32}}})},
-      {"classes",
-       {{"desk", {{"a", -0.8}, {"b", -0.5}, {"c", 1.0}, {"floor", 1}}},
-        {"trail", {{"a", -1.2}, {"b", -0.5}, {"c", 1.0}, {"floor", 0}}}}},
-      {"templates",
-       {{"steady", {{"class", "desk"}, {"defaults", {{"topRung", 3}}}}},
-        {"plain", {{"class", "trail"}, {"defaults", {{"topRung", 3}}}}}}},
-      {"tenants", tenants},
-      {"partBytesPerCharacter", 200}};
+  Json setup{{"rungs", Json::array({{{"name", "thin"}, {"rate", 4}},
+                                    {{"name", "half"}, {"rate", 8}},
+                                    {{"name", "most"}, {"rate", 16}},
+                                    {{"name", "whole"}, {"rate", 32}}})},
+             {"classes",
+              {{"desk", {{"a", -0.8}, {"b", -0.5}, {"c", 1.0}, {"floor", 1}}},
+               {"trail", {{"a", -1.2}, {"b", -0.5}, {"c", 1.0}, {"floor", 0}}}}},
+             {"templates",
+              {{"steady", {{"class", "desk"}, {"defaults", {{"topRung", 3}}}}},
+               {"plain", {{"class", "trail"}, {"defaults", {{"topRung", 3}}}}}}},
+             {"tenants", tenants},
+             {"partBytesPerCharacter", 200}};
   return Json{{"kind", "apply"}, {"basedOn", basedOn}, {"setup", setup}}.dump();
 }
 
--- a/src/core/example_setup.h
+++ b/src/core/example_setup.h
@@ -1,6 +1,6 @@
 #pragma once
-// The two deployments' example setups, as `peppergate setup example` applies them; stand-ins and the
-// simulator send the streams that go with them.
+// The two deployments' example setups, as `peppergate setup example` applies them; stand-ins and
+// the simulator send the streams that go with them.
 #include <string>
 #include <string_view>
 #include <vector>
--- a/src/core/fetch_desk.cc
+++ b/src/core/fetch_desk.cc
@@ -25,10 +25,10 @@
   for (const auto& [link, is] : told) {
     auto [book, fresh] = books_.try_emplace(link);
     book->second.told = is.size;
-    book->second.district = is.district;
+    book->second.zone = is.zone;
     if (!fresh) continue;
-    book->second.fraction = props_.capacityStart;
-    book->second.common = is.size * props_.capacityStart;
+    book->second.fraction = options_.capacityStart;
+    book->second.common = is.size * options_.capacityStart;
   }
   touched_ = true;
 }
@@ -46,7 +46,8 @@
 }
 
 double FetchDesk::easedCut(const LinkBook& book, MonotonicTime now) const {
-  double eased = 1 - std::clamp(inSeconds(now - book.cutAt) / inSeconds(props_.cutEase), 0.0, 1.0);
+  double eased =
+      1 - std::clamp(inSeconds(now - book.cutAt) / inSeconds(options_.cutEase), 0.0, 1.0);
   return book.cut * eased;
 }
 
@@ -64,8 +65,7 @@
   return demand;
 }
 
-double FetchDesk::othersUse(const LinkId& link, double room, double own,
-                            MonotonicTime now) const {
+double FetchDesk::othersUse(const LinkId& link, double room, double own, MonotonicTime now) const {
   double rate = 0, demand = 0;
   for (const auto& [member, others] : noted_) {
     if (member == self_ || now - others.heard > seconds(3)) continue;
@@ -107,7 +107,7 @@
                               MonotonicTime now, Outbox& outbox) {
   auto [entry, fresh] = rungs_.try_emplace({fetch.tenant, bottleneck}, Paced{rung, now});
   Paced& pace = entry->second;
-  if (!fresh && pace.rung != rung && now - pace.changed >= props_.rungPace) {
+  if (!fresh && pace.rung != rung && now - pace.changed >= options_.rungPace) {
     pace = {rung, now};
     ++rungChanges_;
     outbox.count("fetch.rungChanges");
@@ -115,15 +115,14 @@
   return std::clamp(pace.rung, fetch.want.floorRung, fetch.want.topRung);
 }
 
-std::int64_t FetchDesk::begin(Fetch fetch, const Setup& setup, MonotonicTime now,
-                              Outbox& outbox) {
-  std::int64_t rung = props_.planMode == 1 ? fetch.want.floorRung : fetch.want.topRung;
+std::int64_t FetchDesk::begin(Fetch fetch, const Setup& setup, MonotonicTime now, Outbox& outbox) {
+  std::int64_t rung = options_.planMode == 1 ? fetch.want.floorRung : fetch.want.topRung;
   StreamId stream = fetch.want.stream;
   fetch.sent = now;
   fetch.bottleneck = fetch.want.links.front();
   for (const auto& link : fetch.want.links) books_[link].usedSinceRun = true;
   Fetch& kept = fetches_[stream] = std::move(fetch);
-  if (props_.planMode == 0) {
+  if (options_.planMode == 0) {
     // The new stream joins the group of its most congested link, with all that runs now.
     plan_ = settleNow(setup, &kept, now);
     const PlanShare& share = plan_.shares.at(stream);
@@ -145,7 +144,7 @@
 void FetchDesk::smooth(MonotonicTime now) {
   double span = smoothedAt_ == kNever ? 0 : inSeconds(now - smoothedAt_);
   smoothedAt_ = now;
-  double keep = std::exp(-span / inSeconds(props_.mixSmoothing));
+  double keep = std::exp(-span / inSeconds(options_.mixSmoothing));
   for (auto& [key, count] : mixes_) count *= keep;
   for (const auto& [stream, fetch] : fetches_) mixes_[keyOf(fetch)] += 1 - keep;
   std::erase_if(mixes_, [](const auto& entry) { return entry.second < 0.002; });
@@ -166,7 +165,7 @@
     }
     cut = std::max(cut, usage->second.cut);
   }
-  double fraction = count > 0 ? fractions / count : props_.capacityStart;
+  double fraction = count > 0 ? fractions / count : options_.capacityStart;
   return book->second.told * fraction * (1 - cut);
 }
 
@@ -211,7 +210,7 @@
     push(key, count, joins ? joiningId : StreamId{kNotedStreams + ++number});
   }
   if (joining != nullptr && !counts.contains(keyOf(*joining))) push(keyOf(*joining), 1, joiningId);
-  return settle(streams, setup.rungs, capacities, props_);
+  return settle(streams, setup.rungs, capacities, options_);
 }
 
 void FetchDesk::firstEvent(StreamId stream, Duration base, MonotonicTime now, Outbox& outbox) {
@@ -244,7 +243,7 @@
   fetches_.erase(found);
 }
 
-void FetchDesk::hear(const UsageNote& note, MonotonicTime now) {
+void FetchDesk::hear(const UsageNotification& note, MonotonicTime now) {
   Others& others = noted_[note.front];
   others.heard = now;
   others.links.clear();
@@ -266,12 +265,12 @@
 }
 
 void FetchDesk::rerun(const Setup& setup, MonotonicTime now, Outbox& outbox) {
-  nextRun_ = now + props_.planEvery;
+  nextRun_ = now + options_.planEvery;
   lastRun_ = now;
   touched_ = false;
   for (auto& [link, book] : books_) {  // a clean rerun lets the plan use a little more
     if (book.usedSinceRun && !book.shortSinceRun)
-      book.fraction = std::min(book.fraction + props_.capacityRise, props_.capacityTop);
+      book.fraction = std::min(book.fraction + options_.capacityRise, options_.capacityTop);
     book.usedSinceRun = book.shortSinceRun = false;
   }
   plan_ = settleNow(setup, nullptr, now);
@@ -279,7 +278,7 @@
   outbox.count("fetch.reruns");
 }
 
-UsageNote FetchDesk::makeNote(MemberId self, MonotonicTime now) const {
+UsageNotification FetchDesk::makeNote(MemberId self, MonotonicTime now) const {
   std::map<LinkId, LinkUsage> usages;
   for (const auto& [stream, fetch] : fetches_) {
     double crossing = pathCrossing(fetch.want.links);
@@ -290,7 +289,7 @@
       ++usage.streams;
     }
   }
-  UsageNote note{self, {}, {}};
+  UsageNotification note{self, {}, {}};
   for (const auto& [key, count] : mixes_) {
     const auto& [path, className, floor, top] = key;
     note.mixes.push_back({className, floor, top, path, count});
@@ -312,8 +311,8 @@
   return note;
 }
 
-UsageNote FetchDesk::note(MemberId self, const Setup&, MonotonicTime now) {
-  UsageNote note = makeNote(self, now);
+UsageNotification FetchDesk::note(MemberId self, const Setup&, MonotonicTime now) {
+  UsageNotification note = makeNote(self, now);
   for (auto& [link, book] : books_) book.missing = 0;  // told once
   self_ = self;
   hear(note, now);  // this front plans with just what it told the others
--- a/src/core/fetch_desk.h
+++ b/src/core/fetch_desk.h
@@ -23,47 +23,47 @@
   double megabytes = 0;
   MonotonicTime sent;
   bool arrived = false;  // so long ago that its bytes are taken to be over
-  bool joined = false;  // booked on its links one by one
+  bool joined = false;   // booked on its links one by one
 };
 
-/// A link as it is told, in megabytes a second, and where it is; no district: moves over it count
+/// A link as it is told, in megabytes a second, and where it is; no zone: moves over it count
 /// once. Example: `{{"engine:e1"}, {46250, {"north"}}}`.
 struct LinkTold {
   double size = 0;
-  District district;
+  Zone zone;
 };
 
 /// How one link has done, as this front sees it.
 struct LinkBook {
-  double told = 0;       // megabytes a second, from the platform's list
-  double fraction = 0;   // of the told size that the plan uses, 0.75 rising to 0.95
-  double cut = 0;        // share cut after a short delivery, eased back
+  double told = 0;      // megabytes a second, from the platform's list
+  double fraction = 0;  // of the told size that the plan uses, 0.75 rising to 0.95
+  double cut = 0;       // share cut after a short delivery, eased back
   MonotonicTime cutAt = kNever;
   bool usedSinceRun = false;
   bool shortSinceRun = false;
-  double missing = 0;    // told to others in notes
-  District district;
-  double common = 0;     // what all fronts may use of it, as of the last rerun
-  double others = 0;     // what others use of it, as of the last rerun
-  double booked = 0;     // rate of the fetches that joined here, by what their moves count
-  double waiting = 0;    // megabytes of these
+  double missing = 0;  // told to others in notes
+  Zone zone;
+  double common = 0;   // what all fronts may use of it, as of the last rerun
+  double others = 0;   // what others use of it, as of the last rerun
+  double booked = 0;   // rate of the fetches that joined here, by what their moves count
+  double waiting = 0;  // megabytes of these
 };
 
 /// Example: `auto rung = desk.begin(fetch, setup, now, outbox);` then, at the first event,
 /// `desk.firstEvent(stream, now, outbox);`
 class FetchDesk {
  public:
-  explicit FetchDesk(const Props& props) : props_(props) {}
+  explicit FetchDesk(const Options& options) : options_(options) {}
 
   /// Takes the links from a new engine list. Example: `desk.links(list);`
   void links(const EngineList& list);
   /// The same from what services are made like. Example: `desk.links({{link, {46250, zone}}})`.
   void links(const std::map<LinkId, LinkTold>& told);
-  /// The regions of districts: a move between two of them counts ten times, one between
-  /// districts of one region twice. Example: `desk.regions({{{"north"}, "west"}})`.
-  void regions(std::map<District, std::string> regions) { regions_ = std::move(regions); }
+  /// The regions of zones: a move between two of them counts ten times, one between
+  /// zones of one region twice. Example: `desk.regions({{{"north"}, "west"}})`.
+  void regions(std::map<Zone, std::string> regions) { regions_ = std::move(regions); }
   /// How often a move counts. Example: `desk.crossing({"north"}, {"south"}) == 2`.
-  int crossing(const District& from, const District& to) const;
+  int crossing(const Zone& from, const Zone& to) const;
   /// The link of an engine or a store. Example: `linkOf({"e1"}).value == "engine:e1"`.
   static LinkId linkOf(const EngineId& engine) { return {"engine:" + engine.value}; }
   /// The links between a source and an engine. Example: `pathOf(list, {"e1"}, {"e2"})`.
@@ -88,14 +88,14 @@
   void firstEvent(StreamId stream, Duration base, MonotonicTime now, Outbox& outbox);
   /// The stream ended before a first event. Example: on a broken shot.
   void drop(StreamId stream);
-  /// Others' use and cuts. Example: on a UsageNote.
-  void hear(const UsageNote& note, MonotonicTime now);
+  /// Others' use and cuts. Example: on a UsageNotification.
+  void hear(const UsageNotification& note, MonotonicTime now);
   /// A rerun is wanted: on reports and notes. Example: `desk.touch();`
   void touch() { touched_ = true; }
   /// Reruns when due. Example: each tick.
   void tick(const Setup& setup, MonotonicTime now, Outbox& outbox);
   /// What this front tells the others. Example: `outbox.send(to, desk.note(self, setup))`.
-  UsageNote note(MemberId self, const Setup& setup, MonotonicTime now);
+  UsageNotification note(MemberId self, const Setup& setup, MonotonicTime now);
 
   const Plan& plan() const { return plan_; }
   /// What the plan may use of a link now. Example: for the status page.
@@ -103,7 +103,7 @@
   std::size_t live() const { return fetches_.size(); }
   /// The rung of each tenant over each bottleneck with the time of its last change.
   std::uint64_t rungChanges() const { return rungChanges_; }
-  void reload(const Props& props) { props_ = props; }
+  void reload(const Options& options) { options_ = options; }
 
  private:
   struct Others {
@@ -124,7 +124,7 @@
   void book(const Fetch& fetch, double sign);
   void refreshBooks(MonotonicTime now);
   void smooth(MonotonicTime now);
-  UsageNote makeNote(MemberId self, MonotonicTime now) const;
+  UsageNotification makeNote(MemberId self, MonotonicTime now) const;
   Plan settleNow(const Setup& setup, const Fetch* joining, MonotonicTime now) const;
   double easedCut(const LinkBook& book, MonotonicTime now) const;
   double commonCapacity(const LinkId& link, MonotonicTime now) const;
@@ -134,7 +134,7 @@
   std::int64_t paced(const Fetch& fetch, std::int64_t rung, const LinkId& bottleneck,
                      MonotonicTime now, Outbox& outbox);
 
-  Props props_;
+  Options options_;
   std::map<LinkId, LinkBook> books_;
   std::map<StreamId, Fetch> fetches_;
   std::map<MemberId, Others> noted_;  // by everybody, this front among them
@@ -144,7 +144,7 @@
   std::map<std::pair<TenantId, LinkId>, Paced> rungs_;
   Plan plan_;
   std::map<LinkId, std::size_t> groups_;  // places in the plan's groups
-  std::map<District, std::string> regions_;
+  std::map<Zone, std::string> regions_;
   bool touched_ = false;
   MonotonicTime nextRun_{}, lastRun_ = kNever;
   std::uint64_t rungChanges_ = 0;
--- a/src/core/fetch_join.cc
+++ b/src/core/fetch_join.cc
@@ -11,7 +11,7 @@
 
 }  // namespace
 
-int FetchDesk::crossing(const District& from, const District& to) const {
+int FetchDesk::crossing(const Zone& from, const Zone& to) const {
   if (from == to || from.value.empty() || to.value.empty()) return 1;
   auto one = regions_.find(from), other = regions_.find(to);
   bool apart = one != regions_.end() && other != regions_.end() && one->second != other->second;
@@ -23,7 +23,7 @@
   if (path.size() < 2) return 1;
   auto source = books_.find(path[0]), engine = books_.find(path[1]);
   if (source == books_.end() || engine == books_.end()) return 1;
-  return crossing(source->second.district, engine->second.district);
+  return crossing(source->second.zone, engine->second.zone);
 }
 
 double FetchDesk::roomOf(const LinkId& link) const {
@@ -74,34 +74,32 @@
   PlanStream& want = fetch.want;
   want.topRung = std::clamp<std::int64_t>(want.topRung, 0, last);
   want.floorRung = std::clamp<std::int64_t>(want.floorRung, 0, want.topRung);
-  auto rateAt = [&](std::int64_t rung) {
-    return setup.rungs[static_cast<std::size_t>(rung)].rate;
-  };
+  auto rateAt = [&](std::int64_t rung) { return setup.rungs[static_cast<std::size_t>(rung)].rate; };
   double crossing = pathCrossing(want.links);
   bool fits = std::ranges::all_of(want.links, [&](const LinkId& link) {
     return rateAt(want.floorRung) * crossing <= roomOf(link);
   });
-  std::int64_t rung = props_.planMode == 1 ? want.floorRung : want.topRung;
+  std::int64_t rung = options_.planMode == 1 ? want.floorRung : want.topRung;
   fetch.bottleneck = want.links.front();
   if (const GroupResult* group = groupOf(want.links); group != nullptr) {
     fetch.bottleneck = group->link;
     fits = fits && (group->fits || group->total <= group->capacity);
-    if (props_.planMode == 0) rung = rungUnder(setup.rungs, want, group->level);
-  } else if (props_.planMode == 0) {  // nobody crosses these links yet: a group of its own
+    if (options_.planMode == 0) rung = rungUnder(setup.rungs, want, group->level);
+  } else if (options_.planMode == 0) {  // nobody crosses these links yet: a group of its own
     std::map<LinkId, double> rooms;
     for (const auto& link : want.links) rooms[link] = std::max(0.0, roomOf(link));
     PlanStream alone = want;
     alone.count = crossing;
-    Plan plan = settle({&alone, 1}, setup.rungs, rooms, props_);
+    Plan plan = settle({&alone, 1}, setup.rungs, rooms, options_);
     fits = fits && plan.groups.front().fits;
     fetch.bottleneck = plan.groups.front().link;
     rung = plan.shares.at(want.stream).rung;
   }
-  if (!fits && props_.planMode == 0) {
+  if (!fits && options_.planMode == 0) {
     outbox.count("fetch.noRoom");
     return std::nullopt;
   }
-  if (props_.planMode == 0) rung = paced(fetch, rung, fetch.bottleneck, now, outbox);
+  if (options_.planMode == 0) rung = paced(fetch, rung, fetch.bottleneck, now, outbox);
   fetch.rung = rung;
   fetch.rate = rateAt(rung);
   fetch.topRate = rateAt(want.topRung);
@@ -124,9 +122,8 @@
     auto found = books_.find(link);
     if (found == books_.end()) continue;
     found->second.booked = std::max(0.0, found->second.booked + sign * fetch.rate * crossing);
-    found->second.waiting =
-        std::max(0.0, found->second.waiting +
-                          (fetch.arrived ? 0 : sign * fetch.megabytes * crossing));
+    found->second.waiting = std::max(
+        0.0, found->second.waiting + (fetch.arrived ? 0 : sign * fetch.megabytes * crossing));
   }
 }
 
@@ -146,8 +143,7 @@
   for (const auto& [member, noted] : noted_) {
     if (member == self_ || now - noted.heard > seconds(3)) continue;
     for (const auto& [link, usage] : noted.links)
-      if (auto found = books_.find(link); found != books_.end())
-        found->second.others += usage.rate;
+      if (auto found = books_.find(link); found != books_.end()) found->second.others += usage.rate;
   }
 }
 
--- a/src/core/fetch_plan.cc
+++ b/src/core/fetch_plan.cc
@@ -32,7 +32,8 @@
                                 const std::map<LinkId, double>& capacities) {
   std::map<LinkId, double> wanted;
   for (const auto& stream : streams)
-    for (const auto& link : stream.links) wanted[link] += stream.count * rungRate(rungs, stream.topRung);
+    for (const auto& link : stream.links)
+      wanted[link] += stream.count * rungRate(rungs, stream.topRung);
   std::vector<LinkRank> ranks;
   for (const auto& [link, rate] : wanted) {
     auto capacity = capacities.find(link);
@@ -65,7 +66,7 @@
 }
 
 LevelSearch searchLevel(std::span<const PlanStream* const> streams, std::span<const Rung> rungs,
-                        double capacity, const Props& props) {
+                        double capacity, const Options& options) {
   double lowest = std::numeric_limits<double>::infinity();
   double highest = -lowest;
   for (const PlanStream* stream : streams) {
@@ -77,8 +78,8 @@
   search.total = totalAt(streams, rungs, lowest);
   double level = (lowest + highest) / 2;
   double step = (highest - lowest) / 2;
-  double tolerance = props.levelTolerance / props.rateUnit;
-  while (search.rounds < props.levelRounds) {
+  double tolerance = options.levelTolerance / options.rateUnit;
+  while (search.rounds < options.levelRounds) {
     ++search.rounds;
     double total = totalAt(streams, rungs, level);
     if (total <= capacity && (!search.fits || level > search.level)) {
@@ -99,7 +100,7 @@
 }
 
 Plan settle(std::span<const PlanStream> streams, std::span<const Rung> rungs,
-            const std::map<LinkId, double>& capacities, const Props& props) {
+            const std::map<LinkId, double>& capacities, const Options& options) {
   Plan plan;
   if (rungs.empty()) return plan;
   std::map<LinkId, double> room = capacities;
@@ -111,7 +112,7 @@
           std::ranges::find(stream.links, rank.link) != stream.links.end())
         group.push_back(&stream);
     if (group.empty()) continue;
-    LevelSearch search = searchLevel(group, rungs, room[rank.link], props);
+    LevelSearch search = searchLevel(group, rungs, room[rank.link], options);
     for (const PlanStream* stream : group) {
       std::int64_t rung = rungUnder(rungs, *stream, search.level);
       plan.shares[stream->stream] = {rung, rank.link, search.level};
--- a/src/core/fetch_plan.h
+++ b/src/core/fetch_plan.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "core/control_state.h"
-#include "core/props.h"
+#include "core/options.h"
 
 namespace peppergate {
 
@@ -30,12 +30,12 @@
 
 struct GroupResult {
   LinkId link;
-  double ratio = 0;      // congestion ratio that ranked it
-  double capacity = 0;   // left for this group, megabytes a second
-  double level = 0;      // the common level
-  double total = 0;      // the continuous rates at that level
+  double ratio = 0;     // congestion ratio that ranked it
+  double capacity = 0;  // left for this group, megabytes a second
+  double level = 0;     // the common level
+  double total = 0;     // the continuous rates at that level
   std::int64_t rounds = 0;
-  bool fits = false;     // whether any level tried fits; else all are at their floors
+  bool fits = false;  // whether any level tried fits; else all are at their floors
   std::size_t streams = 0;
 };
 
@@ -59,11 +59,11 @@
   bool fits = false;
 };
 /// The search itself, over the continuous rates clamped between floor and top.
-/// Example: `searchLevel(streams, rungs, 40.0, props).level`.
+/// Example: `searchLevel(streams, rungs, 40.0, options).level`.
 LevelSearch searchLevel(std::span<const PlanStream* const> streams, std::span<const Rung> rungs,
-                        double capacity, const Props& props);
-/// The whole plan. Example: `settle(streams, setup.rungs, capacities, props).shares`.
+                        double capacity, const Options& options);
+/// The whole plan. Example: `settle(streams, setup.rungs, capacities, options).shares`.
 Plan settle(std::span<const PlanStream> streams, std::span<const Rung> rungs,
-            const std::map<LinkId, double>& capacities, const Props& props);
+            const std::map<LinkId, double>& capacities, const Options& options);
 
 }  // namespace peppergate
--- a/src/core/follower.cc
+++ b/src/core/follower.cc
@@ -2,39 +2,41 @@
 
 namespace peppergate {
 
-Follower::Follower(const Props& props, Membership& membership, Random& random)
-    : props_(props), membership_(membership), random_(random) {}
+Follower::Follower(const Options& options, Membership& membership, Random& random)
+    : options_(options), membership_(membership), random_(random) {}
 
 void Follower::ask(const Address& to, bool relayed, MonotonicTime now, Outbox& outbox) {
   if (to.value.empty() || to == membership_.self().address) return;
   asked_.insert(now.microseconds);
   while (asked_.size() > 32) asked_.erase(asked_.begin());
   outbox.count(relayed ? "news.askedRelay" : "news.askedPrimary");
-  outbox.send(to, NewsAsk{membership_.self().member, now, have_, relayed});
+  outbox.send(to, StateRequest{membership_.self().member, now, have_, relayed});
 }
 
 void Follower::tick(MonotonicTime now, Outbox& outbox) {
-  if (vouchedBy(now) != lastVoucher_) {
-    lastVoucher_ = vouchedBy(now);
-    outbox.count("proofs.by." + std::string(lastVoucher_));
-    outbox.push(NoteState{"proofs now from " + std::string(lastVoucher_)});
+  if (attestedBy(now) != lastAttester_) {
+    lastAttester_ = attestedBy(now);
+    outbox.count("proofs.by." + std::string(lastAttester_));
+    outbox.push(NoteState{"proofs now from " + std::string(lastAttester_)});
   }
-  // Where no primary is heard, a caretaker of this part answers in its place.
-  bool noPrimary = now - primaryOrigin_ > props_.newsTimeout + milliseconds(200);
-  if (noPrimary && now - caretakerHeard_ < seconds(2) && now - askedCaretaker_ > props_.newsWait) {
-    askedCaretaker_ = now;
-    ask(caretaker_, true, now, outbox);
+  // Where no primary is heard, a read-only leader of this part answers in its place.
+  bool noPrimary = now - primaryOrigin_ > options_.stateRequestTimeout + milliseconds(200);
+  if (noPrimary && now - readOnlyLeaderHeard_ < seconds(2) &&
+      now - askedReadOnlyLeader_ > options_.stateRequestWait) {
+    askedReadOnlyLeader_ = now;
+    ask(readOnlyLeader_, true, now, outbox);
   }
   if (now < nextAsk_) return;
   Address primary = membership_.addressOf(view_.primary);
-  bool silent = waiting_ && now - askedPrimary_ > props_.newsTimeout;
+  bool silent = waiting_ && now - askedPrimary_ > options_.stateRequestTimeout;
   if (!primary.value.empty() && (!waiting_ || silent)) {
     waiting_ = true;
     askedPrimary_ = now;
     ask(primary, false, now, outbox);
   }
   // Without word from the primary, members that can relay are asked, spread at random.
-  bool needsRelay = primary.value.empty() || now - proofOrigin_ > props_.newsTimeout + milliseconds(200);
+  bool needsRelay = primary.value.empty() ||
+                    now - proofOrigin_ > options_.stateRequestTimeout + milliseconds(200);
   if (needsRelay && now - askedRelay_ > milliseconds(200)) {
     askedRelay_ = now + milliseconds(static_cast<std::int64_t>(random_.below(150)));
     askRelay(now, outbox);
@@ -58,7 +60,8 @@
     askedPrimary_ = now;
     ask(primary, true, now, outbox);  // as a relay's question it is answered without any wait
   }
-  if (primary.value.empty() || now - primaryOrigin_ > props_.newsTimeout) askRelay(now, outbox);
+  if (primary.value.empty() || now - primaryOrigin_ > options_.stateRequestTimeout)
+    askRelay(now, outbox);
 }
 
 void Follower::askAgain(MonotonicTime now, Outbox& outbox) {
@@ -76,7 +79,7 @@
   }
 }
 
-void Follower::record(std::string section, const SetupVersion& version, MonotonicTime now,
+void Follower::record(std::string section, const SectionVersion& version, MonotonicTime now,
                       Outbox& outbox) {
   outbox.count("installs." + section);
   outbox.push(NoteState{section + " " + versionText(version) + " in force"});
@@ -85,8 +88,8 @@
   ++changesSeen_;
 }
 
-bool Follower::newer(const SetupVersion& offered, const SetupVersion& mine) const {
-  return offered > mine || (offered != mine && !props_.guards(Guard::kUpward));
+bool Follower::newer(const SectionVersion& offered, const SectionVersion& mine) const {
+  return offered > mine || (offered != mine && !options_.guards(Guard::kUpward));
 }
 
 template <class Reader, class Taker>
@@ -112,19 +115,22 @@
   weights_ = std::move(weights);
 }
 
-void Follower::install(const NewsAnswer& answer, MonotonicTime now, Outbox& outbox) {
-  installSection("setup", {answer.setup, answer.now.setup, have_.setup, setupText_}, readSetup,
-                 [this](Setup setup) { setup_ = std::move(setup); }, now, outbox);
-  installSection("keys", {answer.keys, answer.now.keys, have_.keys, keysText_}, readKeys,
-                 [this](Keys keys) { keys_ = std::move(keys); }, now, outbox);
-  installSection("weights", {answer.weights, answer.now.weights, have_.weights, weightsText_},
-                 readWeights, [&](Weights weights) { takeWeights(std::move(weights), now); }, now,
-                 outbox);
+void Follower::install(const StateReply& answer, MonotonicTime now, Outbox& outbox) {
+  installSection(
+      "setup", {answer.setup, answer.now.setup, have_.setup, setupText_}, readSetup,
+      [this](Setup setup) { setup_ = std::move(setup); }, now, outbox);
+  installSection(
+      "keys", {answer.keys, answer.now.keys, have_.keys, keysText_}, readKeys,
+      [this](Keys keys) { keys_ = std::move(keys); }, now, outbox);
+  installSection(
+      "weights", {answer.weights, answer.now.weights, have_.weights, weightsText_}, readWeights,
+      [&](Weights weights) { takeWeights(std::move(weights), now); }, now, outbox);
 }
 
-void Follower::hear(const Address& from, const NewsAnswer& answer, MonotonicTime now, Outbox& outbox) {
-  if (answer.sentAt == kUnasked) {  // what was acknowledged, sent ahead of the next question
-    noteView(answer.view);  // only whom to ask: no proof
+void Follower::hear(const Address& from, const StateReply& answer, MonotonicTime now,
+                    Outbox& outbox) {
+  if (answer.sentAt == kUnsolicited) {  // what was acknowledged, sent ahead of the next question
+    noteView(answer.view);              // only whom to ask: no proof
     std::uint64_t before = changesSeen_;
     install(answer, now, outbox);
     if (changesSeen_ != before) askAgain(now, outbox);
@@ -140,10 +146,10 @@
     if (!answer.proof) nextAsk_ = now + milliseconds(100);  // not the primary any more
   }
   if (!answer.proof) return;
-  if (answer.view.epoch > settledView_.epoch) settledView_ = answer.view;
+  if (answer.view.epoch > chosenView_.epoch) chosenView_ = answer.view;
   std::uint64_t before = changesSeen_;
   install(answer, now, outbox);
-  if (changesSeen_ != before && !answer.vouched) askAgain(now, outbox);
+  if (changesSeen_ != before && !answer.attested) askAgain(now, outbox);
   // The proof only counts if all that it speaks of is in force here.
   bool whole = have_.setup >= answer.now.setup && have_.keys >= answer.now.keys &&
                have_.weights >= answer.now.weights;
@@ -152,32 +158,32 @@
     return;
   }
   MonotonicTime origin = answer.sentAt - answer.age;
-  if (answer.sentAt != askedPrimary_ && now - origin < props_.proofLimit * 0.7) {
+  if (answer.sentAt != askedPrimary_ && now - origin < options_.proofLimit * 0.7) {
     relay_ = from;
     relayHeard_ = now;
   }
   proofOrigin_ = std::max(proofOrigin_, origin);
-  if (!answer.vouched) primaryOrigin_ = std::max(primaryOrigin_, origin);
+  if (!answer.attested) primaryOrigin_ = std::max(primaryOrigin_, origin);
 }
 
-void Follower::noteCaretaker(const Address& from, MonotonicTime now, Outbox& outbox) {
-  if (from != caretaker_) outbox.count("caretakers.heard");
-  caretaker_ = from;
-  caretakerHeard_ = now;
+void Follower::noteReadOnlyLeader(const Address& from, MonotonicTime now, Outbox& outbox) {
+  if (from != readOnlyLeader_) outbox.count("caretakers.heard");
+  readOnlyLeader_ = from;
+  readOnlyLeaderHeard_ = now;
 }
 
-std::string_view Follower::vouchedBy(MonotonicTime now) const {
-  if (now - proofOrigin_ >= props_.proofLimit) return "nobody";
+std::string_view Follower::attestedBy(MonotonicTime now) const {
+  if (now - proofOrigin_ >= options_.proofLimit) return "nobody";
   return proofOrigin_ > primaryOrigin_ ? "caretaker" : "primary";
 }
 
-NewsAnswer Follower::relay(const NewsAsk& ask, MonotonicTime now) const {
-  NewsAnswer answer;
+StateReply Follower::relay(const StateRequest& ask, MonotonicTime now) const {
+  StateReply answer;
   answer.sentAt = ask.sentAt;
   answer.now = have_;
   answer.proof = installed() && fresh(now);
-  answer.vouched = proofOrigin_ > primaryOrigin_;
-  answer.view = answer.proof ? settledView_ : view_;
+  answer.attested = proofOrigin_ > primaryOrigin_;
+  answer.view = answer.proof ? chosenView_ : view_;
   answer.age = proofAge(now);
   if (answer.proof) fill(answer, ask.have);
   return answer;
@@ -186,9 +192,9 @@
 void Follower::lead(const ControlState& state, const View& view, MonotonicTime now,
                     Outbox& outbox) {
   noteView(view);
-  if (view.epoch > settledView_.epoch) settledView_ = view;
+  if (view.epoch > chosenView_.epoch) chosenView_ = view;
   if (have_ != state.sections()) {  // writing the texts of a large state takes long
-    NewsAnswer answer;
+    StateReply answer;
     answer.now = state.sections();
     answer.setup = state.setupText();
     answer.keys = state.keysText();
@@ -221,8 +227,8 @@
 bool Follower::weightsAllowed(WeightsVersion version, MonotonicTime now) const {
   if (version > weights_.version || version.value == 0) return false;
   MonotonicTime since = outdatedSince(version);
-  return since == kForever || now - since < props_.oldWeightsLimit ||
-         !props_.guards(Guard::kOldWeights);
+  return since == kForever || now - since < options_.oldWeightsLimit ||
+         !options_.guards(Guard::kOldWeights);
 }
 
 }  // namespace peppergate
--- a/src/core/follower.h
+++ b/src/core/follower.h
@@ -13,7 +13,7 @@
 /// When a version was told here and put in force. Example: read by `peppergate trace`.
 struct InstallRecord {
   std::string section;
-  SetupVersion version;
+  SectionVersion version;
   MonotonicTime told;
   MonotonicTime inForce;
 };
@@ -21,28 +21,28 @@
 /// Example: `if (!follower.fresh(now)) decline("stale");` before each shot.
 class Follower {
  public:
-  Follower(const Props& props, Membership& membership, Random& random);
+  Follower(const Options& options, Membership& membership, Random& random);
 
   /// Asks the primary, or members that relay. Example: `follower.tick(now, outbox);`
   void tick(MonotonicTime now, Outbox& outbox);
   /// Asks the primary for a proof at once, and members for the newest view where it is silent.
   /// Example: an operator wants the newest configuration: `askNow(now, outbox)`.
   void askNow(MonotonicTime now, Outbox& outbox);
-  /// Installs what is newer and counts the proof. Example: on a NewsAnswer.
-  void hear(const Address& from, const NewsAnswer& answer, MonotonicTime now, Outbox& outbox);
+  /// Installs what is newer and counts the proof. Example: on a StateReply.
+  void hear(const Address& from, const StateReply& answer, MonotonicTime now, Outbox& outbox);
   /// Answers a question from what is known here, with the age it has. Example: as a relay.
-  NewsAnswer relay(const NewsAsk& ask, MonotonicTime now) const;
+  StateReply relay(const StateRequest& ask, MonotonicTime now) const;
   /// The primary itself: its own published state is in force here at once.
   void lead(const ControlState& state, const View& view, MonotonicTime now, Outbox& outbox);
   /// Installs what is newer in texts that are known to last, without any proof.
   /// Example: what a primary asks this voter to hold.
-  void adopt(const NewsAnswer& news, MonotonicTime now, Outbox& outbox) {
+  void adopt(const StateReply& news, MonotonicTime now, Outbox& outbox) {
     install(news, now, outbox);
   }
-  /// This core vouches for its part under its hold. Example: `vouch(now)` in a caretaker.
-  void vouch(MonotonicTime now) { proofOrigin_ = std::max(proofOrigin_, now); }
-  /// A caretaker said where it is. Example: on a CaretakerNote.
-  void noteCaretaker(const Address& from, MonotonicTime now, Outbox& outbox);
+  /// This core vouches for its part under its hold. Example: `vouch(now)` in a read-only leader.
+  void attest(MonotonicTime now) { proofOrigin_ = std::max(proofOrigin_, now); }
+  /// A read-only leader said where it is. Example: on a ReadLeaderNotification.
+  void noteReadOnlyLeader(const Address& from, MonotonicTime now, Outbox& outbox);
   /// Its newer sections for someone who has less. Example: `fill(answer, ask.have)`.
   template <class Answer>
   void fill(Answer& answer, const SectionVersions& have) const {
@@ -62,17 +62,17 @@
 
   /// Whether there is a proof young enough for new streams. Example: see the class.
   bool fresh(MonotonicTime now) const {
-    return now - proofOrigin_ < props_.proofLimit || !props_.guards(Guard::kFreshness);
+    return now - proofOrigin_ < options_.proofLimit || !options_.guards(Guard::kFreshness);
   }
-  /// When the newest proof of a primary itself began. Example: asked by caretakers.
+  /// When the newest proof of a primary itself began. Example: asked by read-only leaders.
   MonotonicTime primaryOrigin() const { return primaryOrigin_; }
   /// Whether a live stream may go on: its key may have been withdrawn since the last proof.
   bool mayGoOn(MonotonicTime now) const {
-    return now - proofOrigin_ < props_.liveLimit || !props_.guards(Guard::kLiveStale) ||
-           !props_.guards(Guard::kFreshness);  // the second line behind it
+    return now - proofOrigin_ < options_.liveLimit || !options_.guards(Guard::kLiveStale) ||
+           !options_.guards(Guard::kFreshness);  // the second line behind it
   }
-  /// Who stands behind the proof. Example: `"primary"`, `"caretaker"`, `"nobody"`.
-  std::string_view vouchedBy(MonotonicTime now) const;
+  /// Who stands behind the proof. Example: `"primary"`, `"read-only leader"`, `"nobody"`.
+  std::string_view attestedBy(MonotonicTime now) const;
   /// The age of the newest proof. Example: for the status page.
   Duration proofAge(MonotonicTime now) const { return now - proofOrigin_; }
   bool installed() const { return have_.setup.epoch.value != 0; }
@@ -82,7 +82,7 @@
   const Weights& weights() const { return weights_; }
   const View& view() const { return view_; }
   /// The newest view that came with a proof, so that it is settled. Example: for candidates.
-  const View& settledView() const { return settledView_; }
+  const View& chosenView() const { return chosenView_; }
   const std::string& setupText() const { return setupText_; }
   /// Whether a key is live here and not withdrawn. Example: `tenantOf(digest)`.
   const TenantId* tenantOf(const KeyDigest& digest) const;
@@ -93,7 +93,7 @@
   /// Raised by each install or withdrawal. Example: compare to end streams of dead keys.
   std::uint64_t changesSeen() const { return changesSeen_; }
   const std::deque<InstallRecord>& installs() const { return installs_; }
-  void reload(const Props& props) { props_ = props; }
+  void reload(const Options& options) { options_ = options; }
 
  private:
   void ask(const Address& to, bool relayed, MonotonicTime now, Outbox& outbox);
@@ -102,22 +102,23 @@
   /// A section as it was offered, and what is here of it.
   struct Offered {
     const std::string& text;
-    const SetupVersion& version;
-    SetupVersion& mine;
+    const SectionVersion& version;
+    SectionVersion& mine;
     std::string& kept;
   };
   template <class Reader, class Taker>
   void installSection(std::string_view name, const Offered& offered, Reader read, Taker take,
                       MonotonicTime now, Outbox& outbox);
   void takeWeights(Weights weights, MonotonicTime now);
-  bool newer(const SetupVersion& offered, const SetupVersion& mine) const;
-  void install(const NewsAnswer& answer, MonotonicTime now, Outbox& outbox);
-  void record(std::string section, const SetupVersion& version, MonotonicTime now, Outbox& outbox);
+  bool newer(const SectionVersion& offered, const SectionVersion& mine) const;
+  void install(const StateReply& answer, MonotonicTime now, Outbox& outbox);
+  void record(std::string section, const SectionVersion& version, MonotonicTime now,
+              Outbox& outbox);
 
-  Props props_;
+  Options options_;
   Membership& membership_;
   Random& random_;
-  View view_, settledView_;
+  View view_, chosenView_;
   SectionVersions have_;
   Setup setup_;
   Keys keys_;
@@ -126,11 +127,11 @@
   std::set<KeyDigest> heardWithdrawn_;
   std::deque<KeyDigest> recentWithdrawn_;
   MonotonicTime proofOrigin_ = kNever, primaryOrigin_ = kNever;
-  Address caretaker_;
+  Address readOnlyLeader_;
   Address relay_;  // the member that relayed a proof last
   MonotonicTime relayHeard_ = kNever;
-  MonotonicTime caretakerHeard_ = kNever, askedCaretaker_ = kNever;
-  std::string_view lastVoucher_ = "nobody";
+  MonotonicTime readOnlyLeaderHeard_ = kNever, askedReadOnlyLeader_ = kNever;
+  std::string_view lastAttester_ = "nobody";
   std::map<WeightsVersion, MonotonicTime> learned_;
   MonotonicTime askedPrimary_ = kNever, askedRelay_ = kNever, nextAsk_{};
   bool waiting_ = false;
--- a/src/core/front_node.h
+++ b/src/core/front_node.h
@@ -7,16 +7,16 @@
 
 namespace peppergate {
 
-/// Example: `FrontNode front(props, self, seeds, platform, 7, now);`
+/// Example: `FrontNode front(options, self, seeds, platform, 7, now);`
 class FrontNode final : public Node {
  public:
-  FrontNode(const Props& props, MemberRecord self, std::vector<Address> seeds, Address platform,
+  FrontNode(const Options& options, MemberRecord self, std::vector<Address> seeds, Address platform,
             std::uint64_t seed);
 
   void step(const Event& event, MonotonicTime now) override;
   Outbox& outbox() override { return outbox_; }
   Json status(MonotonicTime now) const override;
-  void reload(const Props& props) override;
+  void reload(const Options& options) override;
   bool drained(MonotonicTime now) const override;
   /// For checkers and tests. Example: `front.follower().have()`.
   const Follower& follower() const { return *follower_; }
@@ -31,17 +31,17 @@
   void tellUsage(MonotonicTime now);
   void arrived(const Arrived& event, MonotonicTime now);
   void takeList(const std::string& text, MonotonicTime now);
-  void operatorAsked(const OperatorAsked& asked, MonotonicTime now);
+  void operatorAsked(const OperatorRequest& asked, MonotonicTime now);
   void webAnswered(const WebAnswered& answer, MonotonicTime now);
 
-  Props props_;
+  Options options_;
   Random random_;
   Outbox outbox_;
   Address platform_;
   EngineList list_;
   std::unique_ptr<Membership> membership_;
   std::unique_ptr<Follower> follower_;
-  std::unique_ptr<OperatorDesk> desk_;
+  std::unique_ptr<OperatorHandler> operatorHandler_;
   std::unique_ptr<PrefixIndex> index_;
   std::unique_ptr<EngineWatch> watch_;
   std::unique_ptr<FetchDesk> fetches_;
--- a/src/core/gate.cc
+++ b/src/core/gate.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 GateVerdict Gate::allow(const TenantId& id, const Tenant& tenant, const GateUsage& usage) const {
-  if (running_ >= static_cast<double>(props_.streamsLimit)) return GateVerdict::kFrontFull;
+  if (running_ >= static_cast<double>(options_.streamsLimit)) return GateVerdict::kFrontFull;
   if (usage.places <= 0) return GateVerdict::kOverload;
   auto held = tenants_.find(id);
   double own = held == tenants_.end() ? 0 : held->second.running;
--- a/src/core/gate.h
+++ b/src/core/gate.h
@@ -10,8 +10,8 @@
 
 /// What the gate knows of the fleet's usage. Example: filled from pictures each time.
 struct GateUsage {
-  double running = 0;   // streams on the engines of the service
-  double places = 0;    // streams that they can carry
+  double running = 0;  // streams on the engines of the service
+  double places = 0;   // streams that they can carry
   double ownRunning = 0;
   double fronts = 1;
 };
@@ -21,7 +21,7 @@
 /// Example: `gate.allow(tenantId, tenant, usage)` then `gate.enter` and, at the end, `gate.leave`.
 class Gate {
  public:
-  explicit Gate(const Props& props) : props_(props) {}
+  explicit Gate(const Options& options) : options_(options) {}
   /// Whether one more stream of the tenant is let in now. Example: see the class.
   GateVerdict allow(const TenantId& id, const Tenant& tenant, const GateUsage& usage) const;
   void enter(const TenantId& id, std::int64_t rank);
@@ -29,14 +29,14 @@
   /// When a declined caller should come back, spread at random. Example: `retryAfter(random)`.
   static Duration retryAfter(Random& random, double pressure);
   double running() const { return running_; }
-  void reload(const Props& props) { props_ = props; }
+  void reload(const Options& options) { options_ = options; }
 
  private:
   struct Held {
     std::int64_t rank = 0;
     double running = 0;
   };
-  Props props_;
+  Options options_;
   std::map<TenantId, Held> tenants_;
   double running_ = 0;
 };
--- a/src/core/leadership.cc
+++ b/src/core/leadership.cc
@@ -5,17 +5,21 @@
 namespace peppergate {
 namespace {
 
-constexpr Duration kTurn = milliseconds(200);       // between members that stand in their order
-constexpr Duration kLeaveWithin = seconds(1.5);     // for what is under way
-constexpr Duration kLatePromise = seconds(0.3);     // for founders' promises beyond a majority
+constexpr Duration kTurn = milliseconds(200);    // between members that stand in their order
+constexpr Duration kLeaveWithin = seconds(1.5);  // for what is under way
+constexpr Duration kLatePromise = seconds(0.3);  // for founders' promises beyond a majority
 
 }  // namespace
 
-Leadership::Leadership(const Props& props, Voter& voter, Membership& membership, Random& random,
-                       CopyOnDisk copy)
-    : props_(props), voter_(voter), membership_(membership), random_(random),
-      copy_(std::move(copy)), view_(voter.record().accepted) {
-  seen_ = std::max(voter.record().promised, view_.epoch);
+Leadership::Leadership(const Options& options, Acceptor& acceptor, Membership& membership,
+                       Random& random, ReplicaOnDisk copy)
+    : options_(options),
+      acceptor_(acceptor),
+      membership_(membership),
+      random_(random),
+      replica_(std::move(copy)),
+      view_(acceptor.record().accepted) {
+  seen_ = std::max(acceptor.record().promised, view_.epoch);
 }
 
 bool Leadership::majority(const std::set<CoreId>& yes, const std::vector<CoreId>& voters) {
@@ -24,46 +28,46 @@
 }
 
 bool Leadership::leads(MonotonicTime now) const {
-  bool held = now < holdUntil_ || !props_.guards(Guard::kPrimaryHold);
-  return settledHere_ && !suspect_ && held;
+  bool witnessed = now < leaseUntil_ || !options_.guards(Guard::kPrimaryLease);
+  return leading_ && !suspect_ && witnessed;
 }
 
 void Leadership::tick(MonotonicTime now, Outbox& outbox) {
-  const View& accepted = voter_.record().accepted;
-  if (accepted.epoch > view_.epoch && (accepted.primary != self() || !settledHere_)) {
+  const View& accepted = acceptor_.record().accepted;
+  if (accepted.epoch > view_.epoch && (accepted.primary != self() || !leading_)) {
     view_ = accepted;
-    if (settledHere_) stepDown(now, outbox, "a newer view was accepted");
+    if (leading_) stepDown(now, outbox, "a newer view was accepted");
   }
-  seen_ = std::max({seen_, voter_.record().promised, view_.epoch});
-  look(now);
+  seen_ = std::max({seen_, acceptor_.record().promised, view_.epoch});
+  observePeers(now);
   if (releasing_) sendRelease(*std::exchange(releasing_, std::nullopt), outbox);
   if (suspect_) return;
   watchDisk(now, outbox);
   if (stalled_) return;
-  if (settledHere_ && !leads(now)) stepDown(now, outbox, "the hold ran out");
-  giveWay(now, outbox);
+  if (leading_ && !leads(now)) stepDown(now, outbox, "the hold ran out");
+  yieldLeadership(now, outbox);
   // While it gathers it asks again, too: grants to the last primary may just be running out.
-  bool renews = settledHere_ || founds_ || phase_ == LeaderPhase::kGathering ||
-                phase_ == LeaderPhase::kCopying || phase_ == LeaderPhase::kAccepting;
+  bool renews = leading_ || bootstrapping_ || phase_ == LeaderPhase::kPreparing ||
+                phase_ == LeaderPhase::kReplicating || phase_ == LeaderPhase::kAccepting;
   if (renews && now >= nextRenewal_) renew(now, outbox);
   switch (phase_) {
     case LeaderPhase::kFollowing:
-      stand(now, outbox);
+      campaign(now, outbox);
       break;
-    case LeaderPhase::kFounding:
-    case LeaderPhase::kGathering:
-    case LeaderPhase::kCopying:
+    case LeaderPhase::kBootstrapping:
+    case LeaderPhase::kPreparing:
+    case LeaderPhase::kReplicating:
     case LeaderPhase::kAccepting:
       // Gathering waits longer: a late renewal of the last primary may still bind one vote, and
       // a rival is noticed by its votes, not by time.
       if (now - phaseSince_ >
-          props_.copyTimeout * (phase_ == LeaderPhase::kGathering ? 3 : 1))
+          options_.replicateTimeout * (phase_ == LeaderPhase::kPreparing ? 3 : 1))
         giveUpPhase(now, outbox);
       break;
     case LeaderPhase::kLeading:
       if (stuck(now))
         for (CoreId backup : view_.backups)
-          if (!synced_.contains(backup)) failedRecruits_[backup] = now;
+          if (!synced_.contains(backup)) failedReplicas_[backup] = now;
       considerViewChange(now, outbox);
       if (phase_ == LeaderPhase::kLeading) startBatch(now, outbox);
       break;
@@ -72,24 +76,26 @@
 
 void Leadership::watchDisk(MonotonicTime now, Outbox& outbox) {
   for (const auto& [ticket, write] : writes_) {
-    if (now - write.since <= props_.syncTimeout || stalled_) continue;
+    if (now - write.since <= options_.syncTimeout || stalled_) continue;
     stalled_ = true;  // until the write comes back whole
     outbox.count("disk.stalled");
-    if (settledHere_ || phase_ != LeaderPhase::kFollowing) stepDown(now, outbox, "the disk stalls");
+    if (leading_ || phase_ != LeaderPhase::kFollowing) stepDown(now, outbox, "the disk stalls");
   }
 }
 
-void Leadership::giveWay(MonotonicTime now, Outbox& outbox) {
-  if (leavingSince_ != kForever && settledHere_) {
-    bool done = !batchState_ && yeses_.empty() && waiting_.empty() && phase_ == LeaderPhase::kLeading;
+void Leadership::yieldLeadership(MonotonicTime now, Outbox& outbox) {
+  if (leavingSince_ != kForever && leading_) {
+    bool done = !batchState_ && pendingAcknowledgements_.empty() && waiting_.empty() &&
+                phase_ == LeaderPhase::kLeading;
     if (done || now - leavingSince_ > kLeaveWithin) stepDown(now, outbox, "it leaves");
   }
-  if (phase_ != LeaderPhase::kGathering || settledHere_) return;
-  if (founds_ && promised_.size() >= foundersNeeded() && now - phaseSince_ > kLatePromise) {
-    foundWithPromised(now, outbox);
+  if (phase_ != LeaderPhase::kPreparing || leading_) return;
+  if (bootstrapping_ && promised_.size() >= bootstrapQuorum() && now - phaseSince_ > kLatePromise) {
+    bootstrapWithPromised(now, outbox);
     return;
   }
-  // Who can't reach a majority holds no votes for long: a caretaker of its part may need them.
+  // Who can't reach a majority holds no votes for long: a read-only leader of its part may need
+  // them.
   std::set<CoreId> answered = promised_;
   answered.insert(declined_.begin(), declined_.end());
   if (now - phaseSince_ <= seconds(0.7) || majority(answered, old_.voters)) return;
@@ -98,7 +104,7 @@
   outbox.count("views.hopeless");
 }
 
-void Leadership::sendRelease(const PromiseAsk& release, Outbox& outbox) {
+void Leadership::sendRelease(const PrepareRequest& release, Outbox& outbox) {
   std::set<CoreId> asked(old_.voters.begin(), old_.voters.end());
   asked.insert(wanted_.voters.begin(), wanted_.voters.end());
   asked.insert(view_.voters.begin(), view_.voters.end());
@@ -108,21 +114,22 @@
 
 void Leadership::yieldVotes(Outbox& outbox) {
   // It holds nothing, so all votes that it has are free for another at once.
-  releasing_ = PromiseAsk{std::max(view_.epoch, holdEpoch_), self(), {}, PromiseKind::kRelease};
+  releasing_ =
+      PrepareRequest{std::max(view_.epoch, leaseEpoch_), self(), {}, PrepareKind::kRelease};
   sendRelease(*releasing_, outbox);
-  voter_.release(self());
+  acceptor_.release(self());
   phase_ = LeaderPhase::kFollowing;
-  founds_ = false;
-  holdUntil_ = kNever;
-  holdEpoch_ = {};
+  bootstrapping_ = false;
+  leaseUntil_ = kNever;
+  leaseEpoch_ = {};
   renewals_.clear();
 }
 
 void Leadership::giveUpPhase(MonotonicTime now, Outbox& outbox) {
-  if (phase_ == LeaderPhase::kCopying)
+  if (phase_ == LeaderPhase::kReplicating)
     for (CoreId backup : wanted_.backups)
-      if (!synced_.contains(backup)) failedRecruits_[backup] = now;
-  if (settledHere_) {
+      if (!synced_.contains(backup)) failedReplicas_[backup] = now;
+  if (leading_) {
     phase_ = LeaderPhase::kLeading;
     nextTry_ = now + milliseconds(static_cast<std::int64_t>(random_.below(300)));
     return;
@@ -133,42 +140,44 @@
   nextTry_ = now + milliseconds(static_cast<std::int64_t>(random_.below(1500)));
 }
 
-std::size_t Leadership::place() const {
+std::size_t Leadership::succession() const {
   // The first backup, and who led before, go first; the others leave them a moment.
   auto found = std::ranges::find(view_.backups, self());
   if (found != view_.backups.end()) return static_cast<std::size_t>(found - view_.backups.begin());
   return view_.primary == self() ? 0 : view_.backups.size();
 }
 
-bool Leadership::standsNow(MonotonicTime now) {
+bool Leadership::campaignDue(MonotonicTime now) {
   if (!started_) {  // after a common power loss not all stand in the same moment
     started_ = true;
-    bool untouched = voter_.record().promised.value == 0 && view_.epoch.value == 0;
-    Duration turn = kTurn * static_cast<double>(place() + (view_.primary == self() ? 0 : 1));
+    bool untouched = acceptor_.record().promised.value == 0 && view_.epoch.value == 0;
+    Duration turn = kTurn * static_cast<double>(succession() + (view_.primary == self() ? 0 : 1));
     if (!untouched)
-      nextTry_ = now + props_.hold + turn + milliseconds(static_cast<std::int64_t>(random_.below(100)));
+      nextTry_ =
+          now + options_.lease + turn + milliseconds(static_cast<std::int64_t>(random_.below(100)));
   }
-  return now >= nextTry_ && mayStand_ && leavingSince_ == kForever;
+  return now >= nextTry_ && mayCampaign_ && leavingSince_ == kForever;
 }
 
-void Leadership::stand(MonotonicTime now, Outbox& outbox) {
-  if (!standsNow(now)) return;
-  if (founding_.cores > 0 && view_.epoch.value == 0 && voter_.record().promised.value == 0) {
-    foundByNumber(now, outbox);
+void Leadership::campaign(MonotonicTime now, Outbox& outbox) {
+  if (!campaignDue(now)) return;
+  if (bootstrap_.cores > 0 && view_.epoch.value == 0 && acceptor_.record().promised.value == 0) {
+    bootstrapByCount(now, outbox);
     return;
   }
-  if (mayFound()) {
-    standToFound(now, outbox);
+  if (mayBootstrap()) {
+    startBootstrapElection(now, outbox);
     return;
   }
-  bool eligible = copy_.tag.value != 0 && ((isMember(view_, self()) && copy_.tag >= view_.base) ||
-                                           copy_.tag > view_.epoch);
+  bool eligible =
+      replica_.tag.value != 0 &&
+      ((isMember(view_, self()) && replica_.tag >= view_.base) || replica_.tag > view_.epoch);
   if (!eligible) return;
-  if (voter_.grantedToOther(self(), now)) {
+  if (acceptor_.grantedToOther(self(), now)) {
     freeSince_ = now;
     return;
   }
-  if (now - freeSince_ < kTurn * static_cast<double>(place())) return;
+  if (now - freeSince_ < kTurn * static_cast<double>(succession())) return;
   // Without a majority in sight standing would only raise epochs and bind votes.
   std::set<CoreId> seen;
   for (CoreId voter : view_.voters)
@@ -179,84 +188,86 @@
   }
   View wanted = view_;
   wanted.primary = self();
-  standing_ = true;
-  gather(std::move(wanted), now, outbox);
+  takingOver_ = true;
+  prepare(std::move(wanted), now, outbox);
 }
 
-void Leadership::gather(View wanted, MonotonicTime now, Outbox& outbox, bool founds) {
+void Leadership::prepare(View wanted, MonotonicTime now, Outbox& outbox, bool bootstraps) {
   seen_ = {seen_.value + 1};
   wanted_ = std::move(wanted);
   wanted_.epoch = seen_;
-  old_ = voter_.record().accepted.epoch > view_.epoch ? voter_.record().accepted : view_;
-  founds_ = founds;
-  if (founds) old_.voters = wanted_.voters;  // those who may found, whatever they accepted
-  holdEpoch_ = seen_;
+  old_ = acceptor_.record().accepted.epoch > view_.epoch ? acceptor_.record().accepted : view_;
+  bootstrapping_ = bootstraps;
+  if (bootstraps) old_.voters = wanted_.voters;  // those who may found, whatever they accepted
+  leaseEpoch_ = seen_;
   promised_.clear();
   accepted_.clear();
   declined_.clear();
-  phase_ = LeaderPhase::kGathering;
+  phase_ = LeaderPhase::kPreparing;
   phaseSince_ = now;
   outbox.count("views.gathered");
   renew(now, outbox);
 }
 
 void Leadership::renew(MonotonicTime now, Outbox& outbox) {
-  nextRenewal_ = now + props_.holdRenewal;
-  Epoch epoch = std::max(view_.epoch, holdEpoch_);  // a gathered epoch is never gone back on
+  nextRenewal_ = now + options_.leaseRenewal;
+  Epoch epoch = std::max(view_.epoch, leaseEpoch_);  // a gathered epoch is never gone back on
   std::set<CoreId> asked(view_.voters.begin(), view_.voters.end());
   asked.insert(wanted_.voters.begin(), wanted_.voters.end());
-  PromiseKind kind = founds_ ? PromiseKind::kFound : PromiseKind::kHold;
+  PrepareKind kind = bootstrapping_ ? PrepareKind::kBootstrap : PrepareKind::kLease;
   for (CoreId voter : asked)
-    outbox.send(membership_.addressOf(voter), PromiseAsk{epoch, self(), now, kind});
+    outbox.send(membership_.addressOf(voter), PrepareRequest{epoch, self(), now, kind});
   repeat(outbox);
   renewals_[now.microseconds];
   while (renewals_.size() > 8) renewals_.erase(renewals_.begin());
 }
 
-void Leadership::hear(const PromiseAnswer& answer, MonotonicTime now, Outbox& outbox) {
+void Leadership::hear(const PrepareReply& answer, MonotonicTime now, Outbox& outbox) {
   seen_ = std::max({seen_, answer.promised, answer.accepted.epoch});
-  if (answer.accepted.epoch > view_.epoch && (answer.accepted.primary != self() || !settledHere_)) {
+  if (answer.accepted.epoch > view_.epoch && (answer.accepted.primary != self() || !leading_)) {
     view_ = answer.accepted;
-    if (settledHere_) stepDown(now, outbox, "a voter accepted a newer view");
+    if (leading_) stepDown(now, outbox, "a voter accepted a newer view");
   }
-  if (phase_ == LeaderPhase::kGathering && !founds_ && answer.accepted.epoch > old_.epoch)
+  if (phase_ == LeaderPhase::kPreparing && !bootstrapping_ && answer.accepted.epoch > old_.epoch)
     old_ = answer.accepted;  // accepted but unsettled counts as the view, too
   if (!answer.granted) {
-    heardDecline(answer, now, outbox);
+    heardRejection(answer, now, outbox);
     return;
   }
-  // A voter that missed the acceptance is told again: a caretaker's pair has to name equal views.
+  // A voter that missed the acceptance is told again: a read-only leader's pair has to name equal
+  // views.
   if (phase_ == LeaderPhase::kLeading && answer.accepted.epoch < view_.epoch &&
       answer.epoch == view_.epoch)
-    outbox.send(membership_.addressOf(answer.voter), AcceptAsk{view_, false});
+    outbox.send(membership_.addressOf(answer.voter), AcceptRequest{view_, false});
   auto round = renewals_.find(answer.sentAt.microseconds);
   if (round != renewals_.end()) {
     round->second.insert(answer.voter);
     // The hold counts from the moment the question was sent, by a majority of the newest voters.
-    if (holds(round->second)) holdUntil_ = std::max(holdUntil_, answer.sentAt + props_.holdStop);
+    if (holds(round->second))
+      leaseUntil_ = std::max(leaseUntil_, answer.sentAt + options_.leaseStop);
   }
-  if (phase_ != LeaderPhase::kGathering || answer.epoch != wanted_.epoch) return;
-  if (founds_) {
-    heardFounder(answer, now, outbox);
+  if (phase_ != LeaderPhase::kPreparing || answer.epoch != wanted_.epoch) return;
+  if (bootstrapping_) {
+    heardBootstrapper(answer, now, outbox);
     return;
   }
   promised_.insert(answer.voter);
-  if (majority(promised_, old_.voters)) gathered(now, outbox);
+  if (majority(promised_, old_.voters)) prepared(now, outbox);
 }
 
 bool Leadership::holds(const std::set<CoreId>& round) const {
-  const View& counted =
-      settledHere_ ? view_ : (phase_ == LeaderPhase::kGathering ? old_ : wanted_);
+  const View& counted = leading_ ? view_ : (phase_ == LeaderPhase::kPreparing ? old_ : wanted_);
   // A view that was proposed since may be settled without this core having heard of it; then
   // another may hold by a majority of its voters.
-  return majority(round, counted.voters) &&
-         std::ranges::all_of(proposed_, [&](const auto& voters) { return majority(round, voters); });
+  return majority(round, counted.voters) && std::ranges::all_of(proposed_, [&](const auto& voters) {
+           return majority(round, voters);
+         });
 }
 
-void Leadership::heardDecline(const PromiseAnswer& answer, MonotonicTime now, Outbox& outbox) {
+void Leadership::heardRejection(const PrepareReply& answer, MonotonicTime now, Outbox& outbox) {
   // A voter that promised a higher epoch elsewhere is only won back by a higher one.
-  if (answer.promised > std::max(view_.epoch, holdEpoch_)) recapture_ = true;
-  if (phase_ != LeaderPhase::kGathering || settledHere_ || answer.epoch != wanted_.epoch) return;
+  if (answer.promised > std::max(view_.epoch, leaseEpoch_)) recapture_ = true;
+  if (phase_ != LeaderPhase::kPreparing || leading_ || answer.epoch != wanted_.epoch) return;
   declined_.insert(answer.voter);
   if (!majority(declined_, old_.voters) && declined_.size() * 2 < old_.voters.size()) return;
   yieldVotes(outbox);  // it can't win now
@@ -264,15 +275,15 @@
   outbox.count("views.yielded");
 }
 
-void Leadership::gathered(MonotonicTime now, Outbox& outbox) {
-  if (!isMember(old_, self()) || copy_.tag < old_.base) {
+void Leadership::prepared(MonotonicTime now, Outbox& outbox) {
+  if (!isMember(old_, self()) || replica_.tag < old_.base) {
     outbox.push(NoteState{"core: no intact member of the last view, stands down"});
-    phase_ = settledHere_ ? LeaderPhase::kLeading : LeaderPhase::kFollowing;
+    phase_ = leading_ ? LeaderPhase::kLeading : LeaderPhase::kFollowing;
     nextTry_ = now + seconds(1);
     return;
   }
   phaseSince_ = now;
-  if (standing_) {
+  if (takingOver_) {
     // First lead with the same members: nothing is acknowledged in such a view, so whichever of
     // them had everything still has it.
     wanted_.primary = self();
@@ -286,32 +297,34 @@
     propose(now, outbox);
     return;
   }
-  startCopies(now, outbox);
+  startReplication(now, outbox);
 }
 
 void Leadership::repeat(Outbox& outbox) {
   // One lost message must not cost a whole try: what is unanswered goes out with each renewal.
-  if (phase_ == LeaderPhase::kAccepting) askAcceptance(outbox);
-  if (phase_ == LeaderPhase::kFounding && founds_ && ownSynced_) askFounders(outbox);
-  if (phase_ == LeaderPhase::kCopying) sendCopy(outbox, true);
-  if (phase_ == LeaderPhase::kLeading && batchState_) sendCopy(outbox, false);
-  if (settledHere_ && heldState_ && !majority(holders_, view_.voters)) tellHolders(true, outbox);
+  if (phase_ == LeaderPhase::kAccepting) requestAcceptance(outbox);
+  if (phase_ == LeaderPhase::kBootstrapping && bootstrapping_ && ownSynced_)
+    prepareBootstrappers(outbox);
+  if (phase_ == LeaderPhase::kReplicating) replicate(outbox, true);
+  if (phase_ == LeaderPhase::kLeading && batchState_) replicate(outbox, false);
+  if (leading_ && witnessedState_ && !majority(witnesses_, view_.voters))
+    updateWitnesses(true, outbox);
 }
 
 void Leadership::settled(MonotonicTime now, Outbox& outbox) {
   view_ = wanted_;
   old_ = wanted_;
   phase_ = LeaderPhase::kLeading;
-  settledHere_ = true;
-  standing_ = recapture_ = founds_ = false;
-  holdEpoch_ = view_.epoch;
+  leading_ = true;
+  takingOver_ = recapture_ = bootstrapping_ = false;
+  leaseEpoch_ = view_.epoch;
   proposed_.clear();
   unconfirmed_ = view_.base != view_.epoch ||
-                 view_.backups.size() < static_cast<std::size_t>(props_.backups);
-  published_ = batchState_ && !unconfirmed_ ? *batchState_ : copy_.state;
+                 view_.backups.size() < static_cast<std::size_t>(options_.backups);
+  published_ = batchState_ && !unconfirmed_ ? *batchState_ : replica_.state;
   hasPublished_ = true;
-  named_ = named_ && held(published_);
-  if (!named_) askHolders(published_, outbox);
+  named_ = named_ && witnessed(published_);
+  if (!named_) requestWitnesses(published_, outbox);
   outbox.count("views.settled");
   outbox.push(NoteState{"core: leads view " + std::to_string(view_.epoch.value) +
                         (unconfirmed_ ? ", unconfirmed" : " with its backups")});
@@ -325,14 +338,14 @@
 }
 
 void Leadership::stepDown(MonotonicTime now, Outbox& outbox, std::string_view why) {
-  settledHere_ = standing_ = recapture_ = named_ = false;
-  heldState_.reset();
+  leading_ = takingOver_ = recapture_ = named_ = false;
+  witnessedState_.reset();
   batchState_.reset();
   proposed_.clear();
   yieldVotes(outbox);
-  for (auto& yes : yeses_)
+  for (auto& yes : pendingAcknowledgements_)
     batch_.insert(batch_.end(), yes.answers.begin(), yes.answers.end());
-  yeses_.clear();
+  pendingAcknowledgements_.clear();
   for (auto& [to, answer] : batch_) {
     answer.outcome = ChangeOutcome::kLost;  // it may be in force later or not
     answer.detail = "the primary gave up its duty before the yes; repeat with the same change id";
@@ -348,7 +361,7 @@
 void Leadership::suspect(Outbox& outbox) {
   if (suspect_) return;
   suspect_ = true;
-  voter_.suspect();
+  acceptor_.suspect();
   outbox.count("disk.suspect");
   stepDown(phaseSince_, outbox, "the disk is suspect");
 }
@@ -359,13 +372,13 @@
 
 void Leadership::released(CoreId candidate, MonotonicTime now) {
   if (candidate != view_.primary || phase_ != LeaderPhase::kFollowing) return;
-  nextTry_ = std::min(nextTry_, now + kTurn * static_cast<double>(place()));
+  nextTry_ = std::min(nextTry_, now + kTurn * static_cast<double>(succession()));
 }
 
-void Leadership::noteSettled(const View& view, MonotonicTime now, Outbox& outbox) {
+void Leadership::noteChosen(const View& view, MonotonicTime now, Outbox& outbox) {
   if (view.epoch <= view_.epoch || view.primary == self()) return;
   view_ = view;
-  if (settledHere_) stepDown(now, outbox, "a newer view is settled");
+  if (leading_) stepDown(now, outbox, "a newer view is settled");
 }
 
 void Leadership::sawNewer(const SectionVersions& seen) {
--- a/src/core/leadership_acceptance.cc
+++ b/src/core/leadership_acceptance.cc
@@ -9,37 +9,37 @@
   phase_ = LeaderPhase::kAccepting;
   phaseSince_ = now;
   accepted_.clear();
-  if (settledHere_ && wanted_.voters != view_.voters) proposed_.push_back(wanted_.voters);
-  askAcceptance(outbox);
+  if (leading_ && wanted_.voters != view_.voters) proposed_.push_back(wanted_.voters);
+  requestAcceptance(outbox);
 }
 
-void Leadership::askAcceptance(Outbox& outbox) {
+void Leadership::requestAcceptance(Outbox& outbox) {
   std::set<CoreId> asked(old_.voters.begin(), old_.voters.end());
   asked.insert(wanted_.voters.begin(), wanted_.voters.end());
   for (CoreId voter : asked)
     if (!accepted_.contains(voter))
-      outbox.send(membership_.addressOf(voter), AcceptAsk{wanted_, false});
+      outbox.send(membership_.addressOf(voter), AcceptRequest{wanted_, false});
 }
 
-void Leadership::hear(const AcceptAnswer& answer, MonotonicTime now, Outbox& outbox) {
+void Leadership::hear(const AcceptReply& answer, MonotonicTime now, Outbox& outbox) {
   seen_ = std::max(seen_, answer.promised);
   if (answer.epoch != wanted_.epoch || !answer.accepted) {
-    bool here = phase_ == LeaderPhase::kFounding && answer.epoch == wanted_.epoch;
-    if (here && !founds_) {
+    bool here = phase_ == LeaderPhase::kBootstrapping && answer.epoch == wanted_.epoch;
+    if (here && !bootstrapping_) {
       outbox.push(NoteState{"core: founding declined, a voter belongs to a fleet already"});
-      founding_.cores = 0;
+      bootstrap_.cores = 0;
       phase_ = LeaderPhase::kFollowing;
     } else if (here) {
       giveUpPhase(now, outbox);
     }
     return;
   }
-  if (phase_ != LeaderPhase::kAccepting && phase_ != LeaderPhase::kFounding) return;
+  if (phase_ != LeaderPhase::kAccepting && phase_ != LeaderPhase::kBootstrapping) return;
   accepted_.insert(answer.voter);
-  bool all = std::ranges::all_of(wanted_.voters,
-                                 [&](CoreId core) { return accepted_.contains(core); });
-  bool enough = founds_ ? accepted_.size() >= foundersNeeded()
-                : phase_ == LeaderPhase::kFounding
+  bool all =
+      std::ranges::all_of(wanted_.voters, [&](CoreId core) { return accepted_.contains(core); });
+  bool enough = bootstrapping_ ? accepted_.size() >= bootstrapQuorum()
+                : phase_ == LeaderPhase::kBootstrapping
                     ? all
                     : majority(accepted_, wanted_.voters) && majority(accepted_, old_.voters);
   if (enough) settled(now, outbox);
--- a/src/core/leadership_seats.cc
+++ b/src/core/leadership_reconfiguration.cc
@@ -6,28 +6,30 @@
 namespace peppergate {
 namespace {
 
-constexpr Duration kFresh = seconds(0.75);      // heard of within two renewals
-constexpr Duration kNewcomerKnown = seconds(1); // so long before a seat is added for one
+constexpr Duration kFresh = seconds(0.75);       // heard of within two renewals
+constexpr Duration kNewcomerKnown = seconds(1);  // so long before a seat is added for one
 constexpr Duration kForget = seconds(60);
 
 }  // namespace
 
-void Leadership::look(MonotonicTime now) {
-  for (auto& [core, sight] : sights_) sight.known = false;
+void Leadership::observePeers(MonotonicTime now) {
+  for (auto& [core, sight] : peers_) sight.known = false;
   for (const auto& record : membership_.liveCores()) {
-    Sight& sight = sights_.try_emplace(record.core, Sight{now, kNever, {}, {}, false, false})
-                       .first->second;
-    MonotonicTime last = now - (record.core == self() ? Duration{}
-                                                      : membership_.silence(record.member, now));
+    PeerObservation& sight =
+        peers_.try_emplace(record.core, PeerObservation{now, kNever, {}, {}, false, false})
+            .first->second;
+    MonotonicTime last =
+        now - (record.core == self() ? Duration{} : membership_.silence(record.member, now));
     if (sight.known && last < sight.last) continue;  // an earlier life of the same core
     sight.known = true;
     sight.last = std::max(sight.last, last);
     sight.address = record.address;
-    sight.district = record.district;
+    sight.zone = record.zone;
     sight.leaving = record.leaving;
   }
-  for (CoreId seat : view_.voters) sights_.try_emplace(seat, Sight{now, now, {}, {}, false, false});
-  std::erase_if(sights_, [&](const auto& entry) {
+  for (CoreId seat : view_.voters)
+    peers_.try_emplace(seat, PeerObservation{now, now, {}, {}, false, false});
+  std::erase_if(peers_, [&](const auto& entry) {
     return !entry.second.known && now - entry.second.last > kForget &&
            std::ranges::find(view_.voters, entry.first) == view_.voters.end();
   });
@@ -35,8 +37,8 @@
 
 Duration Leadership::silent(CoreId core, MonotonicTime now) const {
   if (core == self()) return {};
-  auto sight = sights_.find(core);
-  return sight == sights_.end() ? Duration{} : now - sight->second.last;
+  auto sight = peers_.find(core);
+  return sight == peers_.end() ? Duration{} : now - sight->second.last;
 }
 
 std::vector<CoreId> Leadership::wantedBackups(MonotonicTime now) const {
@@ -45,19 +47,20 @@
     CoreId core;
   };
   std::vector<Scored> candidates;
-  for (const auto& [core, sight] : sights_) {
+  for (const auto& [core, sight] : peers_) {
     if (!sight.known || core == self() || sight.leaving) continue;
-    bool failed = failedRecruits_.contains(core);
+    bool failed = failedReplicas_.contains(core);
     bool serves = std::ranges::find(view_.backups, core) != view_.backups.end();
     int score = failed ? 0 : 8;
     if (now - sight.last < seconds(1)) score += 16;
     if (std::ranges::find(view_.voters, core) != view_.voters.end()) score += 4;
     if (serves) score += 2;
-    if (sight.district != membership_.self().district) score += 1;
-    if (serves && !unconfirmed_ && !failed && now - sight.last < props_.seatAfter) score += 32;
+    if (sight.zone != membership_.self().zone) score += 1;
+    if (serves && !unconfirmed_ && !failed && now - sight.last < options_.replaceVoterAfter)
+      score += 32;
     candidates.push_back({score, core});
   }
-  auto wanted = static_cast<std::size_t>(props_.backups);
+  auto wanted = static_cast<std::size_t>(options_.backups);
   if (candidates.size() < wanted) return {};
   std::ranges::stable_sort(candidates, std::ranges::greater{}, &Scored::score);
   std::vector<CoreId> backups;
@@ -67,8 +70,8 @@
 
 std::vector<CoreId> Leadership::wantedVoters(MonotonicTime now) const {
   std::vector<CoreId> voters = view_.voters;
-  std::vector<std::pair<CoreId, const Sight*>> newcomers;
-  for (const auto& [core, sight] : sights_) {
+  std::vector<std::pair<CoreId, const PeerObservation*>> newcomers;
+  for (const auto& [core, sight] : peers_) {
     bool seated = std::ranges::find(view_.voters, core) != view_.voters.end();
     if (sight.known && !sight.leaving && !seated && now - sight.last < seconds(1))
       newcomers.emplace_back(core, &sight);
@@ -77,18 +80,19 @@
   // One seat at a time. The first to go is one whose machine came back with another disk.
   for (CoreId& seat : voters)
     for (const auto& [core, sight] : newcomers)
-      if (sight->address == sights_.at(seat).address && silent(seat, now) > kFresh) {
+      if (sight->address == peers_.at(seat).address && silent(seat, now) > kFresh) {
         seat = core;
         return voters;
       }
-  auto longest = std::ranges::max_element(voters, {}, [&](CoreId core) { return silent(core, now); });
+  auto longest =
+      std::ranges::max_element(voters, {}, [&](CoreId core) { return silent(core, now); });
   if (longest == voters.end()) return voters;
-  if (silent(*longest, now) > props_.seatAfter) {
+  if (silent(*longest, now) > options_.replaceVoterAfter) {
     *longest = newcomers.front().first;
     return voters;
   }
   // A new seat only while all are held: a newcomer may stand for one that is just being missed.
-  if (voters.size() >= static_cast<std::size_t>(props_.voterSeats)) return voters;
+  if (voters.size() >= static_cast<std::size_t>(options_.voterSlots)) return voters;
   if (silent(*longest, now) > kFresh) return voters;
   for (const auto& [core, sight] : newcomers)
     if (now - sight->first >= kNewcomerKnown) {
@@ -109,7 +113,7 @@
 
 bool Leadership::changeDue(const View& wanted, MonotonicTime now) const {
   // With fewer machines than copies are owed there is no yes, and nothing to be gained.
-  if (wanted.backups.size() < static_cast<std::size_t>(props_.backups)) return false;
+  if (wanted.backups.size() < static_cast<std::size_t>(options_.backups)) return false;
   bool same = wanted.backups == view_.backups && wanted.voters == view_.voters;
   return !same || unconfirmed_ || stuck(now) || recapture_;
 }
@@ -117,7 +121,7 @@
 void Leadership::considerViewChange(MonotonicTime now, Outbox& outbox) {
   yieldsBatch_ = false;
   if (now < nextTry_ || !leads(now) || leavingSince_ != kForever) return;
-  std::erase_if(failedRecruits_,
+  std::erase_if(failedReplicas_,
                 [&](const auto& entry) { return now - entry.second > seconds(5); });
   View wanted = wantedView(now);
   if (!changeDue(wanted, now)) return;
@@ -125,8 +129,8 @@
   if (yieldsBatch_) return;  // after this one, before the next
   nextTry_ = now + milliseconds(200);
   unconfirmed_ = true;  // from here on nothing is acknowledged until a higher view is settled
-  standing_ = false;
-  gather(std::move(wanted), now, outbox);
+  takingOver_ = false;
+  prepare(std::move(wanted), now, outbox);
 }
 
 }  // namespace peppergate
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -4,9 +4,9 @@
 
 namespace peppergate {
 
-Membership::Membership(const Props& props, MemberRecord self, std::vector<Address> seeds,
+Membership::Membership(const Options& options, MemberRecord self, std::vector<Address> seeds,
                        Random& random)
-    : props_(props), self_(std::move(self)), seeds_(std::move(seeds)), random_(random) {}
+    : options_(options), self_(std::move(self)), seeds_(std::move(seeds)), random_(random) {}
 
 Shuffle Membership::makeShuffle(bool wantsAnswer) {
   Shuffle shuffle;
@@ -22,8 +22,7 @@
   return shuffle;
 }
 
-void Membership::note(const MemberRecord& record, bool direct, MonotonicTime now,
-                      Outbox& outbox) {
+void Membership::note(const MemberRecord& record, bool direct, MonotonicTime now, Outbox& outbox) {
   if (record.member == self_.member) return;
   if (auto grave = buried_.find(record.member); grave != buried_.end()) {
     if (record.heartbeat <= grave->second.heartbeat) return;
@@ -40,7 +39,7 @@
     }
     known_.emplace(record.member, Known{record, now, false});
     std::erase(former_, record.address);
-    if (view_.size() < static_cast<std::size_t>(props_.viewSize)) view_.push_back(record.member);
+    if (view_.size() < static_cast<std::size_t>(options_.viewSize)) view_.push_back(record.member);
     else view_[random_.below(view_.size())] = record.member;
     outbox.count("members.joined");
     outbox.push(NoteState{"member joined: " + record.address.value});
@@ -65,7 +64,7 @@
   for (auto entry = known_.begin(); entry != known_.end();) {
     auto& known = entry->second;
     Duration silent = now - known.advanced;
-    if (silent > props_.deadAfter) {
+    if (silent > options_.deadAfter) {
       buried_[entry->first] = {now, known.record.heartbeat};
       former_.push_back(known.record.address);
       if (former_.size() > 16) former_.erase(former_.begin());
@@ -75,7 +74,7 @@
       entry = known_.erase(entry);
       continue;
     }
-    if (silent > props_.suspectAfter && !known.suspected) {
+    if (silent > options_.suspectAfter && !known.suspected) {
       known.suspected = true;
       outbox.count("members.suspected");
       outbox.send(known.record.address, makeShuffle(true));  // the direct question
@@ -87,11 +86,11 @@
 
 void Membership::tick(MonotonicTime now, Outbox& outbox) {
   if (now < nextShuffle_) return;
-  nextShuffle_ = now + props_.shuffleEvery;
+  nextShuffle_ = now + options_.shuffleEvery;
   ++self_.heartbeat;
   age(now, outbox);
   std::erase_if(view_, [&](MemberId member) { return !known_.contains(member); });
-  while (view_.size() < static_cast<std::size_t>(props_.viewSize) &&
+  while (view_.size() < static_cast<std::size_t>(options_.viewSize) &&
          view_.size() < known_.size()) {
     auto candidate = known_.begin();
     std::advance(candidate, static_cast<std::ptrdiff_t>(random_.below(known_.size())));
@@ -177,7 +176,7 @@
 
 Duration Membership::silence(MemberId member, MonotonicTime now) const {
   auto found = known_.find(member);
-  return found == known_.end() ? props_.deadAfter : now - found->second.advanced;
+  return found == known_.end() ? options_.deadAfter : now - found->second.advanced;
 }
 
 Address Membership::randomMember() {
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -5,8 +5,8 @@
 #include <set>
 #include <vector>
 
+#include "core/options.h"
 #include "core/outbox.h"
-#include "core/props.h"
 #include "core/random.h"
 
 namespace peppergate {
@@ -15,7 +15,7 @@
 /// Example: `membership.tick(now, outbox);` each 50 ms.
 class Membership {
  public:
-  Membership(const Props& props, MemberRecord self, std::vector<Address> seeds, Random& random);
+  Membership(const Options& options, MemberRecord self, std::vector<Address> seeds, Random& random);
 
   /// Shuffles, suspects and buries when due. Example: `membership.tick(now, outbox);`
   void tick(MonotonicTime now, Outbox& outbox);
@@ -44,8 +44,8 @@
   const MemberRecord& self() const { return self_; }
   /// Adds what each shuffle carries. Example: `carry([](Shuffle& s) { s.withdrawn = ...; })`.
   void carry(std::function<void(Shuffle&)> carrier) { carrier_ = std::move(carrier); }
-  /// New props after a reload. Example: `membership.reload(props);`
-  void reload(const Props& props) { props_ = props; }
+  /// New options after a reload. Example: `membership.reload(options);`
+  void reload(const Options& options) { options_ = options; }
 
  private:
   struct Known {
@@ -57,7 +57,7 @@
   void note(const MemberRecord& record, bool direct, MonotonicTime now, Outbox& outbox);
   void age(MonotonicTime now, Outbox& outbox);
 
-  Props props_;
+  Options options_;
   MemberRecord self_;
   std::vector<Address> seeds_;
   Random& random_;
@@ -68,7 +68,7 @@
   };
   std::map<MemberId, Grave> buried_;  // only a higher heartbeat brings one back
   std::vector<Address> former_;       // asked now and then, so that parts find each other again
-  std::vector<MemberId> view_;  // the neighbours to shuffle with, oldest first
+  std::vector<MemberId> view_;        // the neighbours to shuffle with, oldest first
   MonotonicTime nextShuffle_{};
   std::function<void(Shuffle&)> carrier_;
 };
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -7,10 +7,10 @@
 
 namespace peppergate {
 
-#define PEPPERGATE_FIELDS(...)                          \
-  template <class Self, class Visitor>                  \
-  static void visit(Self& self, Visitor& visitor) {     \
-    __VA_ARGS__                                         \
+#define PEPPERGATE_FIELDS(...)                      \
+  template <class Self, class Visitor>              \
+  static void visit(Self& self, Visitor& visitor) { \
+    __VA_ARGS__                                     \
   }
 #define PEPPERGATE_FIELD(name) visitor(#name, self.name);
 
@@ -20,17 +20,17 @@
   Address address;
   Address pages;  // where its HTTP pages are
   Role role = Role::kFront;
-  District district;
+  Zone zone;
   CoreId core;
   std::uint64_t heartbeat = 0;
   bool leaving = false;
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(member) PEPPERGATE_FIELD(address) PEPPERGATE_FIELD(pages)
-                        PEPPERGATE_FIELD(role) PEPPERGATE_FIELD(district) PEPPERGATE_FIELD(core)
+                        PEPPERGATE_FIELD(role) PEPPERGATE_FIELD(zone) PEPPERGATE_FIELD(core)
                             PEPPERGATE_FIELD(heartbeat) PEPPERGATE_FIELD(leaving))
 };
 
 /// Who leads, who copies, who votes. Epoch 0 means that nothing was founded yet; a view without
-/// backups is a founding view, in which nothing was ever acknowledged.
+/// backups is a bootstrap view, in which nothing was ever acknowledged.
 struct View {
   Epoch epoch;
   CoreId primary;
@@ -51,22 +51,22 @@
                         PEPPERGATE_FIELD(engineList) PEPPERGATE_FIELD(wantsAnswer))
 };
 
-enum class PromiseKind : std::uint8_t {
-  kHold = 0,  // a promise and a hold in one; asked again, it renews the hold
-  kFound,     // the same, of a core that founds the fleet
-  kRelease,   // the candidate, or with epoch 0 the caretaker, gave up its hold; no answer
+enum class PrepareKind : std::uint8_t {
+  kLease = 0,  // a promise and a hold in one; asked again, it renews the hold
+  kBootstrap,  // the same, of a core that founds the fleet
+  kRelease,    // the candidate, or with epoch 0 the read-only leader, gave up its hold; no answer
 };
 
-struct PromiseAsk {
+struct PrepareRequest {
   Epoch epoch;
   CoreId candidate;
   MonotonicTime sentAt;
-  PromiseKind kind = PromiseKind::kHold;
+  PrepareKind kind = PrepareKind::kLease;
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(epoch) PEPPERGATE_FIELD(candidate) PEPPERGATE_FIELD(sentAt)
                         PEPPERGATE_FIELD(kind))
 };
 
-struct PromiseAnswer {
+struct PrepareReply {
   Epoch epoch;
   CoreId voter;
   MonotonicTime sentAt;
@@ -78,13 +78,13 @@
                             PEPPERGATE_FIELD(accepted))
 };
 
-struct AcceptAsk {
+struct AcceptRequest {
   View view;
-  bool founding = false;
-  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(view) PEPPERGATE_FIELD(founding))
+  bool bootstrap = false;
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(view) PEPPERGATE_FIELD(bootstrap))
 };
 
-struct AcceptAnswer {
+struct AcceptReply {
   Epoch epoch;
   CoreId voter;
   bool accepted = false;
@@ -93,20 +93,20 @@
                         PEPPERGATE_FIELD(promised))
 };
 
-struct CopyAsk {  // the whole state, for a recruit or for each new version
+struct ReplicateRequest {  // the whole state, for a recruit or for each new version
   Epoch epoch;
   CoreId from;
-  SetupVersion version;
-  bool recruiting = false;
+  SectionVersion version;
+  bool joining = false;
   std::string state;
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(epoch) PEPPERGATE_FIELD(from) PEPPERGATE_FIELD(version)
-                        PEPPERGATE_FIELD(recruiting) PEPPERGATE_FIELD(state))
+                        PEPPERGATE_FIELD(joining) PEPPERGATE_FIELD(state))
 };
 
-struct CopyAnswer {
+struct ReplicateReply {
   Epoch epoch;
   CoreId from;
-  SetupVersion version;
+  SectionVersion version;
   bool synced = false;
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(epoch) PEPPERGATE_FIELD(from) PEPPERGATE_FIELD(version)
                         PEPPERGATE_FIELD(synced))
@@ -114,12 +114,12 @@
 
 /// The versions of the three parts of the state that a daemon has.
 struct SectionVersions {
-  SetupVersion setup, keys, weights;
+  SectionVersion setup, keys, weights;
   auto operator<=>(const SectionVersions&) const = default;
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(setup) PEPPERGATE_FIELD(keys) PEPPERGATE_FIELD(weights))
 };
 
-struct NewsAsk {
+struct StateRequest {
   MemberId asker;
   MonotonicTime sentAt;
   SectionVersions have;
@@ -129,59 +129,60 @@
 };
 
 /// The stamp of news that nobody asked for: it may be installed, but it proves nothing.
-inline constexpr MonotonicTime kUnasked{-1};
+inline constexpr MonotonicTime kUnsolicited{-1};
 
-struct NewsAnswer {
-  MonotonicTime sentAt;  // the asker's own stamp, sent back
-  bool proof = false;    // traceable to a primary, or a caretaker, under its hold
-  bool vouched = false;  // to a caretaker, not to a primary
-  Duration age;          // how old the proof was when it left
+struct StateReply {
+  MonotonicTime sentAt;   // the asker's own stamp, sent back
+  bool proof = false;     // traceable to a primary, or a read-only leader, under its hold
+  bool attested = false;  // to a read-only leader, not to a primary
+  Duration age;           // how old the proof was when it left
   View view;
   SectionVersions now;
   std::string setup, keys, weights;  // empty where the asker had the newest
-  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(sentAt) PEPPERGATE_FIELD(proof) PEPPERGATE_FIELD(vouched)
-                        PEPPERGATE_FIELD(age) PEPPERGATE_FIELD(view) PEPPERGATE_FIELD(now) PEPPERGATE_FIELD(setup)
-                            PEPPERGATE_FIELD(keys) PEPPERGATE_FIELD(weights))
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(sentAt) PEPPERGATE_FIELD(proof) PEPPERGATE_FIELD(attested)
+                        PEPPERGATE_FIELD(age) PEPPERGATE_FIELD(view) PEPPERGATE_FIELD(now)
+                            PEPPERGATE_FIELD(setup) PEPPERGATE_FIELD(keys)
+                                PEPPERGATE_FIELD(weights))
 };
 
 /// What both copies have synced, for the other voters: a change is acknowledged once a majority of
 /// the voters holds it.
-struct HolderAsk {
+struct WitnessUpdateRequest {
   Epoch epoch;
-  SetupVersion version;
+  SectionVersion version;
   SectionVersions now;
   std::string setup, keys, weights;  // empty where the voter surely has it
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(epoch) PEPPERGATE_FIELD(version) PEPPERGATE_FIELD(now)
                         PEPPERGATE_FIELD(setup) PEPPERGATE_FIELD(keys) PEPPERGATE_FIELD(weights))
 };
 
-struct HolderAnswer {
+struct WitnessUpdateReply {
   Epoch epoch;
   CoreId voter;
-  SetupVersion version;
+  SectionVersion version;
   SectionVersions have;
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(epoch) PEPPERGATE_FIELD(voter) PEPPERGATE_FIELD(version)
                         PEPPERGATE_FIELD(have))
 };
 
-struct CaretakerAsk {  // to the voters of the last accepted view
-  View view;           // as the asker accepted it
-  CoreId caretaker;
+struct ReadLeaseRequest {  // to the voters of the last accepted view
+  View view;               // as the asker accepted it
+  CoreId readOnlyLeader;
   MonotonicTime sentAt;
   SectionVersions have;
   bool grant = false;  // else it only looks who answers
-  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(view) PEPPERGATE_FIELD(caretaker) PEPPERGATE_FIELD(sentAt)
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(view) PEPPERGATE_FIELD(readOnlyLeader) PEPPERGATE_FIELD(sentAt)
                         PEPPERGATE_FIELD(have) PEPPERGATE_FIELD(grant))
 };
 
-struct CaretakerAnswer {
+struct ReadLeaseReply {
   CoreId voter;
   MonotonicTime sentAt;
   bool granted = false;
-  bool votes = false;    // its disk is good
-  bool intact = false;   // it is a member of the view with a copy made for it
-  bool proven = false;   // it had a primary's proof in this life
-  CoreId grantedTo;      // who stands in the way, if one does
+  bool votes = false;   // its disk is good
+  bool intact = false;  // it is a member of the view with a copy made for it
+  bool proven = false;  // it had a primary's proof in this life
+  CoreId grantedTo;     // who stands in the way, if one does
   SectionVersions now;
   std::string setup, keys, weights;  // where the asker has less
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(voter) PEPPERGATE_FIELD(sentAt) PEPPERGATE_FIELD(granted)
@@ -191,56 +192,65 @@
                                     PEPPERGATE_FIELD(weights))
 };
 
-struct CaretakerNote {  // whom to ask where no primary is heard
-  CoreId caretaker;
+struct ReadLeaderNotification {  // whom to ask where no primary is heard
+  CoreId readOnlyLeader;
   Epoch view;
-  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(caretaker) PEPPERGATE_FIELD(view))
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(readOnlyLeader) PEPPERGATE_FIELD(view))
 };
 
 enum class ChangeOutcome : std::uint8_t {
-  kDone = 0, kStale, kInvalid, kNotPrimary, kNoBackup, kTooLarge, kLost, kUnsynced, kBusy,
-  kWould, kCaretaker,
-};
-
-struct ChangeAsk {
+  kDone = 0,
+  kStale,
+  kInvalid,
+  kNotPrimary,
+  kNoBackup,
+  kTooLarge,
+  kLost,
+  kUnsynced,
+  kBusy,
+  kWould,
+  kReadOnly,
+};
+
+struct ChangeRequest {
   TicketId ticket;
   std::string changeId;
   std::string change;  // JSON, digests only
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(ticket) PEPPERGATE_FIELD(changeId) PEPPERGATE_FIELD(change))
 };
 
-struct ChangeAnswer {
+struct ChangeReply {
   TicketId ticket;
   ChangeOutcome outcome = ChangeOutcome::kLost;
-  SetupVersion version;
-  std::string field;   // which field was wrong, if one was
+  SectionVersion version;
+  std::string field;  // which field was wrong, if one was
   std::string detail;
   std::uint64_t newest = 0;  // of the fleet's configuration, when a change built on another one
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(ticket) PEPPERGATE_FIELD(outcome) PEPPERGATE_FIELD(version)
                         PEPPERGATE_FIELD(field) PEPPERGATE_FIELD(detail) PEPPERGATE_FIELD(newest))
 };
 
-struct HoldAsk {
+struct EngineLeaseRequest {
   MemberId holder;
   MonotonicTime sentAt;
   std::vector<EngineId> engines;
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(holder) PEPPERGATE_FIELD(sentAt) PEPPERGATE_FIELD(engines))
 };
 
-struct HoldAnswer {
+struct EngineLeaseReply {
   CoreId voter;
   MonotonicTime sentAt;
   std::vector<EngineId> granted;
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(voter) PEPPERGATE_FIELD(sentAt) PEPPERGATE_FIELD(granted))
 };
 
-struct EngineListNews {
+struct EngineListUpdate {
   ListVersion version;
   std::string list;
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(version) PEPPERGATE_FIELD(list))
 };
 
-struct EngineListAsk {
+struct EngineListRequest {
   ListVersion have;
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(have))
 };
@@ -253,7 +263,7 @@
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(name) PEPPERGATE_FIELD(wall) PEPPERGATE_FIELD(weights))
 };
 
-struct EnginePicture {
+struct EngineSnapshot {
   EngineId engine;
   EngineLife life;
   WeightsVersion weights;
@@ -266,9 +276,9 @@
                             PEPPERGATE_FIELD(ready))
 };
 
-struct PictureNote {  // the watcher's word on its engines, to every front
+struct EngineSnapshotNotification {  // the watcher's word on its engines, to every front
   MemberId watcher;
-  std::vector<EnginePicture> pictures;
+  std::vector<EngineSnapshot> pictures;
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(watcher) PEPPERGATE_FIELD(pictures))
 };
 
@@ -281,7 +291,7 @@
                         PEPPERGATE_FIELD(parts))
 };
 
-struct IndexAsk {  // a sweep or a read: send what is newer than this
+struct IndexRequest {  // a sweep or a read: send what is newer than this
   EngineId engine;
   EngineLife life;
   std::uint64_t revision = 0;
@@ -297,8 +307,8 @@
   double cut = 0;       // share cut off that after short deliveries, as eased by now
   std::uint64_t streams = 0;
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(link) PEPPERGATE_FIELD(rate) PEPPERGATE_FIELD(demand)
-                        PEPPERGATE_FIELD(missing) PEPPERGATE_FIELD(fraction)
-                            PEPPERGATE_FIELD(cut) PEPPERGATE_FIELD(streams))
+                        PEPPERGATE_FIELD(missing) PEPPERGATE_FIELD(fraction) PEPPERGATE_FIELD(cut)
+                            PEPPERGATE_FIELD(streams))
 };
 
 /// How many streams of one kind a front has over one path, smoothed over some lives of a fetch.
@@ -311,7 +321,7 @@
                         PEPPERGATE_FIELD(topRung) PEPPERGATE_FIELD(path) PEPPERGATE_FIELD(count))
 };
 
-struct UsageNote {
+struct UsageNotification {
   MemberId front;
   std::vector<LinkUsage> links;
   std::vector<StreamMix> mixes;
@@ -320,9 +330,9 @@
 
 /// What changed in the kept parts of one engine, by its watcher's word; whole: all that it keeps.
 /// A salt that is the same as the one before it is left empty.
-struct PartNews {
+struct PrefixBlockUpdate {
   EngineId engine;
-  std::uint64_t epoch = 0;  // the engine's own: a restart changes it
+  std::uint64_t epoch = 0;           // the engine's own: a restart changes it
   std::uint64_t from = 0, next = 0;  // numbers of the first change here and after the last
   bool whole = false;
   std::vector<std::string> salts, parts;  // of the same length, as are all below
@@ -333,7 +343,7 @@
 };
 
 /// The engine list as its lister has it, to every front; also as proof that it is still this one.
-struct RosterNews {
+struct DiscoveredEnginesUpdate {
   ListVersion version;  // the lister's view epoch, then its own count
   Duration age;         // since the list was asked for
   std::string list;     // empty: the same as before
@@ -341,7 +351,7 @@
 };
 
 /// A front that lacks a list asks for it whole.
-struct RosterAsk {
+struct DiscoveredEnginesRequest {
   ListVersion have;
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(have))
 };
@@ -365,17 +375,19 @@
 };
 
 /// A front that lacks changes asks another for all that it knows of an engine.
-struct PartAsk {
+struct PrefixBlockRequest {
   EngineId engine;
   std::uint64_t epoch = 0, next = 0;  // what the asker has
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(engine) PEPPERGATE_FIELD(epoch) PEPPERGATE_FIELD(next))
 };
 
-using Message = std::variant<Shuffle, PromiseAsk, PromiseAnswer, AcceptAsk, AcceptAnswer, CopyAsk,
-                             CopyAnswer, NewsAsk, NewsAnswer, ChangeAsk, ChangeAnswer, HoldAsk,
-                             HoldAnswer, EngineListNews, EngineListAsk, PictureNote, IndexPut,
-                             IndexAsk, UsageNote, HolderAsk, HolderAnswer, CaretakerAsk,
-                             CaretakerAnswer, CaretakerNote, PartNews, RosterNews, RosterAsk,
-                             EngineTrouble, EngineUse, PartAsk>;
+using Message =
+    std::variant<Shuffle, PrepareRequest, PrepareReply, AcceptRequest, AcceptReply,
+                 ReplicateRequest, ReplicateReply, StateRequest, StateReply, ChangeRequest,
+                 ChangeReply, EngineLeaseRequest, EngineLeaseReply, EngineListUpdate,
+                 EngineListRequest, EngineSnapshotNotification, IndexPut, IndexRequest,
+                 UsageNotification, WitnessUpdateRequest, WitnessUpdateReply, ReadLeaseRequest,
+                 ReadLeaseReply, ReadLeaderNotification, PrefixBlockUpdate, DiscoveredEnginesUpdate,
+                 DiscoveredEnginesRequest, EngineTrouble, EngineUse, PrefixBlockRequest>;
 
 }  // namespace peppergate
--- a/src/core/operator_desk.cc
+++ b/src/core/operator_handler.cc
@@ -1,4 +1,4 @@
-#include "core/operator_desk.h"
+#include "core/operator_handler.h"
 
 #include <array>
 
@@ -28,16 +28,16 @@
   bool retry;
 };
 constexpr std::array<OutcomeRow, 11> kOutcomes{{{"done", 200, false},
-                                               {"stale", 409, false},
-                                               {"invalid", 400, false},
-                                               {"not-primary", 503, true},
-                                               {"no-backup", 503, true},
-                                               {"too-large", 413, false},
-                                               {"lost", 504, true},
-                                               {"unsynced", 503, true},
-                                               {"busy", 503, true},
-                                               {"would", 200, false},
-                                               {"caretaker", 503, true}}};
+                                                {"stale", 409, false},
+                                                {"invalid", 400, false},
+                                                {"not-primary", 503, true},
+                                                {"no-backup", 503, true},
+                                                {"too-large", 413, false},
+                                                {"lost", 504, true},
+                                                {"unsynced", 503, true},
+                                                {"busy", 503, true},
+                                                {"would", 200, false},
+                                                {"caretaker", 503, true}}};
 
 const OutcomeRow& rowOf(ChangeOutcome outcome) {
   return kOutcomes.at(static_cast<std::size_t>(outcome));
@@ -47,14 +47,14 @@
 
 std::string_view outcomeName(ChangeOutcome outcome) { return rowOf(outcome).name; }
 
-void OperatorDesk::answer(TicketId ticket, int status, const Json& body, Outbox& outbox,
-                          bool retry) {
+void OperatorHandler::answer(TicketId ticket, int status, const Json& body, Outbox& outbox,
+                             bool retry) {
   Headers headers{{"Content-Type", "application/json"}};
   if (retry) headers["Retry-After"] = "1";
   outbox.push(AnswerWeb{ticket, status, headers, body.dump()});
 }
 
-bool OperatorDesk::take(const OperatorAsked& asked, MonotonicTime now, Outbox& outbox) {
+bool OperatorHandler::take(const OperatorRequest& asked, MonotonicTime now, Outbox& outbox) {
   if (asked.path == "/change") {
     if (asked.method == "POST") forward(asked, now, outbox);
     else answer(asked.ticket, 405, {{"outcome", "method"}}, outbox);
@@ -76,17 +76,17 @@
   return false;
 }
 
-void OperatorDesk::showSetup(TicketId ticket, Outbox& outbox) {
-  Json body{{"sections",
-             {{"setup", versionText(follower_.have().setup)},
-              {"keys", versionText(follower_.have().keys)},
-              {"weights", versionText(follower_.have().weights)}}},
-            {"weights",
-             {{"version", follower_.weights().version.value},
-              {"label", follower_.weights().label}}},
-            {"keys", follower_.keys().live.size()},
-            {"withdrawn", follower_.keys().withdrawn.size()},
-            {"config", follower_.setup().fleet.version.value}};
+void OperatorHandler::showSetup(TicketId ticket, Outbox& outbox) {
+  Json body{
+      {"sections",
+       {{"setup", versionText(follower_.have().setup)},
+        {"keys", versionText(follower_.have().keys)},
+        {"weights", versionText(follower_.have().weights)}}},
+      {"weights",
+       {{"version", follower_.weights().version.value}, {"label", follower_.weights().label}}},
+      {"keys", follower_.keys().live.size()},
+      {"withdrawn", follower_.keys().withdrawn.size()},
+      {"config", follower_.setup().fleet.version.value}};
   Json models = Json::object();
   for (const auto& [model, version] : follower_.weights().models)
     models[model.value] = version.value;
@@ -99,7 +99,7 @@
   answer(ticket, 200, body, outbox);
 }
 
-void OperatorDesk::showTrace(TicketId ticket, MonotonicTime now, Outbox& outbox) {
+void OperatorHandler::showTrace(TicketId ticket, MonotonicTime now, Outbox& outbox) {
   Json installs = Json::array();
   for (const auto& record : follower_.installs())
     installs.push_back({{"section", record.section},
@@ -111,11 +111,11 @@
     members.push_back({{"address", record.address.value},
                        {"pages", record.pages.value},
                        {"role", record.role == Role::kCore ? "core" : "front"},
-                       {"district", record.district.value}});
+                       {"district", record.zone.value}});
   answer(ticket, 200, {{"installs", installs}, {"members", members}}, outbox);
 }
 
-void OperatorDesk::readConfig(TicketId ticket, MonotonicTime now, Outbox& outbox) {
+void OperatorHandler::readConfig(TicketId ticket, MonotonicTime now, Outbox& outbox) {
   if (readers_.size() >= kMostReaders) {
     answer(ticket, 503, {{"outcome", "busy"}}, outbox, true);
     return;
@@ -126,12 +126,12 @@
   if (readers_.contains(ticket)) askNow(now, outbox);
 }
 
-void OperatorDesk::askNow(MonotonicTime now, Outbox& outbox) {
+void OperatorHandler::askNow(MonotonicTime now, Outbox& outbox) {
   lastAsk_ = now;
   follower_.askNow(now, outbox);
 }
 
-void OperatorDesk::settle(MonotonicTime now, Outbox& outbox) {
+void OperatorHandler::settle(MonotonicTime now, Outbox& outbox) {
   (void)now;
   std::string body;  // made once for all who wait
   for (auto reader = readers_.begin(); reader != readers_.end();) {
@@ -152,25 +152,28 @@
   }
 }
 
-void OperatorDesk::forward(const OperatorAsked& asked, MonotonicTime now, Outbox& outbox) {
+void OperatorHandler::forward(const OperatorRequest& asked, MonotonicTime now, Outbox& outbox) {
   // Only the head is read here: a large configuration is passed on as it came.
-  if (asked.body.size() > static_cast<std::size_t>(props_.largestSetup)) {
+  if (asked.body.size() > static_cast<std::size_t>(options_.largestSetup)) {
     answer(asked.ticket, 413, {{"outcome", "too-large"}}, outbox);
     return;
   }
   DocumentHead head = readHead(asked.body);
   if (!head.readable) {
-    answer(asked.ticket, 400, {{"outcome", "invalid"}, {"field", "<root>"},
-                               {"detail", "is no JSON object"}}, outbox);
+    answer(asked.ticket, 400,
+           {{"outcome", "invalid"}, {"field", "<root>"}, {"detail", "is no JSON object"}}, outbox);
     return;
   }
   std::string& changeId = head.texts["changeId"];
   if (changeId.empty() || changeId.size() > 128) {
-    answer(asked.ticket, 400, {{"outcome", "invalid"}, {"field", "[changeId]"},
-                               {"detail", "a text of 1 to 128 characters is needed"}}, outbox);
+    answer(asked.ticket, 400,
+           {{"outcome", "invalid"},
+            {"field", "[changeId]"},
+            {"detail", "a text of 1 to 128 characters is needed"}},
+           outbox);
     return;
   }
-  ChangeAsk ask{asked.ticket, changeId, asked.body};
+  ChangeRequest ask{asked.ticket, changeId, asked.body};
   // Keys become digests here, at the first daemon, and are never passed on as they are.
   if (auto key = head.texts.find("key"); key != head.texts.end()) {
     head.texts["digest"] = keyDigest(key->second).value;
@@ -182,14 +185,15 @@
   bool withdrawal = head.texts["kind"] == "key-withdraw";
   if (withdrawal && !head.texts["digest"].empty())
     follower_.withdraw({head.texts["digest"]}, outbox);
-  if (follower_.vouchedBy(now) == "caretaker") {
+  if (follower_.attestedBy(now) == "caretaker") {
     // Nothing can be acknowledged here. A withdrawal still holds in this part: it goes round as a
     // tombstone, and has to be asked for again once there is a primary.
-    const OutcomeRow& row = rowOf(ChangeOutcome::kCaretaker);
+    const OutcomeRow& row = rowOf(ChangeOutcome::kReadOnly);
     answer(asked.ticket, row.status,
            {{"outcome", row.name},
             {"detail", "this part has no primary, a caretaker vouches for it; repeat later"},
-            {"heldInThisPart", withdrawal}}, outbox, row.retry);
+            {"heldInThisPart", withdrawal}},
+           outbox, row.retry);
     return;
   }
   if (forwarded_.size() >= kMostForwarded ||
@@ -205,13 +209,13 @@
   advance(change, primary(), now, outbox);
 }
 
-OperatorDesk::Progress OperatorDesk::advance(Forwarded& change, const Address& primary,
-                                             MonotonicTime now, Outbox& outbox) {
+OperatorHandler::Progress OperatorHandler::advance(Forwarded& change, const Address& primary,
+                                                   MonotonicTime now, Outbox& outbox) {
   const Duration age = now - change.since;
   if (change.sentTo.value.empty() && primary.value.empty()) {
     if (age <= kUnknownFor) return Progress::kWaits;
-    answer(change.ask.ticket, 503, {{"outcome", "no-primary"},
-                                    {"detail", "no primary is known here"}}, outbox, true);
+    answer(change.ask.ticket, 503,
+           {{"outcome", "no-primary"}, {"detail", "no primary is known here"}}, outbox, true);
     return Progress::kEnded;
   }
   if (change.refused && age > kRefusedFor) {
@@ -219,9 +223,9 @@
     return Progress::kEnded;
   }
   if (age > kSilentFor) {
-    answer(change.ask.ticket, 504, {{"outcome", "lost"},
-                                    {"detail", "no answer; repeat with the same change id"}},
-           outbox, true);
+    answer(change.ask.ticket, 504,
+           {{"outcome", "lost"}, {"detail", "no answer; repeat with the same change id"}}, outbox,
+           true);
     return Progress::kEnded;
   }
   // Asked again in time, or of a new primary at once: the change id keeps it one change.
@@ -234,7 +238,7 @@
   return Progress::kWaits;
 }
 
-void OperatorDesk::hear(const ChangeAnswer& change, MonotonicTime now, Outbox& outbox) {
+void OperatorHandler::hear(const ChangeReply& change, MonotonicTime now, Outbox& outbox) {
   auto found = forwarded_.find(change.ticket);
   if (found == forwarded_.end()) return;
   // A primary may have gone, or wait for its backup: the change is tried again for a while.
@@ -249,7 +253,7 @@
   pass(change, outbox);
 }
 
-void OperatorDesk::pass(const ChangeAnswer& change, Outbox& outbox) {
+void OperatorHandler::pass(const ChangeReply& change, Outbox& outbox) {
   const OutcomeRow& row = rowOf(change.outcome);
   Json body{{"outcome", row.name}};
   if (change.outcome == ChangeOutcome::kDone) body["version"] = versionText(change.version);
@@ -266,15 +270,16 @@
   answer(change.ticket, row.status, body, outbox, row.retry);
 }
 
-void OperatorDesk::tick(MonotonicTime now, Outbox& outbox) {
+void OperatorHandler::tick(MonotonicTime now, Outbox& outbox) {
   settle(now, outbox);
   for (auto reader = readers_.begin(); reader != readers_.end();) {
     if (now - reader->second <= kReadFor) {
       ++reader;
       continue;
     }
-    answer(reader->first, 503, {{"outcome", "no-primary"},
-                                {"detail", "no primary proved what is newest"}}, outbox, true);
+    answer(reader->first, 503,
+           {{"outcome", "no-primary"}, {"detail", "no primary proved what is newest"}}, outbox,
+           true);
     reader = readers_.erase(reader);
   }
   bool overdue = !readers_.empty();
