--- a/src/core/operator_desk.h
+++ b/src/core/operator_handler.h
@@ -10,15 +10,15 @@
 namespace peppergate {
 
 /// Example: `desk.take(asked, now, outbox)` is false for pages that the node makes itself.
-class OperatorDesk {
+class OperatorHandler {
  public:
-  OperatorDesk(const Props& props, Membership& membership, Follower& follower)
-      : props_(props), membership_(membership), follower_(follower) {}
+  OperatorHandler(const Options& options, Membership& membership, Follower& follower)
+      : options_(options), membership_(membership), follower_(follower) {}
 
   /// Takes a change, /config, /setup or /trace. Example: see the class.
-  bool take(const OperatorAsked& asked, MonotonicTime now, Outbox& outbox);
-  /// Passes the primary's answer on to the operator. Example: on a ChangeAnswer.
-  void hear(const ChangeAnswer& answer, MonotonicTime now, Outbox& outbox);
+  bool take(const OperatorRequest& asked, MonotonicTime now, Outbox& outbox);
+  /// Passes the primary's answer on to the operator. Example: on a ChangeReply.
+  void hear(const ChangeReply& answer, MonotonicTime now, Outbox& outbox);
   /// Answers whoever waited for a proof that has now come. Example: after news.
   void settle(MonotonicTime now, Outbox& outbox);
   /// Asks again what is open and ends what waited too long. Example: each tick.
@@ -27,16 +27,16 @@
  private:
   struct Forwarded {
     MonotonicTime since;
-    ChangeAsk ask;
+    ChangeRequest ask;
     Address sentTo;  // empty: no primary was known yet
     MonotonicTime nextAt;
-    std::optional<ChangeAnswer> refused;  // the last word, if nothing was sent after it
+    std::optional<ChangeReply> refused;  // the last word, if nothing was sent after it
   };
   enum class Progress : std::uint8_t { kWaits, kEnded };
 
-  void forward(const OperatorAsked& asked, MonotonicTime now, Outbox& outbox);
+  void forward(const OperatorRequest& asked, MonotonicTime now, Outbox& outbox);
   Progress advance(Forwarded& change, const Address& primary, MonotonicTime now, Outbox& outbox);
-  void pass(const ChangeAnswer& change, Outbox& outbox);
+  void pass(const ChangeReply& change, Outbox& outbox);
   void showSetup(TicketId ticket, Outbox& outbox);
   void showTrace(TicketId ticket, MonotonicTime now, Outbox& outbox);
   void readConfig(TicketId ticket, MonotonicTime now, Outbox& outbox);
@@ -44,7 +44,7 @@
   Address primary() const { return membership_.addressOf(follower_.view().primary); }
   void answer(TicketId ticket, int status, const Json& body, Outbox& outbox, bool retry = false);
 
-  Props props_;
+  Options options_;
   Membership& membership_;
   Follower& follower_;
   std::map<TicketId, Forwarded> forwarded_;
--- a/src/core/outbox.h
+++ b/src/core/outbox.h
@@ -87,11 +87,11 @@
 struct NoteState {  // a log line for a change of state
   std::string text;
 };
-using Command = std::variant<Send, WriteFile, DropOlder, CallWeb, OpenShot, CancelShot, StartAnswer,
-                             SendPiece, EndAnswer, DeclineStream, AnswerWeb, NoteState, ListEngines,
-                             AskReport, OrderWeights, PollParts, ListParts, OpenAttempt,
-                             CancelAttempt, PauseAttempt, AnswerHead, AnswerBody, AnswerDone,
-                             RefuseRequest>;
+using Command =
+    std::variant<Send, WriteFile, DropOlder, CallWeb, OpenShot, CancelShot, StartAnswer, SendPiece,
+                 EndAnswer, DeclineStream, AnswerWeb, NoteState, ListEngines, AskReport,
+                 OrderWeights, PollParts, ListParts, OpenAttempt, CancelAttempt, PauseAttempt,
+                 AnswerHead, AnswerBody, AnswerDone, RefuseRequest>;
 
 // ---- events ----
 struct Ticked {};
@@ -108,7 +108,7 @@
   int status = 0;  // 0: no answer
   std::string body;
 };
-struct StreamAsked {
+struct StreamRequest {
   StreamId stream;
   Headers headers;  // names in lower case
   std::string body;
@@ -122,23 +122,23 @@
   ShotId shot;
   ShotTurn turn = ShotTurn::kBroken;
   Piece piece;
-  std::string text;   // the piece, or the engine's reason
-  std::string echo;   // the request id as the engine gave it back
+  std::string text;  // the piece, or the engine's reason
+  std::string echo;  // the request id as the engine gave it back
   int status = 0;
 };
-struct OperatorAsked {
+struct OperatorRequest {
   TicketId ticket;
   std::string method;
   std::string path;
   std::string body;
 };
-struct DrainAsked {};
-using Event = std::variant<Ticked, Arrived, FileWritten, WebAnswered, StreamAsked, CallerGone,
-                           ShotTurned, OperatorAsked, DrainAsked, EnginesListed, ReportAnswered,
-                           OrderAnswered, PartsPolled, PartsListed, RequestArrived, RequestGone,
-                           ClientSlow, AttemptTurned>;
+struct DrainRequest {};
+using Event =
+    std::variant<Ticked, Arrived, FileWritten, WebAnswered, StreamRequest, CallerGone, ShotTurned,
+                 OperatorRequest, DrainRequest, EnginesListed, ReportAnswered, OrderAnswered,
+                 PartsPolled, PartsListed, RequestArrived, RequestGone, ClientSlow, AttemptTurned>;
 
-/// Collects what a machine decides, with its counters. Example: `outbox.send(to, NewsAsk{});`
+/// Collects what a machine decides, with its counters. Example: `outbox.send(to, StateRequest{});`
 class Outbox {
  public:
   /// Queues any command. Example: `outbox.push(CancelShot{shot});`
@@ -146,7 +146,7 @@
   void push(T command) {
     commands_.emplace_back(std::move(command));
   }
-  /// Queues a message. Example: `outbox.send(address, IndexAsk{});`
+  /// Queues a message. Example: `outbox.send(address, IndexRequest{});`
   template <class T>
   void send(const Address& to, T message) {
     if (!to.value.empty()) push(Send{to, Message{std::move(message)}});
--- a/src/core/prefix_index.cc
+++ b/src/core/prefix_index.cc
@@ -37,14 +37,14 @@
   }
 }
 
-void PrefixIndex::hear(const Address& from, const IndexAsk& ask, Outbox& outbox) {
+void PrefixIndex::hear(const Address& from, const IndexRequest& ask, Outbox& outbox) {
   auto found = engines_.find(ask.engine);
   if (found == engines_.end()) return;
   const Kept& kept = found->second;
   if (kept.life != ask.life || kept.revision > ask.revision)
     outbox.send(from, makePut(ask.engine, kept));
   else if (kept.revision < ask.revision)
-    outbox.send(from, IndexAsk{ask.engine, kept.life, kept.revision});
+    outbox.send(from, IndexRequest{ask.engine, kept.life, kept.revision});
 }
 
 void PrefixIndex::noteLife(const EngineId& engine, EngineLife life, std::uint64_t revision) {
@@ -59,7 +59,7 @@
 void PrefixIndex::tick(const Ring& ring, MonotonicTime now, Random& random, Outbox& outbox) {
   for (auto& [engine, kept] : engines_) {
     bool behind = kept.newestRevision > kept.revision;
-    Duration pace = behind ? milliseconds(500) : props_.sweepEvery;
+    Duration pace = behind ? milliseconds(500) : options_.sweepEvery;
     if (now - kept.asked < pace) continue;
     kept.asked = now;
     auto owners = ring.owners(engine, 3);
@@ -72,7 +72,7 @@
     if (!behind && !copies) continue;
     MemberId whom = copies ? owners[0] : owners[random.below(owners.size())];
     outbox.count("index.asked");
-    outbox.send(membership_.addressOf(whom), IndexAsk{engine, kept.life, kept.revision});
+    outbox.send(membership_.addressOf(whom), IndexRequest{engine, kept.life, kept.revision});
   }
 }
 
@@ -97,7 +97,7 @@
   if (found == engines_.end()) return false;
   auto part = found->second.parts.find(name);
   if (part == found->second.parts.end()) return false;
-  if (!props_.guards(Guard::kWall)) return true;
+  if (!options_.guards(Guard::kWall)) return true;
   return part->second.wall == wall && part->second.weights == weights;
 }
 
--- a/src/core/prefix_index.h
+++ b/src/core/prefix_index.h
@@ -12,14 +12,15 @@
 /// Example: `index.holders(name, wall, weights)` gives the engines that may be collected from.
 class PrefixIndex {
  public:
-  PrefixIndex(const Props& props, Membership& membership) : props_(props), membership_(membership) {}
+  PrefixIndex(const Options& options, Membership& membership)
+      : options_(options), membership_(membership) {}
 
   /// The watcher's own report; true if it was news. Example: `index.report(put)`.
   bool report(IndexPut put);
   /// A copy that came; an older one is answered with the newer (read repair).
   void hear(const Address& from, const IndexPut& put, Outbox& outbox);
-  /// A question for what is newer. Example: on an IndexAsk.
-  void hear(const Address& from, const IndexAsk& ask, Outbox& outbox);
+  /// A question for what is newer. Example: on an IndexRequest.
+  void hear(const Address& from, const IndexRequest& ask, Outbox& outbox);
   /// The newest life and revision heard of; entries of other lives end.
   void noteLife(const EngineId& engine, EngineLife life, std::uint64_t revision);
   /// Asks for what is old here, spread over the copies. Example: each tick.
@@ -49,7 +50,7 @@
   };
   IndexPut makePut(const EngineId& engine, const Kept& kept) const;
 
-  Props props_;
+  Options options_;
   Membership& membership_;
   std::map<EngineId, Kept> engines_;
 };
--- a/src/core/caretaker.cc
+++ b/src/core/read_only_leader.cc
@@ -1,53 +1,59 @@
-#include "core/caretaker.h"
+#include "core/read_only_leader.h"
 
 #include <algorithm>
 
 namespace peppergate {
 namespace {
 
-constexpr Duration kRoom = seconds(1);  // for an election after another caretaker gave up
+constexpr Duration kRoom = seconds(1);  // for an election after another read-only leader gave up
 
 }  // namespace
 
-Caretaker::Caretaker(const Props& props, Voter& voter, Leadership& leadership,
-                     Membership& membership, Follower& follower, Random& random,
-                     MonotonicTime started)
-    : props_(props), voter_(voter), leadership_(leadership), membership_(membership),
-      follower_(follower), random_(random), started_(started), yieldFor_(props.caretakerYield) {}
-
-std::size_t Caretaker::needed() const {
+ReadOnlyLeader::ReadOnlyLeader(const Options& options, Acceptor& acceptor, Leadership& leadership,
+                               Membership& membership, Follower& follower, Random& random,
+                               MonotonicTime started)
+    : options_(options),
+      acceptor_(acceptor),
+      leadership_(leadership),
+      membership_(membership),
+      follower_(follower),
+      random_(random),
+      started_(started),
+      yieldFor_(options.readLeaseYield) {}
+
+std::size_t ReadOnlyLeader::needed() const {
   // So many that no majority can be without one of them: two of four.
-  return (voter_.record().accepted.voters.size() + 1) / 2;
+  return (acceptor_.record().accepted.voters.size() + 1) / 2;
 }
 
-bool Caretaker::able() const {
-  const View& view = voter_.record().accepted;
+bool ReadOnlyLeader::able() const {
+  const View& view = acceptor_.record().accepted;
   bool seat = std::ranges::find(view.voters, self()) != view.voters.end();
-  bool newest = leadership_.view().epoch <= view.epoch || !props_.guards(Guard::kEqualViews);
-  return view.epoch.value != 0 && seat && newest && voter_.votes() && !leadership_.isSuspect() &&
+  bool newest = leadership_.view().epoch <= view.epoch || !options_.guards(Guard::kEqualViews);
+  return view.epoch.value != 0 && seat && newest && acceptor_.votes() && !leadership_.isSuspect() &&
          !leadership_.isStalled() && !leadership_.leadsHere();
 }
 
-void Caretaker::quit(std::string_view why, Outbox& outbox) {
+void ReadOnlyLeader::quit(std::string_view why, Outbox& outbox) {
   bool asked = !rounds_.empty();
   MonotonicTime last{asked ? rounds_.rbegin()->first : 0};
   rounds_.clear();
-  holdUntil_ = kNever;
+  leaseUntil_ = kNever;
   // It vouches for nothing any more, so the votes are free; a candidate's own vote stays bound.
-  if (asked && leadership_.idle()) voter_.release(self());
+  if (asked && leadership_.idle()) acceptor_.release(self());
   if (asked)
-    for (CoreId voter : voter_.record().accepted.voters)
+    for (CoreId voter : acceptor_.record().accepted.voters)
       if (voter != self())
         outbox.send(membership_.addressOf(voter),
-                    PromiseAsk{{}, self(), last, PromiseKind::kRelease});
+                    PrepareRequest{{}, self(), last, PrepareKind::kRelease});
   wants_ = false;
-  if (!vouching_) return;
-  vouching_ = false;
+  if (!attesting_) return;
+  attesting_ = false;
   outbox.count("caretakers.ended");
   outbox.push(NoteState{"core: vouches no more, " + std::string(why)});
 }
 
-void Caretaker::yield(MonotonicTime now, std::string_view why, Outbox& outbox) {
+void ReadOnlyLeader::yield(MonotonicTime now, std::string_view why, Outbox& outbox) {
   quit(why, outbox);
   outbox.count("caretakers.yielded");
   yieldUntil_ = now + yieldFor_;
@@ -57,17 +63,17 @@
   lookingSince_ = sightSince_ = kForever;
 }
 
-std::set<CoreId> Caretaker::inSight(MonotonicTime now) const {
+std::set<CoreId> ReadOnlyLeader::inSight(MonotonicTime now) const {
   std::set<CoreId> sight{self()};
   for (const auto& [voter, when] : seen_)
-    if (now - when < props_.caretakerLook) sight.insert(voter);
+    if (now - when < options_.readLeaseProbe) sight.insert(voter);
   return sight;
 }
 
-void Caretaker::adoptOwnCopy(MonotonicTime now, Outbox& outbox) {
-  const ControlState* copy = leadership_.intactCopy(voter_.record().accepted);
+void ReadOnlyLeader::adoptOwnReplica(MonotonicTime now, Outbox& outbox) {
+  const ControlState* copy = leadership_.intactReplica(acceptor_.record().accepted);
   if (copy == nullptr || leadership_.hasPublished()) return;
-  NewsAnswer news;
+  StateReply news;
   news.now = copy->sections();
   const SectionVersions& have = follower_.have();
   if (news.now.setup <= have.setup && news.now.keys <= have.keys &&
@@ -79,18 +85,18 @@
   follower_.adopt(news, now, outbox);
 }
 
-void Caretaker::tick(MonotonicTime now, Outbox& outbox) {
+void ReadOnlyLeader::tick(MonotonicTime now, Outbox& outbox) {
   MonotonicTime heard = std::max(follower_.primaryOrigin(), started_);
   Duration silent = now - heard;
-  if (silent < props_.caretakerAfter - props_.caretakerLook || !able()) {
-    if (silent < props_.hold) yieldFor_ = props_.caretakerYield;
+  if (silent < options_.readLeaseAfter - options_.readLeaseProbe || !able()) {
+    if (silent < options_.lease) yieldFor_ = options_.readLeaseYield;
     lookingSince_ = sightSince_ = kForever;
     quit("a primary is heard", outbox);
     return;
   }
-  if (vouching_ && !vouches(now)) {
+  if (attesting_ && !attests(now)) {
     outbox.count("caretakers.lapsed");
-    vouching_ = false;
+    attesting_ = false;
     outbox.push(NoteState{"core: vouches no more, the hold ran out"});
   }
   if (lookingSince_ == kForever) lookingSince_ = now;
@@ -98,23 +104,24 @@
     quit("it stands for election", outbox);
     return;
   }
-  if (vouches(now) && now >= nextNote_) {
+  if (attests(now) && now >= nextNote_) {
     nextNote_ = now + seconds(0.5);
     for (const auto& member : membership_.live())
       if (member.member != membership_.self().member)
-        outbox.send(member.address, CaretakerNote{self(), voter_.record().accepted.epoch});
+        outbox.send(member.address,
+                    ReadLeaderNotification{self(), acceptor_.record().accepted.epoch});
   }
   if (now < yieldUntil_ || now < nextAsk_) return;
   std::set<CoreId> sight = inSight(now);
   bool more = !std::ranges::includes(lastSight_, sight);  // an election may go better than before
   lastSight_ = sight;
-  const auto& voters = voter_.record().accepted.voters;
-  auto count = static_cast<std::size_t>(std::ranges::count_if(
-      voters, [&](CoreId core) { return sight.contains(core); }));
+  const auto& voters = acceptor_.record().accepted.voters;
+  auto count = static_cast<std::size_t>(
+      std::ranges::count_if(voters, [&](CoreId core) { return sight.contains(core); }));
   if (Leadership::majority(sight, voters)) {
     // Enough voters for a primary: room for an election, but not for ever.
     if (sightSince_ == kForever) sightSince_ = now;
-    bool patient = now - sightSince_ < props_.caretakerYield;
+    bool patient = now - sightSince_ < options_.readLeaseYield;
     if (!rounds_.empty() && (more || now >= mayYieldAgain_)) {
       yield(now, "a third voter is in sight", outbox);
       return;
@@ -126,20 +133,20 @@
   } else {
     sightSince_ = kForever;
   }
-  bool looked = now - lookingSince_ >= props_.caretakerLook;
-  bool grant = silent >= props_.caretakerAfter && looked && count >= needed();
+  bool looked = now - lookingSince_ >= options_.readLeaseProbe;
+  bool grant = silent >= options_.readLeaseAfter && looked && count >= needed();
   wants_ = looked;  // without a majority in sight an election could not be won
   sendRound(grant, now, outbox);
 }
 
-void Caretaker::sendRound(bool grant, MonotonicTime now, Outbox& outbox) {
-  nextAsk_ = now + props_.holdRenewal;
-  const View& view = voter_.record().accepted;
-  adoptOwnCopy(now, outbox);
-  bool bound = grant && voter_.grantCaretaker(self(), view, now, now);
+void ReadOnlyLeader::sendRound(bool grant, MonotonicTime now, Outbox& outbox) {
+  nextAsk_ = now + options_.leaseRenewal;
+  const View& view = acceptor_.record().accepted;
+  adoptOwnReplica(now, outbox);
+  bool bound = grant && acceptor_.grantReadLease(self(), view, now, now);
   if (bound) {
     Round& round = rounds_[now.microseconds];
-    count(round, self(), leadership_.intactCopy(view) != nullptr, proven());
+    count(round, self(), leadership_.intactReplica(view) != nullptr, proven());
     while (rounds_.size() > 8) rounds_.erase(rounds_.begin());
   } else if (!rounds_.empty()) {
     quit("this voter's grant went elsewhere", outbox);
@@ -147,7 +154,7 @@
   // Only those that answer are asked to bind themselves: a grant that can't be heard of would
   // keep its voter from others for nothing.
   std::set<CoreId> sight = inSight(now);
-  CaretakerAsk ask{view, self(), now, follower_.have(), bound};
+  ReadLeaseRequest ask{view, self(), now, follower_.have(), bound};
   for (CoreId voter : view.voters) {
     if (voter == self()) continue;
     ask.grant = bound && sight.contains(voter);
@@ -155,45 +162,45 @@
   }
 }
 
-void Caretaker::count(Round& round, CoreId voter, bool intact, bool isProven) const {
+void ReadOnlyLeader::count(Round& round, CoreId voter, bool intact, bool isProven) const {
   round.voters.insert(voter);
   round.intact = round.intact || intact;
   round.allProven = round.allProven && isProven;
 }
 
-void Caretaker::ask(const Address& from, const CaretakerAsk& ask, MonotonicTime now,
-                    Outbox& outbox) {
-  CaretakerAnswer answer;
+void ReadOnlyLeader::ask(const Address& from, const ReadLeaseRequest& ask, MonotonicTime now,
+                         Outbox& outbox) {
+  ReadLeaseReply answer;
   answer.voter = self();
   answer.sentAt = ask.sentAt;
-  answer.votes = voter_.votes() && !leadership_.isStalled();
+  answer.votes = acceptor_.votes() && !leadership_.isStalled();
   bool free = !leadership_.leadsHere() && rounds_.empty();
-  bool other = !free && props_.guards(Guard::kOneGrant);
+  bool other = !free && options_.guards(Guard::kOneGrant);
   if (ask.grant && answer.votes && !other)
-    answer.granted = voter_.grantCaretaker(ask.caretaker, ask.view, ask.sentAt, now);
-  answer.grantedTo = voter_.grantedTo(now);
-  answer.intact = leadership_.intactCopy(voter_.record().accepted) != nullptr;
+    answer.granted = acceptor_.grantReadLease(ask.readOnlyLeader, ask.view, ask.sentAt, now);
+  answer.grantedTo = acceptor_.grantedTo(now);
+  answer.intact = leadership_.intactReplica(acceptor_.record().accepted) != nullptr;
   answer.proven = proven();
   // What is told comes after the grant: from then on nothing can be acknowledged.
-  adoptOwnCopy(now, outbox);
+  adoptOwnReplica(now, outbox);
   follower_.fill(answer, ask.have);
   outbox.send(from, std::move(answer));
 }
 
-void Caretaker::hear(const CaretakerAnswer& answer, MonotonicTime now, Outbox& outbox) {
+void ReadOnlyLeader::hear(const ReadLeaseReply& answer, MonotonicTime now, Outbox& outbox) {
   if (answer.votes) seen_[answer.voter] = now;
   auto round = rounds_.find(answer.sentAt.microseconds);
   if (round == rounds_.end()) return;
   if (!answer.granted) {
     // Two that ask each other: the one with the lower number goes on.
-    bool yields = answer.grantedTo == answer.voter && answer.voter < self() && !vouches(now);
+    bool yields = answer.grantedTo == answer.voter && answer.voter < self() && !attests(now);
     if (yields) {
       quit("another asks as well", outbox);
-      nextAsk_ = now + props_.hold + milliseconds(static_cast<std::int64_t>(random_.below(300)));
+      nextAsk_ = now + options_.lease + milliseconds(static_cast<std::int64_t>(random_.below(300)));
     }
     return;
   }
-  NewsAnswer news;
+  StateReply news;
   news.now = answer.now;
   news.setup = answer.setup;
   news.keys = answer.keys;
@@ -206,22 +213,22 @@
   const SectionVersions& have = follower_.have();
   bool covers = have.setup >= highest_.setup && have.keys >= highest_.keys &&
                 have.weights >= highest_.weights && follower_.installed();
-  bool knows = round->second.intact || round->second.allProven ||
-               !props_.guards(Guard::kProvenGrant);
+  bool knows =
+      round->second.intact || round->second.allProven || !options_.guards(Guard::kProvenGrant);
   if (round->second.voters.size() < needed() || !covers || !knows) return;
-  holdUntil_ = std::max(holdUntil_, answer.sentAt + props_.holdStop);
-  if (vouching_ || !vouches(now)) return;
-  vouching_ = true;
+  leaseUntil_ = std::max(leaseUntil_, answer.sentAt + options_.leaseStop);
+  if (attesting_ || !attests(now)) return;
+  attesting_ = true;
   nextNote_ = now;
   outbox.count("caretakers.began");
   outbox.push(NoteState{"core: vouches for its part as a caretaker"});
 }
 
-void Caretaker::makeRoom(MonotonicTime now) {
+void ReadOnlyLeader::allowElection(MonotonicTime now) {
   if (rounds_.empty()) yieldUntil_ = std::max(yieldUntil_, now + kRoom);
 }
 
-void Caretaker::candidateHeard(MonotonicTime now, Outbox& outbox) {
+void ReadOnlyLeader::candidateHeard(MonotonicTime now, Outbox& outbox) {
   if (rounds_.empty() || now < mayYieldAgain_) return;
   yield(now, "a candidate asks", outbox);
 }
--- a/src/core/caretaker.h
+++ b/src/core/read_only_leader.h
@@ -1,6 +1,6 @@
 #pragma once
 // Where no primary can be, two voters of four bound by a short hold vouch for their part.
-// See docs/design-caretakers.md.
+// See docs/design-read-only leaders.md.
 #include <map>
 #include <set>
 
@@ -9,28 +9,30 @@
 
 namespace peppergate {
 
-/// Example: `caretaker.tick(now, outbox); if (caretaker.vouches(now)) follower.vouch(now);`
-class Caretaker {
+/// Example: `read-only leader.tick(now, outbox); if (read-only leader.vouches(now))
+/// follower.vouch(now);`
+class ReadOnlyLeader {
  public:
-  Caretaker(const Props& props, Voter& voter, Leadership& leadership, Membership& membership,
-            Follower& follower, Random& random, MonotonicTime started);
+  ReadOnlyLeader(const Options& options, Acceptor& acceptor, Leadership& leadership,
+                 Membership& membership, Follower& follower, Random& random, MonotonicTime started);
 
   /// Looks for voters, asks for grants, renews, or makes room. Example: each tick.
   void tick(MonotonicTime now, Outbox& outbox);
-  /// Another core asks for this voter's grant, or only who is there. Example: on a CaretakerAsk.
-  void ask(const Address& from, const CaretakerAsk& ask, MonotonicTime now, Outbox& outbox);
-  /// A voter's answer. Example: on a CaretakerAnswer.
-  void hear(const CaretakerAnswer& answer, MonotonicTime now, Outbox& outbox);
-  /// A candidate's question reached this core. Example: on a PromiseAsk of another core.
+  /// Another core asks for this voter's grant, or only who is there. Example: on a
+  /// ReadLeaseRequest.
+  void ask(const Address& from, const ReadLeaseRequest& ask, MonotonicTime now, Outbox& outbox);
+  /// A voter's answer. Example: on a ReadLeaseReply.
+  void hear(const ReadLeaseReply& answer, MonotonicTime now, Outbox& outbox);
+  /// A candidate's question reached this core. Example: on a PrepareRequest of another core.
   void candidateHeard(MonotonicTime now, Outbox& outbox);
-  /// Another caretaker made room for an election: nobody takes its place at once.
-  /// Example: on a PromiseAsk of the kind kRelease with epoch 0.
-  void makeRoom(MonotonicTime now);
+  /// Another read-only leader made room for an election: nobody takes its place at once.
+  /// Example: on a PrepareRequest of the kind kRelease with epoch 0.
+  void allowElection(MonotonicTime now);
 
-  /// A voter answered this core in any way: it is in sight. Example: on a PromiseAnswer.
+  /// A voter answered this core in any way: it is in sight. Example: on a PrepareReply.
   void heardVoter(CoreId voter, MonotonicTime now) { seen_[voter] = now; }
   /// Whether this core vouches for its part now. Example: see the class.
-  bool vouches(MonotonicTime now) const { return now < holdUntil_; }
+  bool attests(MonotonicTime now) const { return now < leaseUntil_; }
   /// Whether it is about to vouch, or does; then it doesn't stand. Example: in status pages.
   bool wants() const { return wants_; }
 
@@ -42,17 +44,17 @@
   };
   bool able() const;
   bool proven() const { return follower_.primaryOrigin() > started_; }
-  void adoptOwnCopy(MonotonicTime now, Outbox& outbox);
+  void adoptOwnReplica(MonotonicTime now, Outbox& outbox);
   void count(Round& round, CoreId voter, bool intact, bool isProven) const;
   void sendRound(bool grant, MonotonicTime now, Outbox& outbox);
   void quit(std::string_view why, Outbox& outbox);
   void yield(MonotonicTime now, std::string_view why, Outbox& outbox);
   std::set<CoreId> inSight(MonotonicTime now) const;
   std::size_t needed() const;
-  CoreId self() const { return voter_.record().identity; }
+  CoreId self() const { return acceptor_.record().identity; }
 
-  Props props_;
-  Voter& voter_;
+  Options options_;
+  Acceptor& acceptor_;
   Leadership& leadership_;
   Membership& membership_;
   Follower& follower_;
@@ -60,14 +62,14 @@
   MonotonicTime started_;
   MonotonicTime lookingSince_ = kForever, nextAsk_{}, nextNote_{}, yieldUntil_ = kNever;
   MonotonicTime sightSince_ = kForever, mayYieldAgain_ = kNever;
-  MonotonicTime holdUntil_ = kNever;
+  MonotonicTime leaseUntil_ = kNever;
   Duration yieldFor_{};
   std::map<std::int64_t, Round> rounds_;  // by the time of asking
   std::map<CoreId, MonotonicTime> seen_;
   std::set<CoreId> lastSight_;
-  SectionVersions highest_;               // of what granters told
+  SectionVersions highest_;  // of what granters told
   bool wants_ = false;
-  bool vouching_ = false;
+  bool attesting_ = false;
 };
 
 }  // namespace peppergate
--- a/src/core/ring.cc
+++ b/src/core/ring.cc
@@ -9,7 +9,8 @@
 
 std::uint64_t pointOf(const EngineId& engine) {
   std::uint64_t point = 1469598103934665603ULL;
-  for (char letter : engine.value) point = (point ^ static_cast<unsigned char>(letter)) * 1099511628211ULL;
+  for (char letter : engine.value)
+    point = (point ^ static_cast<unsigned char>(letter)) * 1099511628211ULL;
   return Random(point).next();
 }
 
--- a/src/core/section_readers.cc
+++ b/src/core/section_readers.cc
@@ -23,8 +23,8 @@
       tenant.rank = parameters.at("rank");
       tenant.wall = {parameters.at("wall").get<std::string>()};
       tenant.weights = {parameters.value("weights", std::uint64_t{0})};
-      tenant.topRung = parameters.value(
-          "topRung", static_cast<std::int64_t>(setup.rungs.size()) - 1);
+      tenant.topRung =
+          parameters.value("topRung", static_cast<std::int64_t>(setup.rungs.size()) - 1);
       tenant.share = parameters.value("share", std::int64_t{0});
       setup.tenants[{id}] = tenant;
     }
--- a/src/core/shots.cc
+++ b/src/core/shots.cc
@@ -10,7 +10,7 @@
                          Outbox& outbox) {
   const Setup& setup = front_.follower.setup();
   WeightsVersion weights = assigned.view.picture.weights;
-  const Wall& wall = stream.props.wall;
+  const Wall& wall = stream.options.wall;
   std::map<EngineId, std::vector<std::size_t>> keptBy;
   std::size_t firstMissing = names.size();
   for (std::size_t part = 0; part < names.size(); ++part) {
@@ -45,22 +45,22 @@
     shot.headers["X-Deposit-At"] = storeEntry->second.address.value;
   stream.collects = source.has_value();
   if (!source) return;
-  auto tenantClass = setup.classes.find(stream.props.className);
+  auto tenantClass = setup.classes.find(stream.options.className);
   Fetch fetch;
   fetch.want.stream = stream.id;
   fetch.want.links = FetchDesk::pathOf(front_.list, *source, assigned.engine);
   if (tenantClass != setup.classes.end()) fetch.want.tenantClass = tenantClass->second;
   std::int64_t last = static_cast<std::int64_t>(setup.rungs.size()) - 1;
   fetch.want.topRung = std::clamp<std::int64_t>(stream.topRung, 0, last);
-  fetch.want.floorRung = std::clamp<std::int64_t>(fetch.want.tenantClass.floor, 0,
-                                                  fetch.want.topRung);
+  fetch.want.floorRung =
+      std::clamp<std::int64_t>(fetch.want.tenantClass.floor, 0, fetch.want.topRung);
   fetch.tenant = stream.tenant;
-  fetch.className = stream.props.className;
+  fetch.className = stream.options.className;
   fetch.source = *source;
   std::string list;
   for (std::size_t part : keptBy[*source]) {
     fetch.megabytes += static_cast<double>(stream.parts[part].text.size()) *
-                       setup.partBytesPerCharacter / front_.props.rateUnit;
+                       setup.partBytesPerCharacter / front_.options.rateUnit;
     list += (list.empty() ? "" : ",") + names[part].value;
   }
   std::int64_t rung = front_.fetches.begin(std::move(fetch), setup, now, outbox);
@@ -70,8 +70,7 @@
       ";parts=" + list;
 }
 
-void Streams::shoot(Stream& stream, const Assigned& assigned, MonotonicTime now,
-                    Outbox& outbox) {
+void Streams::shoot(Stream& stream, const Assigned& assigned, MonotonicTime now, Outbox& outbox) {
   // Freshness is checked again right before the shot: a process that was frozen stops here.
   if (!front_.follower.fresh(now) || front_.follower.tenantOf(stream.key) == nullptr) {
     giveUp(stream, 503, "stale", outbox);
@@ -87,9 +86,9 @@
   shot.headers = {{"X-Request-Id", stream.requestId},
                   {"X-Shot", std::to_string(++stream.shots)},
                   {"X-Tenant", stream.tenant.value},
-                  {"X-Wall", stream.props.wall.value},
+                  {"X-Wall", stream.options.wall.value},
                   {"X-Weights", std::to_string(weights.value)},
-                  {"If-Match", front_.props.guards(Guard::kEngineLife)
+                  {"If-Match", front_.options.guards(Guard::kEngineLife)
                                    ? std::to_string(assigned.view.picture.life.value)
                                    : "*"},
                   {"X-Resumable", stream.resumable ? "1" : "0"},
@@ -139,7 +138,7 @@
       front_.watch.rest(stream.engine, now);
       again(stream, "broken", now, outbox);
       break;
-    case ShotTurn::kDeclined:   // the engine says that it did not run
+    case ShotTurn::kDeclined:  // the engine says that it did not run
     case ShotTurn::kNotWritten:
       if (turned.turn == ShotTurn::kNotWritten || turned.status == 412)
         front_.watch.rest(stream.engine, now);
@@ -150,15 +149,14 @@
   }
 }
 
-void Streams::piece(Stream& stream, const ShotTurned& turned, MonotonicTime now,
-                    Outbox& outbox) {
+void Streams::piece(Stream& stream, const ShotTurned& turned, MonotonicTime now, Outbox& outbox) {
   stream.mayHaveRun = true;
   if (!front_.follower.mayGoOn(now)) {  // a woken process hands out no piece on an old proof
     giveUp(stream, 503, "stale", outbox);
     return;
   }
   bool foreign = !turned.echo.empty() && turned.echo != stream.requestId;
-  if (!front_.props.guards(Guard::kPieceOrder)) stream.next = turned.piece;
+  if (!front_.options.guards(Guard::kPieceOrder)) stream.next = turned.piece;
   if (foreign || turned.piece != stream.next) {  // lost, repeated or another's: never passed on
     outbox.count(foreign ? "shots.foreign" : "shots.outOfOrder");
     stream.resumable = stream.resumable && !foreign;
@@ -197,8 +195,7 @@
   }
   front_.fetches.drop(stream.id);
   // What may have reached an engine is sent again only if it can go on at the exact piece.
-  bool allowed = !stream.mayHaveRun || stream.resumable ||
-                 !front_.props.guards(Guard::kNoRepeat);
+  bool allowed = !stream.mayHaveRun || stream.resumable || !front_.options.guards(Guard::kNoRepeat);
   if (stream.mayHaveRun == false && stream.next.value == 0) stream.bound.reset();
   if (!allowed) {
     giveUp(stream, 502, "broken", outbox);
@@ -213,7 +210,7 @@
     giveUp(stream, 503, "no-engine", outbox);
     return;
   }
-  if (!budget(stream.service).takeSecond(now) && front_.props.guards(Guard::kBudget)) {
+  if (!budget(stream.service).takeSecond(now) && front_.options.guards(Guard::kBudget)) {
     outbox.count("shots.overBudget");
     giveUp(stream, 503, "budget", outbox);
     return;
@@ -244,9 +241,9 @@
   } else {
     bool retry = status == 503 || status == 504 || status == 502;
     Duration after = retry ? Gate::retryAfter(front_.random, 0.5) : Duration{};
-    bool told = stream.mayHaveRun && front_.props.guards(Guard::kHonestNo);
-    outbox.push(DeclineStream{stream.id, status, std::string(kind), told, after, {},
-                              stream.requestId});
+    bool told = stream.mayHaveRun && front_.options.guards(Guard::kHonestRejection);
+    outbox.push(
+        DeclineStream{stream.id, status, std::string(kind), told, after, {}, stream.requestId});
   }
   end(stream.id, outbox);
 }
--- a/src/core/streams.cc
+++ b/src/core/streams.cc
@@ -9,7 +9,7 @@
 namespace peppergate {
 namespace {
 
-std::string headerOf(const StreamAsked& asked, const std::string& name) {
+std::string headerOf(const StreamRequest& asked, const std::string& name) {
   auto found = asked.headers.find(name);
   return found == asked.headers.end() ? std::string() : found->second;
 }
@@ -20,19 +20,19 @@
 
 Streams::Streams(FrontParts parts)
     : front_(parts),
-      budgets_{Budget(parts.props.secondShotShare, parts.props.budgetWindow),
-               Budget(parts.props.secondShotShare, parts.props.budgetWindow)} {}
+      budgets_{Budget(parts.options.secondShotShare, parts.options.budgetWindow),
+               Budget(parts.options.secondShotShare, parts.options.budgetWindow)} {}
 
-void Streams::decline(const StreamAsked& asked, int status, std::string_view kind,
-                      Outbox& outbox, bool retry, std::string field, std::string requestId) {
+void Streams::decline(const StreamRequest& asked, int status, std::string_view kind, Outbox& outbox,
+                      bool retry, std::string field, std::string requestId) {
   outbox.count("declined." + std::string(kind));
   Duration after = retry ? Gate::retryAfter(front_.random, 0.5) : Duration{};
-  outbox.push(DeclineStream{asked.stream, status, std::string(kind), false, after,
-                            std::move(field), std::move(requestId)});
+  outbox.push(DeclineStream{asked.stream, status, std::string(kind), false, after, std::move(field),
+                            std::move(requestId)});
 }
 
-bool Streams::readBody(const StreamAsked& asked, Stream& stream, Outbox& outbox) {
-  if (asked.body.size() > static_cast<std::size_t>(front_.props.largestBody)) {
+bool Streams::readBody(const StreamRequest& asked, Stream& stream, Outbox& outbox) {
+  if (asked.body.size() > static_cast<std::size_t>(front_.options.largestBody)) {
     decline(asked, 413, "body-too-large", outbox);
     return false;
   }
@@ -57,11 +57,11 @@
     return false;
   }
   std::int64_t rungs = static_cast<std::int64_t>(front_.follower.setup().rungs.size());
-  stream.topRung = std::min({body.value("topRung", rungs - 1), stream.props.topRung, rungs - 1});
+  stream.topRung = std::min({body.value("topRung", rungs - 1), stream.options.topRung, rungs - 1});
   return true;
 }
 
-bool Streams::readAsk(const StreamAsked& asked, Stream& stream, MonotonicTime now,
+bool Streams::readAsk(const StreamRequest& asked, Stream& stream, MonotonicTime now,
                       Outbox& outbox) {
   if (draining_) return decline(asked, 503, "draining", outbox, true), false;
   if (!front_.follower.installed()) return decline(asked, 503, "no-setup", outbox, true), false;
@@ -71,17 +71,17 @@
   stream.key = keyDigest(key);
   const TenantId* tenant = front_.follower.tenantOf(stream.key);
   if (tenant == nullptr) return decline(asked, 403, "unknown-key", outbox), false;
-  auto props = front_.follower.setup().tenants.find(*tenant);
-  if (props == front_.follower.setup().tenants.end())
+  auto options = front_.follower.setup().tenants.find(*tenant);
+  if (options == front_.follower.setup().tenants.end())
     return decline(asked, 403, "unknown-tenant", outbox), false;
   stream.tenant = *tenant;
-  stream.props = props->second;
+  stream.options = options->second;
   std::string deadline = headerOf(asked, "x-deadline-ms");
   std::int64_t length = 0;
   auto [end, fault] = std::from_chars(deadline.data(), deadline.data() + deadline.size(), length);
   if (deadline.empty()) return decline(asked, 400, "missing-deadline", outbox), false;
   if (fault != std::errc{} || end != deadline.data() + deadline.size() || length <= 0 ||
-      milliseconds(length) > front_.props.largestDeadline)
+      milliseconds(length) > front_.options.largestDeadline)
     return decline(asked, 400, "invalid-deadline", outbox), false;
   stream.deadline = now + milliseconds(length);
   return readBody(asked, stream, outbox);
@@ -96,14 +96,14 @@
     auto own = running_.find(id);
     double mine = own == running_.end() ? 0 : static_cast<double>(own->second);
     usage.running += std::max(static_cast<double>(view->picture.usage), mine);
-    usage.places += static_cast<double>(front_.props.engineStreams);
+    usage.places += static_cast<double>(front_.options.engineStreams);
     usage.ownRunning += mine;
   }
   usage.fronts = static_cast<double>(front_.membership.liveFronts().size());
   return usage;
 }
 
-void Streams::ask(const StreamAsked& asked, MonotonicTime now, Outbox& outbox) {
+void Streams::ask(const StreamRequest& asked, MonotonicTime now, Outbox& outbox) {
   outbox.count("streams.asked");
   Stream stream;
   stream.id = asked.stream;
@@ -111,12 +111,17 @@
   stream.service = asked.unary ? Service::kDesk : Service::kModel;
   if (!readAsk(asked, stream, now, outbox)) return;
   GateUsage current = usage(stream.service, now);
-  GateVerdict verdict = front_.gate.allow(stream.tenant, stream.props, current);
+  GateVerdict verdict = front_.gate.allow(stream.tenant, stream.options, current);
   if (verdict != GateVerdict::kAllowed) {
     outbox.count("declined." + std::string(verdictName(verdict)));
     double pressure = current.places > 0 ? current.running / current.places : 1;
-    outbox.push(DeclineStream{asked.stream, 503, std::string(verdictName(verdict)), false,
-                              Gate::retryAfter(front_.random, pressure), {}, {}});
+    outbox.push(DeclineStream{asked.stream,
+                              503,
+                              std::string(verdictName(verdict)),
+                              false,
+                              Gate::retryAfter(front_.random, pressure),
+                              {},
+                              {}});
     return;
   }
   auto assigned = assign(stream, now);
@@ -126,10 +131,10 @@
     else decline(asked, 503, "no-engine", outbox, true);
     return;
   }
-  stream.requestId = std::to_string(front_.membership.self().member.value) + "-" +
-                     std::to_string(++lastRequest_);
+  stream.requestId =
+      std::to_string(front_.membership.self().member.value) + "-" + std::to_string(++lastRequest_);
   outbox.count("streams.allowed");
-  front_.gate.enter(stream.tenant, stream.props.rank);
+  front_.gate.enter(stream.tenant, stream.options.rank);
   Stream& kept = streams_[stream.id] = std::move(stream);
   budget(kept.service).first(now);
   shoot(kept, *assigned, now, outbox);
@@ -138,7 +143,7 @@
 std::vector<PartName> Streams::names(const Stream& stream, WeightsVersion weights) const {
   std::vector<PartName> names;
   PartName previous;
-  Wall wall = front_.props.guards(Guard::kWall) ? stream.props.wall : Wall{};
+  Wall wall = front_.options.guards(Guard::kWall) ? stream.options.wall : Wall{};
   for (const auto& part : stream.parts) {
     previous = partName(wall, weights, previous, part.text);
     names.push_back(previous);
@@ -150,19 +155,19 @@
   std::optional<Assigned> best;
   double bestCost = 0;
   std::map<WeightsVersion, std::vector<PartName>> named;
-  double places = static_cast<double>(front_.props.engineStreams);
+  double places = static_cast<double>(front_.options.engineStreams);
   for (const auto& [id, engine] : front_.list.engines) {
-    bool draining = engine.draining && front_.props.guards(Guard::kDrainList);
+    bool draining = engine.draining && front_.options.guards(Guard::kDrainList);
     if (engine.service != stream.service || draining || id == stream.engine) continue;
     const EngineView* view = front_.watch.usable(id, now);
     if (view == nullptr) continue;
     WeightsVersion weights = view->picture.weights;
-    if (!front_.follower.weightsAllowed(weights, now) || weights < stream.props.weights) continue;
+    if (!front_.follower.weightsAllowed(weights, now) || weights < stream.options.weights) continue;
     if (stream.bound && weights != *stream.bound) continue;
     auto own = running_.find(id);
     double mine = own == running_.end() ? 0 : static_cast<double>(own->second);
-    double busy = std::max(static_cast<double>(view->picture.usage) +
-                               static_cast<double>(view->sentSince), mine);
+    double busy = std::max(
+        static_cast<double>(view->picture.usage) + static_cast<double>(view->sentSince), mine);
     if (busy >= places) continue;
     auto [entry, fresh] = named.try_emplace(weights);
     if (fresh) entry->second = names(stream, weights);
@@ -170,11 +175,12 @@
     for (std::size_t part = 0; part < stream.parts.size(); ++part) {
       double size = static_cast<double>(stream.parts[part].text.size());
       whole += size;
-      if (!front_.index.keeps(id, entry->second[part], stream.props.wall, weights)) missing += size;
+      if (!front_.index.keeps(id, entry->second[part], stream.options.wall, weights))
+        missing += size;
     }
     // An engine that keeps the prefix is worth half its places; beyond that room counts more.
-    double cost = busy / places + 0.5 * missing / std::max(1.0, whole) +
-                  0.05 * front_.random.fraction();
+    double cost =
+        busy / places + 0.5 * missing / std::max(1.0, whole) + 0.05 * front_.random.fraction();
     if (!best || cost < bestCost) {
       best = Assigned{id, *view};
       bestCost = cost;
@@ -213,7 +219,8 @@
     if (now >= stream.deadline) late.push_back(id);
     else if (keysChanged && front_.follower.tenantOf(stream.key) == nullptr) cut.push_back(id);
     else if (!mayGoOn) stale.push_back(id);
-    else if (stream.shot && !stream.firstCame && now - stream.sent > front_.props.firstPieceTimeout)
+    else if (stream.shot && !stream.firstCame &&
+             now - stream.sent > front_.options.firstPieceTimeout)
       silent.push_back(id);
   }
   for (StreamId id : late) giveUp(streams_.at(id), 504, "deadline", outbox);
--- a/src/core/streams.h
+++ b/src/core/streams.h
@@ -25,7 +25,7 @@
   std::string requestId;
   TenantId tenant;
   KeyDigest key;
-  Tenant props;
+  Tenant options;
   Service service = Service::kModel;
   MonotonicTime deadline;
   std::vector<PromptPart> parts;
@@ -45,12 +45,12 @@
   MonotonicTime sent;
   bool firstCame = false;
   bool collects = false;
-  std::string gathered;     // of a unary call
+  std::string gathered;  // of a unary call
 };
 
 /// What the streams need of the rest of the front.
 struct FrontParts {
-  const Props& props;
+  const Options& options;
   Membership& membership;
   Follower& follower;
   EngineWatch& watch;
@@ -66,7 +66,7 @@
  public:
   explicit Streams(FrontParts parts);
   /// A caller asks. It is allowed and sent, or declined at once. Example: see the class.
-  void ask(const StreamAsked& asked, MonotonicTime now, Outbox& outbox);
+  void ask(const StreamRequest& asked, MonotonicTime now, Outbox& outbox);
   /// A shot went on. Example: a piece came.
   void turn(const ShotTurned& turned, MonotonicTime now, Outbox& outbox);
   /// The caller went away: its shot ends and nothing is sent again.
@@ -88,10 +88,10 @@
     EngineId engine;
     EngineView view;
   };
-  void decline(const StreamAsked& asked, int status, std::string_view kind, Outbox& outbox,
+  void decline(const StreamRequest& asked, int status, std::string_view kind, Outbox& outbox,
                bool retry = false, std::string field = {}, std::string requestId = {});
-  bool readAsk(const StreamAsked& asked, Stream& stream, MonotonicTime now, Outbox& outbox);
-  bool readBody(const StreamAsked& asked, Stream& stream, Outbox& outbox);
+  bool readAsk(const StreamRequest& asked, Stream& stream, MonotonicTime now, Outbox& outbox);
+  bool readBody(const StreamRequest& asked, Stream& stream, Outbox& outbox);
   GateUsage usage(Service service, MonotonicTime now) const;
   std::optional<Assigned> assign(const Stream& stream, MonotonicTime now);
   std::vector<PartName> names(const Stream& stream, WeightsVersion weights) const;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -15,8 +15,8 @@
 
 using Epoch = Tagged<struct EpochTag, std::uint64_t>;
 using Sequence = Tagged<struct SequenceTag, std::uint64_t>;
-using MemberId = Tagged<struct MemberIdTag, std::uint64_t>;   // one life of one process
-using CoreId = Tagged<struct CoreIdTag, std::uint64_t>;       // one disk of one core machine
+using MemberId = Tagged<struct MemberIdTag, std::uint64_t>;  // one life of one process
+using CoreId = Tagged<struct CoreIdTag, std::uint64_t>;      // one disk of one core machine
 using WeightsVersion = Tagged<struct WeightsTag, std::uint64_t>;
 using EngineLife = Tagged<struct EngineLifeTag, std::uint64_t>;  // one life of one engine
 using ListVersion = Tagged<struct ListVersionTag, std::uint64_t>;
@@ -24,8 +24,8 @@
 using ShotId = Tagged<struct ShotIdTag, std::uint64_t>;
 using TicketId = Tagged<struct TicketIdTag, std::uint64_t>;
 using Piece = Tagged<struct PieceTag, std::uint64_t>;
-using Address = Tagged<struct AddressTag, std::string>;      // "127.0.0.1:7001"
-using District = Tagged<struct DistrictTag, std::string>;
+using Address = Tagged<struct AddressTag, std::string>;  // "127.0.0.1:7001"
+using Zone = Tagged<struct DistrictTag, std::string>;
 using EngineId = Tagged<struct EngineIdTag, std::string>;
 using TenantId = Tagged<struct TenantIdTag, std::string>;
 using Wall = Tagged<struct WallTag, std::string>;
@@ -71,11 +71,11 @@
 /// After any event.
 inline constexpr MonotonicTime kForever{INT64_MAX};
 
-/// The place of an acknowledged state in history. Example: `SetupVersion{{2},{1}} > {{1},{9}}`.
-struct SetupVersion {
+/// The place of an acknowledged state in history. Example: `SectionVersion{{2},{1}} > {{1},{9}}`.
+struct SectionVersion {
   Epoch epoch;
   Sequence sequence;
-  auto operator<=>(const SetupVersion&) const = default;
+  auto operator<=>(const SectionVersion&) const = default;
   template <class Self, class Visitor>
   static void visit(Self& self, Visitor& visitor) {
     visitor("epoch", self.epoch);
@@ -84,7 +84,7 @@
 };
 
 /// Writes a version as operators read it. Example: `versionText({{2},{7}}) == "2.7"`.
-inline std::string versionText(const SetupVersion& version) {
+inline std::string versionText(const SectionVersion& version) {
   return std::to_string(version.epoch.value) + "." + std::to_string(version.sequence.value);
 }
 
--- a/src/engines/engine.h
+++ b/src/engines/engine.h
@@ -15,7 +15,7 @@
   EngineId id;
   ServiceName service;
   Address address;
-  District zone;
+  Zone zone;
   std::int64_t slots = 1;
   bool draining = false;
   Duration warmupLeft;  // how much longer it is slow from its start
@@ -89,7 +89,13 @@
 };
 enum class OrderOutcome : std::uint8_t {
   kUnknown = 0,  // no answer: it may have been taken
-  kTaken, kHolds, kBusy, kFenced, kInvalid, kOtherEngine, kNotWritten,
+  kTaken,
+  kHolds,
+  kBusy,
+  kFenced,
+  kInvalid,
+  kOtherEngine,
+  kNotWritten,
 };
 struct OrderAnswered {
   TicketId ticket;
--- a/src/engines/engine_book.h
+++ b/src/engines/engine_book.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "core/options.h"
 #include "core/outbox.h"
-#include "core/props.h"
 #include "engines/engine.h"
 #include "requests/placer.h"
 
@@ -17,43 +17,51 @@
 struct EngineState {
   Engine listed;
   MonotonicTime warmUntil = kNever;   // it is slow from its start until then
-  std::int64_t ownRunning = 0;      // requests of this front under way there
+  std::int64_t ownRunning = 0;        // requests of this front under way there
   std::int64_t ownPrefillTokens = 0;  // of those without a first event, tokens to be read
   std::int64_t othersRunning = 0;     // as other fronts noted
   std::int64_t othersPrefillTokens = 0;
-  std::optional<EngineLoad> told;     // by its newest answer
+  std::optional<EngineLoad> told;  // by its newest answer
   MonotonicTime toldAt = kNever;
   std::int64_t sentSinceTold = 0, endedSinceTold = 0, tokensSinceTold = 0;
-  MonotonicTime restUntil = kNever;   // it was seen to fail
-  MonotonicTime fullUntil = kNever;   // it said that it is full
+  MonotonicTime restUntil = kNever;  // it was seen to fail
+  MonotonicTime fullUntil = kNever;  // it said that it is full
   int strikes = 0;
-  bool loading = false;               // new weights are ordered: it takes no requests
+  bool loading = false;                        // new weights are ordered: it takes no requests
   std::map<ModelName, WeightsVersion> models;  // newest word: the list's or an answer's
   double firstEventMs = 0, eventGapMs = 0;     // smoothed, as seen
   int closesInARow = 0;  // answers that ended their connection; a hint that it may be leaving
 
   // Outlier handling.
-  MonotonicTime failedAt = kNever;     // its last failure
-  MonotonicTime struckAt = kNever;     // its last strike
+  MonotonicTime failedAt = kNever;       // its last failure
+  MonotonicTime struckAt = kNever;       // its last strike
   Duration unreachableRest, strikeRest;  // the next rest is twice as long
   bool restsByStrikes = false;
-  bool trial = false;                  // back from a rest: one request until it does well
-  MonotonicTime trialSince = kNever;   // when that one was sent
-  MonotonicTime otherAt = kNever;      // its address belongs to another engine
-  MonotonicTime lastResortUntil = kNever;  // nothing else of its service is up: it is used
+  bool trial = false;                         // back from a rest: one request until it does well
+  MonotonicTime trialSince = kNever;          // when that one was sent
+  MonotonicTime otherAt = kNever;             // its address belongs to another engine
+  MonotonicTime lastResortUntil = kNever;     // nothing else of its service is up: it is used
   std::map<Address, MonotonicTime> accusers;  // fronts that could not reach it
   std::uint64_t failuresToTell = 0, answersToTell = 0;
   bool unreachableToTell = false;
 };
 
 /// How an attempt ended, as far as the engine is to be blamed.
-enum class AttemptEnd : std::uint8_t { kGood, kUnreachable, kBroken, kGarbled, kSilent, kFull,
-                                       kOtherEngine, kClientGone };
+enum class AttemptEnd : std::uint8_t {
+  kGood,
+  kUnreachable,
+  kBroken,
+  kGarbled,
+  kSilent,
+  kFull,
+  kOtherEngine,
+  kClientGone
+};
 
 /// Example: `book.take(engines, version, now); for (auto* e : book.of(service)) ...`
 class EngineBook final : public EngineLedger {
  public:
-  explicit EngineBook(const Props& props) : props_(props) {}
+  explicit EngineBook(const Options& options) : options_(options) {}
   EngineBook(const EngineBook&) = delete;  // it points into itself
   EngineBook& operator=(const EngineBook&) = delete;
   /// A newer list. Engines not on it are gone. Example: see the class.
@@ -70,7 +78,7 @@
   const EngineState* find(const EngineId& engine) const;
   ListVersion version() const { return version_; }
   MonotonicTime listedAt() const { return listedAt_; }
-  /// The list was confirmed to be the newest. Example: on a RosterNews without a list.
+  /// The list was confirmed to be the newest. Example: on a DiscoveredEnginesUpdate without a list.
   void confirmed(MonotonicTime when);
   std::size_t size() const { return engines_.size(); }
 
@@ -102,7 +110,7 @@
   /// What to tell other fronts; nothing if nothing changed. Example: each half second.
   std::optional<EngineUse> use(MemberId self);
   std::vector<EngineTrouble> troubles();
-  void reload(const Props& props) { props_ = props; }
+  void reload(const Options& options) { options_ = options; }
 
  private:
   struct Service {
@@ -117,7 +125,7 @@
   void chooseLastResort(const EngineState& engine, MonotonicTime now);
   void addNoted(const EngineUse& use, std::int64_t sign);
 
-  Props props_;
+  Options options_;
   ListVersion version_;
   MonotonicTime listedAt_ = kNever;
   std::map<EngineId, EngineState> engines_;
@@ -132,7 +140,7 @@
   EngineUse lastUse_;
   bool repeatUse_ = false;
   MonotonicTime now_ = kNever;  // of the last tick
-  double prefillMean_ = 1000;  // tokens of one attempt, smoothed
+  double prefillMean_ = 1000;   // tokens of one attempt, smoothed
 };
 
 }  // namespace peppergate
--- a/src/engines/engine_duties.h
+++ b/src/engines/engine_duties.h
@@ -9,21 +9,23 @@
 /// In what charge this core machine is at the moment.
 struct CoreCharge {
   bool leads = false;    // under its hold, with its state named
-  bool vouches = false;  // as a caretaker of its part
+  bool attests = false;  // as a read-only leader of its part
   Epoch term;            // the view's epoch
-  MonotonicTime holdUntil = kNever;
+  MonotonicTime leaseUntil = kNever;
   const Weights* weights = nullptr;
 };
 
 /// Example: `duties.tick(charge, now, outbox)`, then `duties.take(event, now, outbox)`.
 class EngineDuties {
  public:
-  EngineDuties(const Props& props, Membership& membership, Random& random, std::string holder)
-      : lister_(props, membership, random), rollout_(props, lister_), holder_(std::move(holder)) {}
+  EngineDuties(const Options& options, Membership& membership, Random& random, std::string holder)
+      : lister_(options, membership, random),
+        rollout_(options, lister_),
+        holder_(std::move(holder)) {}
   /// Lists and orders as due. Example: each tick of a core machine.
   void tick(const CoreCharge& charge, MonotonicTime now, Outbox& outbox) {
-    lister_.tick(charge.leads || charge.vouches, charge.term, now, outbox);
-    rollout_.tick(charge.leads, charge.term, charge.holdUntil, *charge.weights, holder_, now,
+    lister_.tick(charge.leads || charge.attests, charge.term, now, outbox);
+    rollout_.tick(charge.leads, charge.term, charge.leaseUntil, *charge.weights, holder_, now,
                   outbox);
   }
   /// Takes an answer of the platform or an engine; false if it is none. Example: in `step`.
@@ -35,10 +37,12 @@
       return rollout_.answered(*report, now, outbox);
     return false;
   }
-  /// Another member's word on the list; false if it is none. Example: on a RosterNews.
+  /// Another member's word on the list; false if it is none. Example: on a DiscoveredEnginesUpdate.
   bool hear(const Address& from, const Message& message, MonotonicTime now, Outbox& outbox) {
-    if (auto* news = std::get_if<RosterNews>(&message)) lister_.hear(from, *news, now, outbox);
-    else if (auto* ask = std::get_if<RosterAsk>(&message)) lister_.hear(from, *ask, now, outbox);
+    if (auto* news = std::get_if<DiscoveredEnginesUpdate>(&message))
+      lister_.hear(from, *news, now, outbox);
+    else if (auto* ask = std::get_if<DiscoveredEnginesRequest>(&message))
+      lister_.hear(from, *ask, now, outbox);
     else return false;
     return true;
   }
--- a/src/engines/engine_outliers.cc
+++ b/src/engines/engine_outliers.cc
@@ -10,8 +10,8 @@
 constexpr Duration kFirstStrikeRest = seconds(0.5);
 constexpr Duration kLongestRest = seconds(5);
 constexpr Duration kStrikesInARow = seconds(5);
-constexpr Duration kOtherRest = seconds(5);      // unless a newer list comes sooner
-constexpr Duration kTrialLasts = seconds(2);     // then another one may be tried
+constexpr Duration kOtherRest = seconds(5);   // unless a newer list comes sooner
+constexpr Duration kTrialLasts = seconds(2);  // then another one may be tried
 constexpr Duration kAccused = seconds(2);
 constexpr int kStrikesToRest = 2;
 
@@ -82,8 +82,7 @@
       break;
     case AttemptEnd::kUnreachable:
       failed = engine->unreachableToTell = true;
-      if (now < engine->restUntil && (!engine->restsByStrikes || engine->otherAt != kNever))
-        break;
+      if (now < engine->restUntil && (!engine->restsByStrikes || engine->otherAt != kNever)) break;
       rest(*engine, engine->unreachableRest, kFirstUnreachableRest, now);
       engine->restsByStrikes = false;
       break;
--- a/src/engines/lister.cc
+++ b/src/engines/lister.cc
@@ -6,10 +6,10 @@
 namespace {
 
 constexpr Duration kPageTimeout = seconds(1);
-constexpr Duration kSilence = seconds(1.5);     // then a front asks for itself;
-constexpr Duration kLongSilence = seconds(2.6); // at most so long where lists have many pages
-constexpr Duration kProofEvery = seconds(0.5);  // that the list is still the same
-constexpr Duration kLoadingEnds = seconds(5);   // if nobody says it again
+constexpr Duration kSilence = seconds(1.5);      // then a front asks for itself;
+constexpr Duration kLongSilence = seconds(2.6);  // at most so long where lists have many pages
+constexpr Duration kProofEvery = seconds(0.5);   // that the list is still the same
+constexpr Duration kLoadingEnds = seconds(5);    // if nobody says it again
 constexpr Duration kLargestBackoff = seconds(4);
 constexpr std::size_t kLargestPages = 10'000;
 constexpr std::uint64_t kTags = 256;
@@ -18,8 +18,8 @@
 
 }  // namespace
 
-Lister::Lister(const Props& props, Membership& membership, Random& random)
-    : props_(props), membership_(membership), random_(random), tag_(random.below(kTags)) {}
+Lister::Lister(const Options& options, Membership& membership, Random& random)
+    : options_(options), membership_(membership), random_(random), tag_(random.below(kTags)) {}
 
 bool Lister::onItsOwn(MonotonicTime now) const {
   Duration silence = std::clamp(wordsGap_ * 1.3 + seconds(0.2), kSilence, kLongSilence);
@@ -43,13 +43,14 @@
 Duration Lister::ownPause() const {
   // All fronts together stay under a third of what the platform takes.
   auto calls = static_cast<double>(membership_.liveFronts().size() * pages_);
-  return std::max(seconds(1), seconds(3 * calls / props_.listRate));
+  return std::max(seconds(1), seconds(3 * calls / options_.listRate));
 }
 
 Duration Lister::pause() {
-  Duration pause = inCharge_ ? std::max(props_.listEvery,
-                                        seconds(3 * static_cast<double>(pages_) / props_.listRate))
-                             : ownPause() * (0.9 + 0.3 * random_.fraction());
+  Duration pause = inCharge_
+                       ? std::max(options_.listEvery,
+                                  seconds(3 * static_cast<double>(pages_) / options_.listRate))
+                       : ownPause() * (0.9 + 0.3 * random_.fraction());
   return pause + backoff_ * (0.75 + 0.5 * random_.fraction());
 }
 
@@ -148,8 +149,8 @@
 }
 
 void Lister::change(Roster next, MonotonicTime now, Outbox& outbox) {
-  std::string text = local_ || version_.value == 0 ? wholeText(next)
-                                                   : changeText(version_, roster_, next);
+  std::string text =
+      local_ || version_.value == 0 ? wholeText(next) : changeText(version_, roster_, next);
   roster_ = std::move(next);
   version_ = fleet_ = successor();
   local_ = restate_ = false;
@@ -158,17 +159,17 @@
   tell({version_, now - seen_, std::move(text)}, outbox);
 }
 
-void Lister::tell(const RosterNews& news, Outbox& outbox) {
+void Lister::tell(const DiscoveredEnginesUpdate& news, Outbox& outbox) {
   for (const auto& member : membership_.live())
     if (member.member != membership_.self().member) outbox.send(member.address, news);
 }
 
 void Lister::askWhole(const Address& from, Outbox& outbox) {
   outbox.count("lister.asked");
-  outbox.send(from, RosterAsk{local_ ? ListVersion{} : version_});
+  outbox.send(from, DiscoveredEnginesRequest{local_ ? ListVersion{} : version_});
 }
 
-bool Lister::hear(const Address& from, const RosterNews& news, MonotonicTime now,
+bool Lister::hear(const Address& from, const DiscoveredEnginesUpdate& news, MonotonicTime now,
                   Outbox& outbox) {
   MonotonicTime seen = now - std::max(news.age, Duration{});
   if (inCharge_) {
@@ -181,7 +182,7 @@
   if (news.version < fleet_) {
     // Late, or by a lister that doesn't know of a higher number under its own term.
     if (termOf(news.version) == termOf(fleet_) && seen > fleetSeen_)
-      outbox.send(from, RosterAsk{fleet_});
+      outbox.send(from, DiscoveredEnginesRequest{fleet_});
     return false;
   }
   fleet_ = news.version;
@@ -211,7 +212,8 @@
   return false;
 }
 
-void Lister::hear(const Address& from, const RosterAsk& ask, MonotonicTime now, Outbox& outbox) {
+void Lister::hear(const Address& from, const DiscoveredEnginesRequest& ask, MonotonicTime now,
+                  Outbox& outbox) {
   if (inCharge_ && ask.have > version_) {
     if (termOf(ask.have) != term_) return;
     fleet_ = std::max(fleet_, ask.have);
@@ -220,7 +222,8 @@
   }
   if (local_ || version_.value == 0 || ask.have > version_) return;
   bool same = ask.have == version_;
-  outbox.send(from, RosterNews{version_, now - seen_, same ? std::string{} : wholeText(roster_)});
+  outbox.send(from, DiscoveredEnginesUpdate{version_, now - seen_,
+                                            same ? std::string{} : wholeText(roster_)});
 }
 
 void Lister::loading(std::vector<EngineId> engines, MonotonicTime now, Outbox& outbox) {
--- a/src/engines/lister.h
+++ b/src/engines/lister.h
@@ -18,16 +18,19 @@
 /// that two parts that list under one term don't give one number to two lists.
 class Lister {
  public:
-  Lister(const Props& props, Membership& membership, Random& random);
+  Lister(const Options& options, Membership& membership, Random& random);
   /// `inCharge`: this core leads or vouches under its hold; `term` then orders its lists behind
   /// those of earlier ones. A front is never in charge. Example: each tick.
   void tick(bool inCharge, Epoch term, MonotonicTime now, Outbox& outbox);
   /// A page came; true if the ticket was its own. Example: on EnginesListed.
   bool listed(const EnginesListed& page, MonotonicTime now, Outbox& outbox);
-  /// The lister's word; true if the list changed here. Example: on a RosterNews.
-  bool hear(const Address& from, const RosterNews& news, MonotonicTime now, Outbox& outbox);
-  /// Someone lacks this list, or has one that should be older. Example: on a RosterAsk.
-  void hear(const Address& from, const RosterAsk& ask, MonotonicTime now, Outbox& outbox);
+  /// The lister's word; true if the list changed here. Example: on a DiscoveredEnginesUpdate.
+  bool hear(const Address& from, const DiscoveredEnginesUpdate& news, MonotonicTime now,
+            Outbox& outbox);
+  /// Someone lacks this list, or has one that should be older. Example: on a
+  /// DiscoveredEnginesRequest.
+  void hear(const Address& from, const DiscoveredEnginesRequest& ask, MonotonicTime now,
+            Outbox& outbox);
   /// Engines that take no requests since weights are being loaded there: part of the news. Has to
   /// be said again each tick; what nobody says for 5 s ends. Example: by the roll-out.
   void loading(std::vector<EngineId> engines, MonotonicTime now, Outbox& outbox);
@@ -42,27 +45,27 @@
   MonotonicTime seen() const { return seen_; }
   /// Whether this front asks for itself, as no lister is heard. Example: for the status page.
   bool onItsOwn(MonotonicTime now) const;
-  void reload(const Props& props) { props_ = props; }
+  void reload(const Options& options) { options_ = options; }
 
  private:
   void askPage(std::string page, MonotonicTime now, Outbox& outbox);
   void failed(int status, MonotonicTime now, Outbox& outbox);
   void complete(MonotonicTime now, Outbox& outbox);
   void change(Roster next, MonotonicTime now, Outbox& outbox);
-  void tell(const RosterNews& news, Outbox& outbox);
+  void tell(const DiscoveredEnginesUpdate& news, Outbox& outbox);
   void askWhole(const Address& from, Outbox& outbox);
   Duration pause();
   Duration ownPause() const;
   void noteFleetWord(MonotonicTime seen);
   ListVersion successor() const;
 
-  Props props_;
+  Options options_;
   Membership& membership_;
   Random& random_;
   Roster roster_;
-  ListVersion version_;   // of what is held here
-  ListVersion fleet_;     // the newest that any lister told of
-  bool local_ = false;    // what is held is this front's own and no fleet version
+  ListVersion version_;  // of what is held here
+  ListVersion fleet_;    // the newest that any lister told of
+  bool local_ = false;   // what is held is this front's own and no fleet version
   MonotonicTime seen_ = kNever;
   MonotonicTime fleetSeen_ = kNever;  // the same, by a lister's word alone
   Duration wordsGap_;                 // between its last two words
--- a/src/engines/rollout.cc
+++ b/src/engines/rollout.cc
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-Rollout::Rollout(const Props& props, Lister& lister) : props_(props), lister_(lister) {}
+Rollout::Rollout(const Options& options, Lister& lister) : options_(options), lister_(lister) {}
 
 void Rollout::begin(Epoch epoch, MonotonicTime now) {
   epoch_ = epoch;
@@ -29,7 +29,7 @@
   dirty_ = true;
   done_ = false;
   // Before the fleet's first epoch nobody gave an order.
-  firstOrderAt_ = epoch.value <= 1 ? now : now + props_.leaseLength;
+  firstOrderAt_ = epoch.value <= 1 ? now : now + options_.orderLease;
   for (const auto& id : lister_.loadingNow()) {
     const Engine* engine = listed(id);
     if (!engine) continue;
@@ -75,7 +75,7 @@
   auto namings = namings_.find(model);
   if (namings == namings_.end()) return kForever;
   for (const auto& naming : namings->second)
-    if (naming.version > version) return naming.since + props_.weightsWithin;
+    if (naming.version > version) return naming.since + options_.weightsWithin;
   return kForever;
 }
 
@@ -84,7 +84,7 @@
   foundAt_ = lister_.version();
   wanted_.clear();
   sizes_.clear();
-  std::map<std::pair<ServiceName, District>, std::size_t> places;
+  std::map<std::pair<ServiceName, Zone>, std::size_t> places;
   std::vector<std::pair<std::size_t, Wanted>> placed;
   for (const auto& engine : lister_.engines()) {
     if (engine.draining) continue;
@@ -95,8 +95,8 @@
       if (target == named_.end()) continue;
       WeightsVersion version = versionOf(engine, model);
       if (version >= target->second) continue;
-      placed.push_back({place, {engine.id, engine.service, model, target->second,
-                                deadlineOf(model, version)}});
+      placed.push_back(
+          {place, {engine.id, engine.service, model, target->second, deadlineOf(model, version)}});
       break;  // one model of an engine after the other
     }
   }
@@ -146,13 +146,13 @@
     double time = inSeconds(service.deadline - now - kLastResort);
     needed += time <= 0 ? static_cast<double>(wanted_.size()) : std::ceil(service.work / time);
   }
-  return std::max(static_cast<std::size_t>(props_.loadsAtOnce), static_cast<std::size_t>(needed));
+  return std::max(static_cast<std::size_t>(options_.loadsAtOnce), static_cast<std::size_t>(needed));
 }
 
 void Rollout::startNext(MonotonicTime now, Outbox& outbox) {
   if (now < firstOrderAt_) return;
-  auto busy = static_cast<std::size_t>(std::ranges::count_if(
-      steps_, [](const auto& entry) { return !entry.second.stuck; }));
+  auto busy = static_cast<std::size_t>(
+      std::ranges::count_if(steps_, [](const auto& entry) { return !entry.second.stuck; }));
   std::size_t allowed = loadsAllowed(now);
   for (const auto& wanted : wanted_) {
     if (steps_.contains(wanted.engine)) continue;
@@ -178,13 +178,13 @@
   }
 }
 
-void Rollout::tick(bool leads, Epoch epoch, MonotonicTime holdUntil, const Weights& weights,
+void Rollout::tick(bool leads, Epoch epoch, MonotonicTime leaseUntil, const Weights& weights,
                    const std::string& holder, MonotonicTime now, Outbox& outbox) {
   if (!leads) {
-    holdUntil_ = kNever;
+    leaseUntil_ = kNever;
     return;
   }
-  holdUntil_ = holdUntil;
+  leaseUntil_ = leaseUntil;
   holder_ = holder;
   if (epoch != epoch_) begin(epoch, now);
   if (fencedAt_ == epoch_) {  // a newer primary exists; it says what loads
--- a/src/engines/rollout.h
+++ b/src/engines/rollout.h
@@ -14,13 +14,13 @@
 namespace peppergate {
 
 /// Orders carry the view's epoch as their fence: it outlives a change of primary, and no two
-/// primaries share one. Example: `rollout.tick(leads, epoch, holdUntil, weights, now, outbox);`
+/// primaries share one. Example: `rollout.tick(leads, epoch, leaseUntil, weights, now, outbox);`
 class Rollout {
  public:
-  Rollout(const Props& props, Lister& lister);
-  /// `holdUntil` is the end of the primary's hold: no order is written after it. A new primary
+  Rollout(const Options& options, Lister& lister);
+  /// `leaseUntil` is the end of the primary's hold: no order is written after it. A new primary
   /// waits a whole lease before its first order. Example: each tick, after the lister's.
-  void tick(bool leads, Epoch epoch, MonotonicTime holdUntil, const Weights& weights,
+  void tick(bool leads, Epoch epoch, MonotonicTime leaseUntil, const Weights& weights,
             const std::string& holder, MonotonicTime now, Outbox& outbox);
   /// True if the ticket was its own. Example: on OrderAnswered, ReportAnswered.
   bool answered(const OrderAnswered& answer, MonotonicTime now, Outbox& outbox);
@@ -29,7 +29,7 @@
   bool done() const { return done_; }
   /// What is under way. Example: `status(now)["pending"]`.
   Json status(MonotonicTime now) const;
-  void reload(const Props& props) { props_ = props; }
+  void reload(const Options& options) { options_ = options; }
 
  private:
   /// How far one engine is.
@@ -45,7 +45,7 @@
     Address address;
     ModelName model;
     WeightsVersion target;
-    MonotonicTime since;      // in this phase
+    MonotonicTime since;  // in this phase
     MonotonicTime announcedAt;
     MonotonicTime deadline = kForever;
     MonotonicTime orderedAt = kNever;
@@ -54,8 +54,8 @@
     MonotonicTime ticketSince = kNever;
     std::optional<std::uint64_t> expectedCalls;
     int unanswered = 0;
-    bool stuck = false;       // its running requests take long: it holds up no other
-    bool inherited = false;   // an earlier primary had announced it
+    bool stuck = false;      // its running requests take long: it holds up no other
+    bool inherited = false;  // an earlier primary had announced it
   };
   struct Naming {
     WeightsVersion version;
@@ -82,19 +82,18 @@
   void startNext(MonotonicTime now, Outbox& outbox);
   void advance(const EngineId& engine, Step& step, MonotonicTime now, Outbox& outbox);
   void order(const EngineId& engine, Step& step, MonotonicTime now, Outbox& outbox);
-  void orderTurned(const EngineId& engine, OrderOutcome outcome, MonotonicTime now,
-                   Outbox& outbox);
+  void orderTurned(const EngineId& engine, OrderOutcome outcome, MonotonicTime now, Outbox& outbox);
   void reportCame(const EngineId& engine, const ReportAnswered& answer, MonotonicTime now);
   void noReport(const EngineId& engine, MonotonicTime now);
   void enter(Step& step, Phase phase, MonotonicTime now);
   void finish(const EngineId& engine, bool loaded, MonotonicTime now);
   void setAside(const EngineId& engine, Duration wait, MonotonicTime now);
 
-  Props props_;
+  Options options_;
   Lister& lister_;
   Epoch epoch_;
   std::optional<Epoch> fencedAt_;
-  MonotonicTime firstOrderAt_ = kForever, holdUntil_ = kNever;
+  MonotonicTime firstOrderAt_ = kForever, leaseUntil_ = kNever;
   std::string holder_;
   Models named_;
   std::map<ModelName, std::vector<Naming>> namings_;
@@ -105,8 +104,8 @@
     bool unsettled = false;  // the last one may have been taken
   };
   std::map<EngineId, Aside> aside_;
-  std::vector<Wanted> wanted_;               // in the order in which they are to load
-  std::map<ServiceName, std::size_t> sizes_; // engines of a service that stay
+  std::vector<Wanted> wanted_;                // in the order in which they are to load
+  std::map<ServiceName, std::size_t> sizes_;  // engines of a service that stay
   std::map<ServiceName, Duration> loadTimes_;
   std::map<TicketId, EngineId> orders_, reports_;
   ListVersion foundAt_;
--- a/src/engines/rollout_steps.cc
+++ b/src/engines/rollout_steps.cc
@@ -6,9 +6,9 @@
 namespace peppergate {
 namespace {
 
-constexpr Duration kAnnounced = milliseconds(120);   // so that fronts have stopped sending
+constexpr Duration kAnnounced = milliseconds(120);  // so that fronts have stopped sending
 constexpr Duration kReportEvery = milliseconds(200);
-constexpr Duration kReportsLag = seconds(0.6);       // before a report knows of an order
+constexpr Duration kReportsLag = seconds(0.6);  // before a report knows of an order
 constexpr Duration kHoldMargin = milliseconds(50);
 constexpr Duration kLastResort = seconds(1.5);
 constexpr Duration kRequestsTakeLong = seconds(3.5);
@@ -25,7 +25,7 @@
 }
 
 void Rollout::order(const EngineId& engine, Step& step, MonotonicTime now, Outbox& outbox) {
-  MonotonicTime writeBefore = holdUntil_ - kHoldMargin;
+  MonotonicTime writeBefore = leaseUntil_ - kHoldMargin;
   if (now >= writeBefore || now < firstOrderAt_) return;  // asked again at the next tick
   // The newest naming counts, as long as nothing was ordered.
   if (auto target = named_.find(step.model); target != named_.end())
--- a/src/engines/roster_text.cc
+++ b/src/engines/roster_text.cc
@@ -10,12 +10,9 @@
 Json entryJson(const Engine& engine) {
   Json models = Json::object();
   for (const auto& [model, version] : engine.models) models[model.value] = version.value;
-  Json entry{{"id", engine.id.value},
-             {"service", engine.service.value},
-             {"address", engine.address.value},
-             {"zone", engine.zone.value},
-             {"slots", engine.slots},
-             {"models", std::move(models)}};
+  Json entry{{"id", engine.id.value},           {"service", engine.service.value},
+             {"address", engine.address.value}, {"zone", engine.zone.value},
+             {"slots", engine.slots},           {"models", std::move(models)}};
   if (engine.draining) entry["draining"] = true;
   if (engine.warmupLeft.microseconds > 0) entry["warmup"] = engine.warmupLeft.microseconds;
   return entry;
--- a/src/io/daemon.cc
+++ b/src/io/daemon.cc
@@ -29,9 +29,10 @@
   void operator()(const WriteFile& command) const { daemon.disk_->write(command); }
   void operator()(const DropOlder& command) const { daemon.disk_->dropOlder(command); }
   void operator()(const CallWeb& command) const {
-    daemon.client_->call(command, [&daemon = daemon, ticket = command.ticket](const WebResult& got) {
-      daemon.step(WebAnswered{ticket, got.status, got.body});
-    });
+    daemon.client_->call(command,
+                         [&daemon = daemon, ticket = command.ticket](const WebResult& got) {
+                           daemon.step(WebAnswered{ticket, got.status, got.body});
+                         });
   }
   void operator()(const OpenShot& command) const {
     daemon.client_->shoot(command,
@@ -64,9 +65,11 @@
     if (command.end == AnswerEnd::kWhole)
       request->event("", "end", Json{{"pieces", command.next.value}}.dump());
     else
-      request->event("", "error", Json{{"error", command.kind},
-                                       {"mayHaveRun", command.mayHaveRun},
-                                       {"next", command.next.value}}.dump());
+      request->event("", "error",
+                     Json{{"error", command.kind},
+                          {"mayHaveRun", command.mayHaveRun},
+                          {"next", command.next.value}}
+                         .dump());
     request->end();
   }
   void operator()(const DeclineStream& command) const {
@@ -74,8 +77,8 @@
     if (owned.empty()) return;
     Headers headers{{"Content-Type", "application/json"}};
     if (command.retryAfter.microseconds > 0)
-      headers["Retry-After"] = std::to_string(std::max<std::int64_t>(
-          1, inMilliseconds(command.retryAfter) / 1000));
+      headers["Retry-After"] =
+          std::to_string(std::max<std::int64_t>(1, inMilliseconds(command.retryAfter) / 1000));
     if (!command.requestId.empty()) headers["X-Request-Id"] = command.requestId;
     Json body{{"error", command.kind}, {"mayHaveRun", command.mayHaveRun}};
     if (!command.field.empty()) body["field"] = command.field;
@@ -105,7 +108,7 @@
   self.address = setup_.member;
   self.pages = setup_.pages;
   self.role = role_;
-  self.district = setup_.district;
+  self.zone = setup_.zone;
   client_ = std::make_unique<WebClient>(loop_);
   hub_ = std::make_unique<MemberHub>(loop_, setup_.member, setup_.fleet,
                                      [this](const Address& from, Message message) {
@@ -118,7 +121,7 @@
                                             [this](const Event& event) { step(event); });
   absl::Status opened = role_ == Role::kCore ? openCore(self)
                         : doors_             ? openRouter(self)
-                                            : openFront(self);
+                                             : openFront(self);
   if (!opened.ok()) return opened;
   if (!setup_.pages.value.empty())
     if (auto status = pages_->listen(setup_.pages, kLargestPage); !status.ok()) return status;
@@ -130,13 +133,13 @@
   if (!files.ok()) return files.status();
   DiskFound found{*files};
   if (identityOn(found).value == 0) {
-    std::string identity = identityFile({freshNumber()}, setup_.founding);
+    std::string identity = identityFile({freshNumber()}, setup_.bootstrap);
     if (auto status = DiskTask::writeNow(setup_.dataFolder, "identity", identity); !status.ok())
       return status;
     found.files["identity"] = identity;
   }
-  node_ = std::make_unique<CoreNode>(setup_.props, self, setup_.seeds, found, freshNumber(),
-                                     bootNow(), setup_.founding);
+  node_ = std::make_unique<CoreNode>(setup_.options, self, setup_.seeds, found, freshNumber(),
+                                     bootNow(), setup_.bootstrap);
   if (doors_) static_cast<CoreNode&>(*node_).takeEngineDuties();
   disk_ = std::make_unique<DiskTask>(setup_.dataFolder, [this](const FileWritten& written) {
     loop_.post([this, written] { step(written); });
@@ -145,16 +148,16 @@
 }
 
 absl::Status Daemon::openFront(const MemberRecord& self) {
-  node_ = std::make_unique<FrontNode>(setup_.props, self, setup_.seeds, setup_.platform,
+  node_ = std::make_unique<FrontNode>(setup_.options, self, setup_.seeds, setup_.platform,
                                       freshNumber());
   callers_ = std::make_unique<WebServer>(
       loop_, [this](std::shared_ptr<WebRequest> request) { callerAsked(std::move(request)); });
   return callers_->listen(setup_.callers,
-                          static_cast<std::size_t>(setup_.props.largestBody) + 4096);
+                          static_cast<std::size_t>(setup_.options.largestBody) + 4096);
 }
 
 absl::Status Daemon::openRouter(const MemberRecord& self) {
-  node_ = std::make_unique<RouterNode>(setup_.props, self, setup_.seeds, setup_.regions,
+  node_ = std::make_unique<RouterNode>(setup_.options, self, setup_.seeds, setup_.regions,
                                        freshNumber());
   return doors_->listen(setup_.callers);
 }
@@ -168,8 +171,7 @@
   // Carrying out a command may bring the next event at once; the outer call goes on with it.
   if (stepping_) return;
   stepping_ = true;
-  for (auto commands = node_->outbox().take(); !commands.empty();
-       commands = node_->outbox().take())
+  for (auto commands = node_->outbox().take(); !commands.empty(); commands = node_->outbox().take())
     for (const auto& command : commands) std::visit(DaemonRunner{*this}, command);
   stepping_ = false;
 }
@@ -177,8 +179,7 @@
 void Daemon::callerAsked(std::shared_ptr<WebRequest> request) {
   bool unary = request->path == "/v1/desk";
   if (request->method != "POST" || (!unary && request->path != "/v1/stream")) {
-    request->answer(request->method == "POST" ? 404 : 405,
-                    {{"Content-Type", "application/json"}},
+    request->answer(request->method == "POST" ? 404 : 405, {{"Content-Type", "application/json"}},
                     R"({"error":"no-such-path","mayHaveRun":false})");
     return;
   }
@@ -189,7 +190,7 @@
   };
   answering_[stream].request = request;
   answering_[stream].unary = unary;
-  step(StreamAsked{stream, request->headers, request->body, unary});
+  step(StreamRequest{stream, request->headers, request->body, unary});
 }
 
 void Daemon::operatorAsked(std::shared_ptr<WebRequest> request) {
@@ -209,9 +210,9 @@
       operators_.erase(ticket);
       return request->answer(refusal.status, refusal.headers, refusal.body);
     }
-    if (call) return step(std::get<OperatorAsked>(*call));
+    if (call) return step(std::get<OperatorRequest>(*call));
   }
-  step(OperatorAsked{ticket, request->method, request->path, request->body});
+  step(OperatorRequest{ticket, request->method, request->path, request->body});
 }
 
 bool Daemon::answerReady(const std::shared_ptr<WebRequest>& request) {
@@ -227,7 +228,7 @@
   if (!doors_ || role_ == Role::kCore) return loop_.after(milliseconds(100), stop);
   // A connection that is open may bring a request at any moment: the process goes after the last.
   doors_->door().close();
-  bool over = bootNow() - leaving_ > setup_.props.graceTime - seconds(0.6);
+  bool over = bootNow() - leaving_ > setup_.options.graceTime - seconds(0.6);
   if (over || doors_->door().connections() == 0) loop_.soon(stop);
 }
 
@@ -259,8 +260,11 @@
     client_->cut(cut);
   }
   static constexpr std::array<std::pair<std::string_view, DiskFault>, 5> kFaults{
-      {{"good", DiskFault::kNone}, {"slow", DiskFault::kSlow}, {"stall", DiskFault::kStall},
-       {"full", DiskFault::kFull}, {"fail", DiskFault::kFailSync}}};
+      {{"good", DiskFault::kNone},
+       {"slow", DiskFault::kSlow},
+       {"stall", DiskFault::kStall},
+       {"full", DiskFault::kFull},
+       {"fail", DiskFault::kFailSync}}};
   for (const auto& [name, fault] : kFaults)
     if (disk_ && body.value("disk", "") == name) disk_->fault(fault);
   request->answer(200, {}, R"({"outcome":"done"})");
@@ -284,7 +288,7 @@
   }
 }
 
-int Daemon::run(std::function<absl::StatusOr<Props>()> reread) {
+int Daemon::run(std::function<absl::StatusOr<Options>()> reread) {
   LOG(INFO) << (role_ == Role::kCore ? "core" : "front") << " at " << setup_.member.value
             << ", pages at " << setup_.pages.value;
   loop_.every(milliseconds(50), [this] {
@@ -299,17 +303,17 @@
     LOG(INFO) << "draining";
     leaving_ = std::min(leaving_, bootNow());
     if (doors_ && role_ == Role::kFront) doors_->door().leave();
-    step(DrainAsked{});
+    step(DrainRequest{});
   };
   loop_.onSignal(SIGTERM, drain);
   loop_.onSignal(SIGINT, drain);
   loop_.onSignal(SIGHUP, [this, reread] {
-    auto props = reread();
-    if (props.ok()) {
+    auto options = reread();
+    if (options.ok()) {
       LOG(INFO) << "props reread";
-      node_->reload(*props);
+      node_->reload(*options);
     } else {
-      LOG(WARNING) << "props kept: " << std::string(props.status().message());
+      LOG(WARNING) << "props kept: " << std::string(options.status().message());
     }
   });
   signal(SIGPIPE, SIG_IGN);
--- a/src/io/daemon.h
+++ b/src/io/daemon.h
@@ -23,17 +23,17 @@
   Address pages;     // operators
   Address callers;   // callers, of a front
   Address platform;  // where the engine list is, of a front
-  District district;
+  Zone zone;
   std::vector<Address> seeds;
-  std::string dataFolder;   // of a core
-  Founding founding;        // of a core
-  Duration countersEvery;   // 0: counters are written to the log at the end only
-  bool rehearsal = false;   // faults may be asked for at the pages
+  std::string dataFolder;  // of a core
+  Bootstrap bootstrap;     // of a core
+  Duration countersEvery;  // 0: counters are written to the log at the end only
+  bool rehearsal = false;  // faults may be asked for at the pages
   // A daemon of another dialect than the product's own: its clients' door is at `callers`, the
   // operators' calls come to `pages`, readiness is asked at `pages` too.
   std::shared_ptr<const Dialect> dialect;
-  std::map<District, std::string> regions;  // of a router: each zone's
-  Props props;
+  std::map<Zone, std::string> regions;  // of a router: each zone's
+  Options options;
 };
 
 /// Example: `Daemon daemon(Role::kFront, setup); if (daemon.open().ok()) daemon.run();`
@@ -44,7 +44,7 @@
   /// Opens folder and ports; a wrong one is an error. Example: see the class.
   absl::Status open();
   /// Runs until a drain has ended. Example: see the class.
-  int run(std::function<absl::StatusOr<Props>()> reread);
+  int run(std::function<absl::StatusOr<Options>()> reread);
 
  private:
   friend struct DaemonRunner;
--- a/src/io/dialect.h
+++ b/src/io/dialect.h
@@ -53,7 +53,8 @@
   virtual std::string answerHeaders(const WireHead& head) const = 0;
   /// The headers of an answer of the system's own, each line with its CRLF; the door adds framing,
   /// the empty line and the refusal's kind as the text. Example: "Retry-After: 0.2\r\n".
-  virtual std::string refusalHeaders(const RefuseRequest& refusal, const std::string& clientId) const = 0;
+  virtual std::string refusalHeaders(const RefuseRequest& refusal,
+                                     const std::string& clientId) const = 0;
 
   // Calls to engines, stores and the platform.
   virtual HttpCall call(const ListEngines& command) const = 0;
@@ -70,8 +71,8 @@
   // Operators' calls, as the product's own operators' interface and back.
   /// Nothing: no such page, it is the product's own. Example: `dialect.readOperator(asked)`.
   struct OperatorCall {
-    OperatorAsked asked;  // in the product's own words
-    int kind = 0;         // given back to `operatorAnswer`
+    OperatorRequest asked;                  // in the product's own words
+    int kind = 0;                           // given back to `operatorAnswer`
     std::optional<AnswerWeb> refused = {};  // can't be read: this is the answer, nothing is asked
   };
   virtual std::optional<OperatorCall> readOperator(TicketId ticket, const std::string& method,
--- a/src/io/dialect_doors.cc
+++ b/src/io/dialect_doors.cc
@@ -31,14 +31,14 @@
 void DialectDoors::carryOut(const PollParts& command) { call(command, &Dialect::readPoll); }
 void DialectDoors::carryOut(const ListParts& command) { call(command, &Dialect::readParts); }
 
-std::optional<std::variant<OperatorAsked, AnswerWeb>> DialectDoors::operatorCall(
+std::optional<std::variant<OperatorRequest, AnswerWeb>> DialectDoors::operatorCall(
     TicketId ticket, const std::string& method, const std::string& path, const Headers& headers,
     const std::string& body) {
   auto call = dialect_.readOperator(ticket, method, path, headers, body);
   if (!call) return std::nullopt;
-  if (call->refused) return std::variant<OperatorAsked, AnswerWeb>(std::move(*call->refused));
+  if (call->refused) return std::variant<OperatorRequest, AnswerWeb>(std::move(*call->refused));
   operatorKinds_[ticket] = call->kind;
-  return std::variant<OperatorAsked, AnswerWeb>(std::move(call->asked));
+  return std::variant<OperatorRequest, AnswerWeb>(std::move(call->asked));
 }
 
 AnswerWeb DialectDoors::operatorAnswer(const AnswerWeb& answer) {
--- a/src/io/dialect_doors.h
+++ b/src/io/dialect_doors.h
@@ -10,7 +10,8 @@
 
 namespace peppergate {
 
-/// Example: `DialectDoors doors(loop, dialect, step); doors.listen(address); doors.carryOut(command);`
+/// Example: `DialectDoors doors(loop, dialect, step); doors.listen(address);
+/// doors.carryOut(command);`
 class DialectDoors {
  public:
   using Step = std::function<void(const Event&)>;
@@ -19,7 +20,9 @@
   absl::Status listen(const Address& address);
   /// Carries out one command of the requests' or engines' kinds. Example: see the class.
   template <class Other>
-  void carryOut(const Other&) { ++unknown_; }
+  void carryOut(const Other&) {
+    ++unknown_;
+  }
   void carryOut(const OpenAttempt& command);
   void carryOut(const CancelAttempt& command) { client_.cancel(command.attempt); }
   void carryOut(const PauseAttempt& command) { client_.pause(command.attempt, command.paused); }
@@ -34,9 +37,11 @@
   void carryOut(const ListParts& command);
   /// Takes an operator's call in the dialect's words: what is asked in the product's, or the
   /// refusal of one that can't be read; nothing if it is none of them.
-  std::optional<std::variant<OperatorAsked, AnswerWeb>> operatorCall(TicketId ticket, const std::string& method,
-                                            const std::string& path, const Headers& headers,
-                                            const std::string& body);
+  std::optional<std::variant<OperatorRequest, AnswerWeb>> operatorCall(TicketId ticket,
+                                                                       const std::string& method,
+                                                                       const std::string& path,
+                                                                       const Headers& headers,
+                                                                       const std::string& body);
   /// The product's answer, in the dialect's words where the call was. Example: before it is sent.
   AnswerWeb operatorAnswer(const AnswerWeb& answer);
   HttpDoor& door() { return door_; }
--- a/src/io/disk_task.cc
+++ b/src/io/disk_task.cc
@@ -39,8 +39,7 @@
   return status;
 }
 
-absl::Status writeAside(const FileCalls& calls, const std::string& path,
-                        std::string_view content) {
+absl::Status writeAside(const FileCalls& calls, const std::string& path, std::string_view content) {
   int descriptor = calls.openFile(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
   if (descriptor < 0)
     return noSpace() ? absl::ResourceExhaustedError("no space for " + path)
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -5,8 +5,8 @@
 namespace peppergate {
 namespace {
 
-constexpr std::size_t kLargestEvent = 4U << 20;      // of one that has not ended yet
-constexpr std::size_t kLargestAnswer = 16U << 20;    // of a call
+constexpr std::size_t kLargestEvent = 4U << 20;    // of one that has not ended yet
+constexpr std::size_t kLargestAnswer = 16U << 20;  // of a call
 
 std::string lowered(std::string text) {
   for (char& one : text)
@@ -180,8 +180,8 @@
 HttpClient::~HttpClient() = default;
 
 void HttpClient::attempt(const OpenAttempt& command, AttemptTaker taker) {
-  auto exchange = std::make_shared<AttemptExchange>(state_->room, state_->attempts, command,
-                                                    std::move(taker));
+  auto exchange =
+      std::make_shared<AttemptExchange>(state_->room, state_->attempts, command, std::move(taker));
   exchange->address = command.address;
   exchange->text = state_->room.dialect.attemptText(command);
   exchange->writeBefore = command.writeBefore;
@@ -207,8 +207,8 @@
 }
 
 void HttpClient::call(const HttpCall& call, CallTaker taker) {
-  auto exchange = std::make_shared<CallExchange>(state_->room, state_->calls,
-                                                 call.method == "HEAD", std::move(taker));
+  auto exchange = std::make_shared<CallExchange>(state_->room, state_->calls, call.method == "HEAD",
+                                                 std::move(taker));
   exchange->address = call.address;
   exchange->text = callText(call);
   exchange->writeBefore = call.writeBefore;
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -10,7 +10,8 @@
 namespace peppergate {
 
 /// A connection is kept only after an answer that ended by its own length, carried the id that was
-/// asked, and had nothing behind it. Example: `client.attempt(open, [](AttemptTurned turned) {...})`.
+/// asked, and had nothing behind it. Example: `client.attempt(open, [](AttemptTurned turned)
+/// {...})`.
 class HttpClient {
  public:
   using AttemptTaker = std::function<void(AttemptTurned)>;
--- a/src/io/http_client_connection.cc
+++ b/src/io/http_client_connection.cc
@@ -41,7 +41,7 @@
 void Exchange::fail() {
   if (done) return;
   auto keep = shared_from_this();
-  if (written) tellNews();
+  if (written) sendStateUpdate();
   if (done) return;
   done = true;
   stopTimer();
@@ -60,7 +60,7 @@
   whole();
 }
 
-void Exchange::tellNews() {
+void Exchange::sendStateUpdate() {
   if (done) return;
   if (written && !std::exchange(told, true)) tellWritten();
   if (doomed) fail();
@@ -158,7 +158,7 @@
 
 void ClientConnection::take(std::string_view bytes) {
   auto exchange = exchange_;
-  exchange->tellNews();
+  exchange->sendStateUpdate();
   std::string body;
   while (!exchange->done) {
     switch (exchange->reader.next(bytes, body)) {
@@ -195,24 +195,24 @@
 
 ClientRoom::ClientRoom(Loop& loop, const Dialect& dialect)
     : loop(loop), dialect(dialect), buffer(64U << 10) {
-  event_assign(&newsEvent_, loop.base(), -1, 0, &ClientRoom::onNews, this);
+  event_assign(&stateUpdateEvent_, loop.base(), -1, 0, &ClientRoom::onNews, this);
   event_assign(&tickEvent_, loop.base(), -1, EV_PERSIST, &ClientRoom::onTick, this);
 }
 
 ClientRoom::~ClientRoom() {
-  event_del(&newsEvent_);
+  event_del(&stateUpdateEvent_);
   event_del(&tickEvent_);
   for (auto& [key, connection] : std::exchange(connections, {})) connection->close();
 }
 
 void ClientRoom::onNews(evutil_socket_t, short, void* room) {
   auto news = std::exchange(static_cast<ClientRoom*>(room)->news_, {});
-  for (auto& exchange : news) exchange->tellNews();
+  for (auto& exchange : news) exchange->sendStateUpdate();
 }
 
 void ClientRoom::tellSoon(std::shared_ptr<Exchange> exchange) {
   news_.push_back(std::move(exchange));
-  event_active(&newsEvent_, EV_TIMEOUT, 0);
+  event_active(&stateUpdateEvent_, EV_TIMEOUT, 0);
 }
 
 void ClientRoom::start(const std::shared_ptr<Exchange>& exchange) {
--- a/src/io/http_client_connection.h
+++ b/src/io/http_client_connection.h
@@ -37,7 +37,7 @@
   /// Ends it with its answer whole.
   void finish();
   /// Tells what could not be told at once. Called by the room only.
-  void tellNews();
+  void sendStateUpdate();
   /// Calls `fail` when the time is up. Example: a call's time limit.
   void startTimer(Duration time);
   void stopTimer();
@@ -50,16 +50,16 @@
   AnswerReader reader;
   std::shared_ptr<ClientConnection> connection;
   bool written = false, told = false, doomed = false, done = false, paused = false;
-  bool timed = false;     // a timer runs
-  bool bounded = false;   // it bounds the whole exchange, not the connect alone
+  bool timed = false;    // a timer runs
+  bool bounded = false;  // it bounds the whole exchange, not the connect alone
 
  private:
   event timer_;
 };
 
 /// Kept connections in order of their keeping.
-struct KeptHook : boost::intrusive::list_base_hook<
-                      boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+struct KeptHook
+    : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
   MonotonicTime keptUntil;
 };
 
@@ -118,7 +118,7 @@
   void dropOldest();
 
   std::vector<std::shared_ptr<Exchange>> news_;
-  event newsEvent_, tickEvent_;
+  event stateUpdateEvent_, tickEvent_;
   bool ticking_ = false;
 };
 
--- a/src/io/http_door.cc
+++ b/src/io/http_door.cc
@@ -20,8 +20,7 @@
 }  // namespace
 
 struct HttpDoor::State {
-  State(Loop& loop, const Dialect& dialect, Hooks hooks)
-      : room(loop, dialect, std::move(hooks)) {}
+  State(Loop& loop, const Dialect& dialect, Hooks hooks) : room(loop, dialect, std::move(hooks)) {}
   DoorRoom room;
   evconnlistener* listener = nullptr;
   bool listening = true;
@@ -117,10 +116,10 @@
   sockaddr_in place{};
   if (!parseAddress(address.value, place))
     return absl::InvalidArgumentError("'" + address.value + "' is no address");
-  state_->listener = evconnlistener_new_bind(
-      state_->room.loop.base(), &State::onAccept, state_.get(),
-      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, kBacklog,
-      reinterpret_cast<sockaddr*>(&place), sizeof place);
+  state_->listener =
+      evconnlistener_new_bind(state_->room.loop.base(), &State::onAccept, state_.get(),
+                              LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+                              kBacklog, reinterpret_cast<sockaddr*>(&place), sizeof place);
   if (state_->listener == nullptr)
     return absl::UnavailableError("can't listen at " + address.value + ": " + strerror(errno));
   evconnlistener_set_error_cb(state_->listener, &State::onAcceptError);
--- a/src/io/http_door_connection.cc
+++ b/src/io/http_door_connection.cc
@@ -250,9 +250,9 @@
   if (!refusal.kind.empty()) pending_ += "Content-Type: text/plain\r\n";
   pending_ += "Content-Length: ";
   pending_ += numberText(refusal.kind.empty() ? 0 : refusal.kind.size() + 1);
-  pending_ += close            ? "\r\nConnection: close\r\n\r\n"
+  pending_ += close          ? "\r\nConnection: close\r\n\r\n"
               : head_.http10 ? "\r\nConnection: keep-alive\r\n\r\n"
-                               : "\r\n\r\n";
+                             : "\r\n\r\n";
   if (!refusal.kind.empty() && head_.method != "HEAD") {
     pending_ += refusal.kind;
     pending_ += '\n';
--- a/src/io/http_door_connection.h
+++ b/src/io/http_door_connection.h
@@ -15,14 +15,20 @@
 
 /// What a connection waits for; each kind of wait has one length, so its list is in order of age.
 enum class DoorWait : std::uint8_t {
-  kIdle = 0, kHead, kBody, kWrite, kLinger, kHalfClosed, kNothing
+  kIdle = 0,
+  kHead,
+  kBody,
+  kWrite,
+  kLinger,
+  kHalfClosed,
+  kNothing
 };
 
 class DoorConnection;
 
 /// One in the lists of waits; it leaves its list by itself. Example: `waits[kind].push_back(one)`.
-struct DoorWaiting : boost::intrusive::list_base_hook<
-                         boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+struct DoorWaiting
+    : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
   /// The wait took too long; afterwards it is over or begins anew.
   virtual void overdue() = 0;
   MonotonicTime since;
@@ -33,8 +39,7 @@
 
 /// What the connections of one door share.
 struct DoorRoom {
-  using WaitList =
-      boost::intrusive::list<DoorWaiting, boost::intrusive::constant_time_size<false>>;
+  using WaitList = boost::intrusive::list<DoorWaiting, boost::intrusive::constant_time_size<false>>;
   DoorRoom(Loop& loop, const Dialect& dialect, HttpDoor::Hooks hooks)
       : loop(loop), dialect(dialect), hooks(std::move(hooks)), buffer(64U << 10) {}
   /// Asks for a connection's output to be written once the present event has been dealt with.
--- a/src/io/http_parse.cc
+++ b/src/io/http_parse.cc
@@ -22,15 +22,15 @@
   for (char one = '0'; one <= '9'; ++one) table[static_cast<unsigned char>(one)] = true;
   for (char one = 'a'; one <= 'z'; ++one) table[static_cast<unsigned char>(one)] = true;
   for (char one = 'A'; one <= 'Z'; ++one) table[static_cast<unsigned char>(one)] = true;
-  for (char one : std::string_view("!#$%&'*+-.^_`|~")) table[static_cast<unsigned char>(one)] = true;
+  for (char one : std::string_view("!#$%&'*+-.^_`|~"))
+    table[static_cast<unsigned char>(one)] = true;
   return table;
 }
 constexpr std::array<bool, 256> kToken = tokenTable();
 
 constexpr std::string_view kConnectionHeaders[] = {
-    "connection",        "content-length",      "expect",  "keep-alive",
-    "proxy-connection",  "te",                  "trailer", "transfer-encoding",
-    "upgrade",           "proxy-authorization", "proxy-authenticate"};
+    "connection", "content-length",    "expect",  "keep-alive",          "proxy-connection",  "te",
+    "trailer",    "transfer-encoding", "upgrade", "proxy-authorization", "proxy-authenticate"};
 
 bool clean(std::string_view text) {
   return std::none_of(text.begin(), text.end(), [](char one) {
@@ -64,7 +64,8 @@
 void readKeepTime(std::string_view value, HttpHead& head) {
   eachElement(value, [&](std::string_view element) {
     constexpr std::string_view kName = "timeout=";
-    if (element.size() <= kName.size() || !sameToken(element.substr(0, kName.size()), kName)) return;
+    if (element.size() <= kName.size() || !sameToken(element.substr(0, kName.size()), kName))
+      return;
     if (auto told = readLength(element.substr(kName.size())); told && *told < 1'000'000)
       head.keepTime = seconds(static_cast<double>(*told));
   });
@@ -137,9 +138,16 @@
   }
 };
 
-constexpr http_parser_settings kHeadSettings{
-    nullptr, &HeadTaker::target, &HeadTaker::reason,   &HeadTaker::name, &HeadTaker::value,
-    &HeadTaker::complete, nullptr, nullptr, nullptr, nullptr};
+constexpr http_parser_settings kHeadSettings{nullptr,
+                                             &HeadTaker::target,
+                                             &HeadTaker::reason,
+                                             &HeadTaker::name,
+                                             &HeadTaker::value,
+                                             &HeadTaker::complete,
+                                             nullptr,
+                                             nullptr,
+                                             nullptr,
+                                             nullptr};
 
 HeadFault readHead(std::string_view text, http_parser_type type, HttpHead& head,
                    FrameWords& words) {
@@ -196,9 +204,7 @@
   return length;
 }
 
-std::string_view reasonOf(int status) {
-  return http_status_str(static_cast<http_status>(status));
-}
+std::string_view reasonOf(int status) { return http_status_str(static_cast<http_status>(status)); }
 
 HeadScanner::Found HeadScanner::scan(std::string_view bytes) {
   if (next_ == 0 && !bytes.empty() && !kToken[static_cast<unsigned char>(bytes[0])])
@@ -270,9 +276,9 @@
   };
   switch (state_) {
     case State::kSize: {
-      int digit = byte >= '0' && byte <= '9'                       ? byte - '0'
+      int digit = byte >= '0' && byte <= '9'                 ? byte - '0'
                   : lower(byte) >= 'a' && lower(byte) <= 'f' ? lower(byte) - 'a' + 10
-                                                                   : -1;
+                                                             : -1;
       if (digit >= 0) {
         if (++seen_ > kMostLengthDigits) return kBad;
         left_ = left_ * 16 + static_cast<std::uint64_t>(digit);
--- a/src/io/http_parse.h
+++ b/src/io/http_parse.h
@@ -25,7 +25,8 @@
 
 /// Finds the end of a head while its bytes come. Every line ends in CRLF, none is folded, no blank
 /// stands before a colon, no control character anywhere. Example:
-/// `HeadScanner scanner; if (scanner.scan(bytes) == HeadScanner::Found::kWhole) use(scanner.size());`
+/// `HeadScanner scanner; if (scanner.scan(bytes) == HeadScanner::Found::kWhole)
+/// use(scanner.size());`
 class HeadScanner {
  public:
   enum class Found : std::uint8_t { kPartial, kWhole, kBad };
@@ -38,7 +39,14 @@
 };
 
 enum class BodyFraming : std::uint8_t { kNone, kLength, kChunked, kUntilClose };
-enum class HeadFault : std::uint8_t { kNone, kMalformed, kVersion, kEncoding, kExpectation, kMethod };
+enum class HeadFault : std::uint8_t {
+  kNone,
+  kMalformed,
+  kVersion,
+  kEncoding,
+  kExpectation,
+  kMethod
+};
 
 /// One head as read; names and values as sent, values without the blanks round them.
 struct HttpHead {
@@ -50,8 +58,8 @@
   std::string host;
   BodyFraming framing = BodyFraming::kNone;
   std::optional<std::uint64_t> length;  // as told, also where no body follows
-  bool keepAlive = true;   // by version and Connection
-  bool closeTold = false;  // `Connection: close` was there
+  bool keepAlive = true;                // by version and Connection
+  bool closeTold = false;               // `Connection: close` was there
   bool expectContinue = false;
   std::optional<Duration> keepTime;  // `Keep-Alive: timeout=N`
 };
@@ -75,12 +83,21 @@
 
  private:
   enum class State : std::uint8_t {
-    kSize, kExtension, kSizeEnd, kData, kDataReturn, kDataEnd, kTrailer, kTrailerEnd, kDone, kBad
+    kSize,
+    kExtension,
+    kSizeEnd,
+    kData,
+    kDataReturn,
+    kDataEnd,
+    kTrailer,
+    kTrailerEnd,
+    kDone,
+    kBad
   };
   Found step(char byte);
   State state_ = State::kSize;
-  std::uint64_t left_ = 0;     // of the present chunk
-  std::size_t seen_ = 0;       // digits of a size, or bytes of an extension or of all trailers
+  std::uint64_t left_ = 0;  // of the present chunk
+  std::size_t seen_ = 0;    // digits of a size, or bytes of an extension or of all trailers
   std::size_t trailerLine_ = 0;
 };
 
--- a/src/io/member_hub.cc
+++ b/src/io/member_hub.cc
@@ -66,8 +66,7 @@
     }
     auto incoming = std::make_unique<Incoming>();
     incoming->hub = hub;
-    incoming->connection =
-        bufferevent_socket_new(hub->loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE);
+    incoming->connection = bufferevent_socket_new(hub->loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE);
     static constexpr auto kRead = [](bufferevent*, void* in) {
       auto* one = static_cast<Incoming*>(in);
       one->hub->takeFrames(*one);
--- a/src/io/web_client.cc
+++ b/src/io/web_client.cc
@@ -60,8 +60,7 @@
   evkeyvalq* output = evhttp_request_get_output_headers(request);
   evhttp_add_header(output, "Host", address.value.c_str());
   evhttp_add_header(output, "Connection", "close");
-  for (const auto& [name, value] : headers)
-    evhttp_add_header(output, name.c_str(), value.c_str());
+  for (const auto& [name, value] : headers) evhttp_add_header(output, name.c_str(), value.c_str());
   if (!body.empty())
     evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
 }
@@ -158,15 +157,20 @@
     if (evhttp_request_get_response_code(request) != 200) return;
     alive->events.feed(text, [&](const EventReader::OneEvent& event) {
       if (event.event == "piece")
-        alive->tell({alive->id, ShotTurn::kPiece,
-                     {std::strtoull(event.id.c_str(), nullptr, 10)}, event.data, alive->echo, 200});
+        alive->tell({alive->id,
+                     ShotTurn::kPiece,
+                     {std::strtoull(event.id.c_str(), nullptr, 10)},
+                     event.data,
+                     alive->echo,
+                     200});
       else if (event.event == "end") alive->finish(ShotTurn::kEnded, 200);
       else if (event.event == "error") alive->finish(ShotTurn::kBroken, 200);
     });
   }
   static int shotHeaders(evhttp_request* request, void* argument) {
     auto* shot = static_cast<WebClient::Shot*>(argument);
-    const char* echo = evhttp_find_header(evhttp_request_get_input_headers(request), "X-Request-Id");
+    const char* echo =
+        evhttp_find_header(evhttp_request_get_input_headers(request), "X-Request-Id");
     shot->echo = echo == nullptr ? "" : echo;
     return 0;
   }
@@ -179,7 +183,8 @@
     if (!alive->guard.written) alive->finish(ShotTurn::kNotWritten, 0);
     else if (status != 0 && status != 200) {
       // Only an engine that says so did not run; anything else may have.
-      const char* word = evhttp_find_header(evhttp_request_get_input_headers(request), "X-Did-Not-Run");
+      const char* word =
+          evhttp_find_header(evhttp_request_get_input_headers(request), "X-Did-Not-Run");
       alive->finish(word != nullptr ? ShotTurn::kDeclined : ShotTurn::kBroken, status);
     } else {
       alive->finish(ShotTurn::kBroken, status);  // an end without the end event is a cut
--- a/src/io/web_server.cc
+++ b/src/io/web_server.cc
@@ -12,8 +12,7 @@
 
 void addHeaders(evhttp_request* request, const Headers& headers) {
   evkeyvalq* output = evhttp_request_get_output_headers(request);
-  for (const auto& [name, value] : headers)
-    evhttp_add_header(output, name.c_str(), value.c_str());
+  for (const auto& [name, value] : headers) evhttp_add_header(output, name.c_str(), value.c_str());
 }
 
 constexpr int kIdleSeconds = 10;    // for a caller that says nothing, or half a request
@@ -44,8 +43,7 @@
     request->path = path == nullptr ? "/" : path;
     request->query = query == nullptr ? "" : query;
     evkeyvalq* headers = evhttp_request_get_input_headers(raw);
-    for (evkeyval* header = headers->tqh_first; header != nullptr;
-         header = header->next.tqe_next) {
+    for (evkeyval* header = headers->tqh_first; header != nullptr; header = header->next.tqe_next) {
       std::string name = header->key;
       std::ranges::transform(name, name.begin(),
                              [](unsigned char letter) { return std::tolower(letter); });
@@ -95,7 +93,8 @@
 void WebRequest::event(std::string_view id, std::string_view name, std::string_view data) {
   if (request_ == nullptr) return;
   evbuffer* buffer = evbuffer_new();
-  if (!id.empty()) evbuffer_add_printf(buffer, "id: %.*s\n", static_cast<int>(id.size()), id.data());
+  if (!id.empty())
+    evbuffer_add_printf(buffer, "id: %.*s\n", static_cast<int>(id.size()), id.data());
   evbuffer_add_printf(buffer, "event: %.*s\ndata: ", static_cast<int>(name.size()), name.data());
   evbuffer_add(buffer, data.data(), data.size());
   evbuffer_add(buffer, "\n\n", 2);
--- a/src/place/place.cc
+++ b/src/place/place.cc
@@ -10,18 +10,18 @@
 namespace peppergate {
 namespace {
 
-/// The file's things as variables: each holds the number of its district.
+/// The file's things as variables: each holds the number of its zone.
 struct Model {
   z3::context context;
   z3::solver solver{context};
-  std::vector<std::string> districts;
+  std::vector<std::string> zones;
   std::map<std::string, z3::expr> things;
   std::map<std::string, std::int64_t> weight;  // an engine's places, a tenant's usage
   std::vector<std::string> engines, tenants;
 
   z3::expr number(std::int64_t value) { return context.int_val(static_cast<std::int64_t>(value)); }
-  z3::expr in(const std::string& thing, std::size_t district) {
-    return things.at(thing) == number(static_cast<std::int64_t>(district));
+  z3::expr in(const std::string& thing, std::size_t zone) {
+    return things.at(thing) == number(static_cast<std::int64_t>(zone));
   }
   /// Every rule is tracked by a name, so that a conflict can name it.
   void rule(const std::string& name, const z3::expr& what) {
@@ -35,10 +35,11 @@
 
 absl::Status addThings(Model& model, const Json& file, const char* kind, const char* weight,
                        std::vector<std::string>& names) {
-  auto count = static_cast<std::int64_t>(model.districts.size());
+  auto count = static_cast<std::int64_t>(model.zones.size());
   for (const auto& entry : file.value(kind, Json::array())) {
     std::string id = entry.at("id");
-    if (model.things.contains(id)) return wrong(std::string("[") + kind + "]", "'" + id + "' twice");
+    if (model.things.contains(id))
+      return wrong(std::string("[") + kind + "]", "'" + id + "' twice");
     z3::expr variable = model.context.int_const(("thing " + id).c_str());
     model.things.emplace(id, variable);
     model.weight[id] = entry.value(weight, std::int64_t{1});
@@ -48,18 +49,17 @@
   return absl::OkStatus();
 }
 
-/// The places of engines in a district have to carry the usage of its tenants.
+/// The places of engines in a zone have to carry the usage of its tenants.
 void addCapacity(Model& model) {
-  for (std::size_t district = 0; district < model.districts.size(); ++district) {
+  for (std::size_t zone = 0; zone < model.zones.size(); ++zone) {
     z3::expr places = model.number(0), usage = model.number(0);
     for (const auto& engine : model.engines)
-      places = places + z3::ite(model.in(engine, district), model.number(model.weight[engine]),
-                                model.number(0));
+      places = places +
+               z3::ite(model.in(engine, zone), model.number(model.weight[engine]), model.number(0));
     for (const auto& tenant : model.tenants)
-      usage = usage + z3::ite(model.in(tenant, district), model.number(model.weight[tenant]),
-                              model.number(0));
-    if (!model.tenants.empty())
-      model.rule("capacity of " + model.districts[district], usage <= places);
+      usage = usage +
+              z3::ite(model.in(tenant, zone), model.number(model.weight[tenant]), model.number(0));
+    if (!model.tenants.empty()) model.rule("capacity of " + model.zones[zone], usage <= places);
   }
 }
 
@@ -68,23 +68,24 @@
   std::string name = entry.at("name"), kind = entry.at("kind");
   std::vector<std::string> things = entry.value("of", std::vector<std::string>{});
   for (const auto& thing : things)
-    if (!model.things.contains(thing)) return wrong(field + "[of]", "nothing named '" + thing + "'");
-  std::size_t district = 0;
+    if (!model.things.contains(thing))
+      return wrong(field + "[of]", "nothing named '" + thing + "'");
+  std::size_t zone = 0;
   if (entry.contains("district")) {
-    auto found = std::ranges::find(model.districts, entry["district"].get<std::string>());
-    if (found == model.districts.end()) return wrong(field + "[district]", "no such district");
-    district = static_cast<std::size_t>(found - model.districts.begin());
+    auto found = std::ranges::find(model.zones, entry["district"].get<std::string>());
+    if (found == model.zones.end()) return wrong(field + "[district]", "no such district");
+    zone = static_cast<std::size_t>(found - model.zones.begin());
   }
   bool needsDistrict = kind == "in" || kind == "not-in" || kind == "at-most" || kind == "at-least";
   if (needsDistrict && !entry.contains("district")) return wrong(field + "[district]", "is needed");
   z3::expr all = model.context.bool_val(true);
   z3::expr count = model.number(0);
   for (const auto& thing : things)
-    count = count + z3::ite(model.in(thing, district), model.number(1), model.number(0));
+    count = count + z3::ite(model.in(thing, zone), model.number(1), model.number(0));
   for (std::size_t one = 0; one < things.size(); ++one) {
     const z3::expr& first = model.things.at(things[one]);
-    if (kind == "in") all = all && model.in(things[one], district);
-    if (kind == "not-in") all = all && !model.in(things[one], district);
+    if (kind == "in") all = all && model.in(things[one], zone);
+    if (kind == "not-in") all = all && !model.in(things[one], zone);
     for (std::size_t other = one + 1; other < things.size(); ++other) {
       const z3::expr& second = model.things.at(things[other]);
       if (kind == "apart") all = all && first != second;
@@ -103,9 +104,10 @@
 absl::StatusOr<PlacementSolution> solvePlacement(std::string_view text) {
   Json file = Json::parse(text, nullptr, false);
   if (file.is_discarded()) return wrong("<root>", "is no JSON");
-  if (auto fault = checkSchema(SchemaName::kPlacement, file)) return wrong(fault->field, fault->detail);
+  if (auto fault = checkSchema(SchemaName::kPlacement, file))
+    return wrong(fault->field, fault->detail);
   Model model;
-  model.districts = file["districts"].get<std::vector<std::string>>();
+  model.zones = file["districts"].get<std::vector<std::string>>();
   for (auto [kind, weight, names] : {std::tuple{"engines", "places", &model.engines},
                                      std::tuple{"tenants", "usage", &model.tenants}})
     if (auto status = addThings(model, file, kind, weight, *names); !status.ok()) return status;
@@ -132,9 +134,9 @@
   placement.possible = true;
   z3::model solved = model.solver.get_model();
   for (const auto& [thing, variable] : model.things) {
-    auto district = static_cast<std::size_t>(solved.eval(variable, true).get_numeral_int());
+    auto zone = static_cast<std::size_t>(solved.eval(variable, true).get_numeral_int());
     bool engine = std::ranges::find(model.engines, thing) != model.engines.end();
-    (engine ? placement.engines : placement.tenants)[thing] = model.districts.at(district);
+    (engine ? placement.engines : placement.tenants)[thing] = model.zones.at(zone);
   }
   return placement;
 }
--- a/src/prompts/cost.cc
+++ b/src/prompts/cost.cc
@@ -5,9 +5,9 @@
 namespace peppergate {
 namespace {
 
-constexpr double kSafePart = 0.6;   // of the target; an estimate below it is in time
-constexpr double kSteep = 4;        // above it, until the target itself
-constexpr double kMoveMs = 2;       // a move's own time besides its bytes
+constexpr double kSafePart = 0.6;          // of the target; an estimate below it is in time
+constexpr double kSteep = 4;               // above it, until the target itself
+constexpr double kMoveMs = 2;              // a move's own time besides its bytes
 constexpr double kLongestMoveWait = 2000;  // engines begin no move that would wait longer
 
 int priceOf(int crossing) { return crossing >= 10 ? 3 : crossing; }
@@ -23,8 +23,8 @@
 CandidateCost costOf(const CandidateNumbers& is, const CostWeights& weights) {
   CandidateCost cost;
   double linkMs = is.linkMegabytes > 0 ? 1000 / is.linkMegabytes : 0;
-  bool collects = is.collects && is.reach > is.kept && linkMs > 0 &&
-                  is.linkWait <= kLongestMoveWait;
+  bool collects =
+      is.collects && is.reach > is.kept && linkMs > 0 && is.linkWait <= kLongestMoveWait;
   double begin = collects ? is.reach : is.kept;
   cost.moved = collects ? is.reach - is.kept : 0;
   cost.toRead = std::max(0.0, is.prompt - begin);
@@ -37,7 +37,8 @@
   // Shared parts: read again though somebody keeps them, or read first where others don't look.
   double known = std::min(std::max(is.reach, is.kept), is.shared);
   cost.total += std::max(0.0, known - begin) * weights.rereadToken;
-  cost.total += std::max(0.0, is.shared - std::max(known, begin)) * weights.firstReadToken * is.away;
+  cost.total +=
+      std::max(0.0, is.shared - std::max(known, begin)) * weights.firstReadToken * is.away;
   cost.total += std::max(0.0, known - std::min(is.kept, known)) * weights.copiedToken;
   cost.total += megabytes / 1000 * weights.movedGigabyte * priceOf(is.crossing);
   if (is.otherZone) cost.total += weights.otherZone;
--- a/src/prompts/fetch_setup.cc
+++ b/src/prompts/fetch_setup.cc
@@ -28,9 +28,9 @@
 }  // namespace
 
 std::string_view className(int urgency) {
-  return std::ranges::find_if(kClassParts, [&](const ClassPart& one) {
-           return urgency < one.urgencyBelow;
-         })->name;
+  return std::ranges::find_if(kClassParts,
+                              [&](const ClassPart& one) { return urgency < one.urgencyBelow; })
+      ->name;
 }
 
 Setup fetchSetup(const Setup& operators, const FleetConfig& fleet) {
@@ -43,7 +43,8 @@
   bool own = operators.rungs.size() > 1;
   if (own) setup.rungs = operators.rungs;
   else if (link > 0)
-    for (const auto& [name, part] : kRungParts) setup.rungs.push_back({std::string(name), link * part});
+    for (const auto& [name, part] : kRungParts)
+      setup.rungs.push_back({std::string(name), link * part});
   if (own) setup.classes = operators.classes;
   if (setup.rungs.empty()) return setup;
   // The worth of the lowest rung is 1 less the steepness, whatever the links' size.
--- a/src/prompts/part_index.cc
+++ b/src/prompts/part_index.cc
@@ -82,11 +82,12 @@
 
 void PartIndex::clear(std::uint32_t slot) {
   auto& list = slots_[slot].parts;
-  while (!list.empty()) drop(slot, kept_.find(PartView{list.back()->first.salt, list.back()->first.part}));
+  while (!list.empty())
+    drop(slot, kept_.find(PartView{list.back()->first.salt, list.back()->first.part}));
   list.shrink_to_fit();
 }
 
-bool PartIndex::hear(const PartNews& news) {
+bool PartIndex::hear(const PrefixBlockUpdate& news) {
   std::uint32_t number = slotOf(news.engine);
   const PartMark& mark = slots_[number].mark;
   if (slots_[number].told && mark.epoch == news.epoch && news.next < mark.next)
@@ -192,8 +193,8 @@
   return slots_[found->second].mark;
 }
 
-PartNews PartIndex::whole(const EngineId& engine) const {
-  PartNews news;
+PrefixBlockUpdate PartIndex::whole(const EngineId& engine) const {
+  PrefixBlockUpdate news;
   news.engine = engine;
   news.whole = true;
   auto found = slotOf_.find(engine);
--- a/src/prompts/part_index.h
+++ b/src/prompts/part_index.h
@@ -30,10 +30,12 @@
 /// Example: `index.keptTokens(engine, salt, parts)` is how much of a prompt it needs not read.
 class PartIndex final : public KeptParts {
  public:
-  /// A watcher's word; false if changes before it are missing here. Example: on a PartNews.
-  bool hear(const PartNews& news);
+  /// A watcher's word; false if changes before it are missing here. Example: on a
+  /// PrefixBlockUpdate.
+  bool hear(const PrefixBlockUpdate& news);
   /// What this front expects once a request's first event came. Example: after a read.
-  void expect(const EngineId& engine, const std::string& salt, std::span<const PartSize> parts) override;
+  void expect(const EngineId& engine, const std::string& salt,
+              std::span<const PartSize> parts) override;
   /// The engine's life ended, or it left. Example: `index.forget(engine)`.
   void forget(const EngineId& engine);
   /// Tokens of the prompt's beginning that it keeps: whole parts in order, and of the first one
@@ -50,7 +52,7 @@
   /// with the polls of another watcher.
   std::optional<PartMark> known(const EngineId& engine) const;
   /// All that is kept there, for a front that lacks it. Example: `outbox.send(to, index.whole(e))`.
-  PartNews whole(const EngineId& engine) const;
+  PrefixBlockUpdate whole(const EngineId& engine) const;
   /// Engines with entries or marks. Example: to forget those that left the list.
   std::vector<EngineId> engines() const;
   /// Entries, each a part at one engine. Example: for the status page.
@@ -86,7 +88,7 @@
   struct Entry {
     std::uint32_t engine = 0;  // its slot
     std::int32_t tokens = 0;
-    std::uint32_t place = 0;   // in the engine's list
+    std::uint32_t place = 0;  // in the engine's list
   };
   using Kept = std::unordered_map<PartKey, std::vector<Entry>, Hash, Same>;
   struct Slot {
--- a/src/prompts/part_watch.cc
+++ b/src/prompts/part_watch.cc
@@ -9,19 +9,19 @@
 namespace peppergate {
 namespace {
 
-constexpr Duration kScanEvery = milliseconds(500);  // of the list for engines that came or went
-constexpr Duration kCoalesce = milliseconds(100);   // news waits so long for more
-constexpr Duration kPollPause = milliseconds(100);  // after an answer: more changes in one call
-constexpr Duration kListGap = seconds(10);          // between two dear calls to one engine
-constexpr Duration kAskGap = seconds(3);            // between two questions about one engine
-constexpr Duration kAnswerWait = milliseconds(400); // for another front's picture, before a poll
+constexpr Duration kScanEvery = milliseconds(500);   // of the list for engines that came or went
+constexpr Duration kCoalesce = milliseconds(100);    // news waits so long for more
+constexpr Duration kPollPause = milliseconds(100);   // after an answer: more changes in one call
+constexpr Duration kListGap = seconds(10);           // between two dear calls to one engine
+constexpr Duration kAskGap = seconds(3);             // between two questions about one engine
+constexpr Duration kAnswerWait = milliseconds(400);  // for another front's picture, before a poll
 constexpr Duration kFirstWait = milliseconds(500), kLongestWait = seconds(2);
 constexpr int kStoreFailures = 2;  // then nothing is collected from the store any more
 
 }  // namespace
 
-PartWatch::PartWatch(const Props& props, Membership& membership, PartIndex& index)
-    : props_(props), membership_(membership), index_(index) {}
+PartWatch::PartWatch(const Options& options, Membership& membership, PartIndex& index)
+    : options_(options), membership_(membership), index_(index) {}
 
 void PartWatch::tick(EngineBook& book, const FleetConfig& config, MonotonicTime now,
                      Outbox& outbox) {
@@ -44,8 +44,8 @@
   flush(now, outbox);
 }
 
-void PartWatch::assign(const std::vector<std::pair<EngineId, Address>>& keepers,
-                       MonotonicTime now, Outbox& outbox) {
+void PartWatch::assign(const std::vector<std::pair<EngineId, Address>>& keepers, MonotonicTime now,
+                       Outbox& outbox) {
   nextScan_ = now + kScanEvery;
   auto fronts = membership_.liveFronts();
   if (!ring_.isFor(fronts)) ring_ = Ring(fronts);
@@ -82,8 +82,7 @@
     if (!listed.contains(engine)) index_.forget(engine);
 }
 
-void PartWatch::call(const EngineId& engine, Watched& watched, MonotonicTime now,
-                     Outbox& outbox) {
+void PartWatch::call(const EngineId& engine, Watched& watched, MonotonicTime now, Outbox& outbox) {
   TicketId ticket = outbox.ticket();
   open_[ticket] = engine;
   watched.ticket = ticket;
@@ -98,11 +97,12 @@
   outbox.push(PollParts{ticket, watched.address, watched.since});
 }
 
-PartNews PartWatch::newsOf(const EngineId& engine, const std::vector<PartChange>& changes) {
+PrefixBlockUpdate PartWatch::newsOf(const EngineId& engine,
+                                    const std::vector<PartChange>& changes) {
   std::map<std::pair<std::string_view, std::string_view>, std::int64_t> last;  // by salt
   for (const auto& change : changes)
     last[{change.salt, change.part}] = std::max<std::int64_t>(0, change.tokens);
-  PartNews news;
+  PrefixBlockUpdate news;
   news.engine = engine;
   std::string_view salt;
   for (const auto& [name, tokens] : last) {
@@ -143,7 +143,7 @@
     outbox.count("parts.otherEpoch");
     watched.since = watched.told = 0;
     watched.next = now;
-    PartNews empty;
+    PrefixBlockUpdate empty;
     empty.engine = engine;
     empty.epoch = answer.epoch;
     empty.whole = true;
@@ -156,7 +156,7 @@
     watched.wantsList = now - watched.listedAt >= kListGap;
     if (watched.wantsList) watched.next = now;
   }
-  PartNews news = newsOf(engine, answer.changes);
+  PrefixBlockUpdate news = newsOf(engine, answer.changes);
   news.epoch = answer.epoch;
   news.from = watched.told;
   news.next = watched.since = answer.next;
@@ -180,7 +180,7 @@
   watched.failures = 0;
   watched.next = now;
   watched.since = watched.told = answer.next;
-  PartNews news = newsOf(engine, answer.held);
+  PrefixBlockUpdate news = newsOf(engine, answer.held);
   news.epoch = answer.epoch;
   news.from = news.next = answer.next;
   news.whole = true;
@@ -198,7 +198,7 @@
   if (engine != storeId() || status == 429 || watched.failures != kStoreFailures) return;
   // Nobody shall wait for a store that is down. It tells everything again once it is back.
   watched.since = watched.told = 0;
-  PartNews empty;
+  PrefixBlockUpdate empty;
   empty.engine = engine;
   empty.whole = true;
   index_.hear(empty);
@@ -213,10 +213,10 @@
   asked->second = now;
   auto known = index_.known(engine).value_or(PartMark{});
   outbox.count("parts.asked");
-  outbox.send(whom, PartAsk{engine, known.epoch, known.next});
+  outbox.send(whom, PrefixBlockRequest{engine, known.epoch, known.next});
 }
 
-void PartWatch::hear(const Address& from, const PartNews& news, MonotonicTime now,
+void PartWatch::hear(const Address& from, const PrefixBlockUpdate& news, MonotonicTime now,
                      Outbox& outbox) {
   bool complete = index_.hear(news);
   auto found = watched_.find(news.engine);
@@ -234,7 +234,8 @@
   ask(from, news.engine, now, outbox);
 }
 
-void PartWatch::hear(const Address& from, const PartAsk& ask, MonotonicTime, Outbox& outbox) {
+void PartWatch::hear(const Address& from, const PrefixBlockRequest& ask, MonotonicTime,
+                     Outbox& outbox) {
   auto known = index_.known(ask.engine);
   if (!known) return;
   if (known->epoch == ask.epoch && known->next < ask.next) return;
@@ -242,7 +243,7 @@
   outbox.send(from, index_.whole(ask.engine));
 }
 
-void PartWatch::tell(PartNews news, MonotonicTime now) {
+void PartWatch::tell(PrefixBlockUpdate news, MonotonicTime now) {
   auto [found, fresh] = pending_.try_emplace(news.engine, Pending{now, {}});
   Pending& pending = found->second;
   if (fresh || news.whole || pending.news.epoch != news.epoch) {
@@ -268,8 +269,7 @@
       continue;
     }
     for (const auto& front : fronts)
-      if (front.member != membership_.self().member)
-        outbox.send(front.address, entry->second.news);
+      if (front.member != membership_.self().member) outbox.send(front.address, entry->second.news);
     entry = pending_.erase(entry);
   }
 }
--- a/src/prompts/part_watch.h
+++ b/src/prompts/part_watch.h
@@ -14,7 +14,7 @@
 /// Example: `watch.tick(book, config, now, outbox); watch.polled(answer, now, outbox);`
 class PartWatch {
  public:
-  PartWatch(const Props& props, Membership& membership, PartIndex& index);
+  PartWatch(const Options& options, Membership& membership, PartIndex& index);
   /// Keeps one poll open at each engine and store that this front watches. Example: each tick.
   void tick(EngineBook& book, const FleetConfig& config, MonotonicTime now, Outbox& outbox);
   /// The same for a list of what keeps parts. Example: in tests.
@@ -23,20 +23,20 @@
   /// True if the ticket was its own. Example: on PartsPolled, PartsListed.
   bool polled(const PartsPolled& answer, MonotonicTime now, Outbox& outbox);
   bool listed(const PartsListed& answer, MonotonicTime now, Outbox& outbox);
-  /// Another watcher's word. Example: on a PartNews.
-  void hear(const Address& from, const PartNews& news, MonotonicTime now, Outbox& outbox);
-  /// Another front lacks changes. Example: on a PartAsk.
-  void hear(const Address& from, const PartAsk& ask, MonotonicTime now, Outbox& outbox);
+  /// Another watcher's word. Example: on a PrefixBlockUpdate.
+  void hear(const Address& from, const PrefixBlockUpdate& news, MonotonicTime now, Outbox& outbox);
+  /// Another front lacks changes. Example: on a PrefixBlockRequest.
+  void hear(const Address& from, const PrefixBlockRequest& ask, MonotonicTime now, Outbox& outbox);
   /// Whether this front watches an engine. Example: for the status page.
   bool mine(const EngineId& engine) const { return watched_.contains(engine); }
 
  private:
   struct Watched {
     Address address;
-    TicketId ticket;           // of the call under way; 0: none
+    TicketId ticket;  // of the call under way; 0: none
     bool wantsList = false;
     std::uint64_t since = 0;
-    std::uint64_t told = 0;    // up to where others were told
+    std::uint64_t told = 0;           // up to where others were told
     MonotonicTime next = kNever;      // no call before it
     MonotonicTime listedAt = kNever;  // the last dear call
     int failures = 0;
@@ -44,7 +44,7 @@
   /// News that waits a moment for more of the same engine.
   struct Pending {
     MonotonicTime since;
-    PartNews news;
+    PrefixBlockUpdate news;
   };
   Watched* answered(TicketId ticket, EngineId& engine);
   void assign(const std::vector<std::pair<EngineId, Address>>& keepers, MonotonicTime now,
@@ -53,11 +53,11 @@
   void failed(const EngineId& engine, Watched& watched, int status, MonotonicTime now,
               Outbox& outbox);
   void ask(const Address& whom, const EngineId& engine, MonotonicTime now, Outbox& outbox);
-  void tell(PartNews news, MonotonicTime now);
+  void tell(PrefixBlockUpdate news, MonotonicTime now);
   void flush(MonotonicTime now, Outbox& outbox);
-  static PartNews newsOf(const EngineId& engine, const std::vector<PartChange>& changes);
+  static PrefixBlockUpdate newsOf(const EngineId& engine, const std::vector<PartChange>& changes);
 
-  Props props_;
+  Options options_;
   Membership& membership_;
   PartIndex& index_;
   Ring ring_;
--- a/src/prompts/placement.cc
+++ b/src/prompts/placement.cc
@@ -11,9 +11,9 @@
 
 }  // namespace
 
-Placement::Placement(const Props& props, EngineBook& book, PartIndex& index, FetchDesk& fetches,
+Placement::Placement(const Options& options, EngineBook& book, PartIndex& index, FetchDesk& fetches,
                      Random& random)
-    : props_(props), book_(book), index_(index), fetches_(fetches), random_(random) {}
+    : options_(options), book_(book), index_(index), fetches_(fetches), random_(random) {}
 
 void Placement::take(const Setup& setup) {
   operators_.rungs = setup.rungs;
@@ -40,7 +40,8 @@
   plan_ = fetchSetup(operators_, config);
   fetches_.links(told);
   speed_.keepOnly(engines);
-  std::erase_if(services_, [&](const auto& entry) { return !config.services.contains(entry.first); });
+  std::erase_if(services_,
+                [&](const auto& entry) { return !config.services.contains(entry.first); });
   configVersion_ = config.version;
   listVersion_ = book_.version();
   linked_ = true;
@@ -88,7 +89,7 @@
     survey.shape = &*found->second.engine;
   if (auto name = weights.models.find(ask.model); name != weights.models.end())
     survey.named = std::max(survey.named, name->second);
-  survey.wall = wallOf(ask.tenant, ask.isolated && props_.guards(Guard::kWall));
+  survey.wall = wallOf(ask.tenant, ask.isolated && options_.guards(Guard::kWall));
   survey.tokens = toRead(ask, 0);
   for (std::size_t index = 0; index + 1 < ask.parts.size(); ++index)
     survey.shared += ask.parts[index].tokens;
@@ -110,8 +111,8 @@
 }
 
 const Placement::Choice* Placement::best(const Survey& survey) const {
-  auto least = std::ranges::min_element(
-      survey.choices, {}, [](const Choice& choice) { return choice.cost.total; });
+  auto least = std::ranges::min_element(survey.choices, {},
+                                        [](const Choice& choice) { return choice.cost.total; });
   return least == survey.choices.end() ? nullptr : &*least;
 }
 
@@ -155,9 +156,12 @@
   placed.address = choice.engine->listed.address;
   placed.toRead = static_cast<std::int64_t>(choice.cost.toRead);
   placed.forecast = seconds(choice.cost.firstEventMs / 1000);
-  Pending pending{placed.engine, survey.ask.service, choice.cost.waitMs,
+  Pending pending{placed.engine,
+                  survey.ask.service,
+                  choice.cost.waitMs,
                   choice.cost.toRead / choice.numbers.speed,
-                  choice.cost.toRead + choice.numbers.queueTokens, placed.collectFrom.has_value()};
+                  choice.cost.toRead + choice.numbers.queueTokens,
+                  placed.collectFrom.has_value()};
   if (survey.shape) {
     const Prompt& prompt = survey.prompts[choice.prompt];
     placed.version = prompt.version;
--- a/src/prompts/placement.h
+++ b/src/prompts/placement.h
@@ -55,10 +55,10 @@
 /// `auto placed = placement.place(ask, config, weights, now, outbox);`
 class Placement final : public Placer {
  public:
-  Placement(const Props& props, EngineBook& book, PartIndex& index, FetchDesk& fetches,
+  Placement(const Options& options, EngineBook& book, PartIndex& index, FetchDesk& fetches,
             Random& random);
   /// Where this front is; engines elsewhere cost a little more. Example: `placement.in({"north"})`.
-  void in(District zone) { zone_ = std::move(zone); }
+  void in(Zone zone) { zone_ = std::move(zone); }
   /// The operators' rungs and classes, where they set several. Example: on a new configuration.
   void take(const Setup& setup);
   /// The engine for one attempt, or why there is none.
@@ -81,8 +81,10 @@
   /// Takes the links from what services are made like. Example: on a new list.
   void links(const FleetConfig& config);
   /// What this front tells the others of its moves, and what they tell. Example: each half second.
-  UsageNote note(MemberId self, MonotonicTime now) { return fetches_.note(self, plan_, now); }
-  void hear(const UsageNote& note, MonotonicTime now) { fetches_.hear(note, now); }
+  UsageNotification note(MemberId self, MonotonicTime now) {
+    return fetches_.note(self, plan_, now);
+  }
+  void hear(const UsageNotification& note, MonotonicTime now) { fetches_.hear(note, now); }
   /// For tests and the status page.
   const ReadingSpeed& speed() const { return speed_; }
   const Setup& plan() const { return plan_; }
@@ -118,18 +120,18 @@
   Prompt& promptOf(Survey& survey, WeightsVersion version);
   bool sourceUsable(const EngineId& source, MonotonicTime now) const;
   std::optional<Address> addressOf(const EngineId& source) const;
-  District zoneOf(const EngineId& source) const;
+  Zone zoneOf(const EngineId& source) const;
   bool planMove(Survey& survey, const Choice& choice, Placed& placed, Outbox& outbox);
   Placed settled(Survey& survey, const Choice& choice, Placed placed, Outbox& outbox);
   bool mayServe(const Survey& survey, WeightsVersion version) const;
   PlaceRefusal refusal(const Survey& survey, Outbox& outbox);
 
-  Props props_;
+  Options options_;
   EngineBook& book_;
   PartIndex& index_;
   FetchDesk& fetches_;
   Random& random_;
-  District zone_;
+  Zone zone_;
   std::optional<StoreShape> store_;
   Setup operators_, plan_;  // plan_: rungs and classes as they are used
   ConfigVersion configVersion_;
@@ -138,7 +140,7 @@
   ReadingSpeed speed_;
   std::map<ServiceName, Service> services_;
   std::map<ModelName, Named> named_;
-  bool namedBefore_ = false;  // weights were seen in this life
+  bool namedBefore_ = false;                            // weights were seen in this life
   std::unordered_map<std::uint64_t, Pending> pending_;  // by request
 };
 
--- a/src/prompts/reading_speed.cc
+++ b/src/prompts/reading_speed.cc
@@ -32,8 +32,8 @@
   double before = of(engine, service);
   engines_[engine] = blend(before, std::clamp(sample, before / 4, before * 4), kEngineKeep);
   auto [mean, fresh] = services_.try_emplace(service, kStart);
-  mean->second = blend(mean->second, std::clamp(sample, mean->second / 4, mean->second * 4),
-                       kServiceKeep);
+  mean->second =
+      blend(mean->second, std::clamp(sample, mean->second / 4, mean->second * 4), kServiceKeep);
 }
 
 void ReadingSpeed::keepOnly(const std::set<EngineId>& engines) {
--- a/src/prompts/survey.cc
+++ b/src/prompts/survey.cc
@@ -6,10 +6,10 @@
 namespace peppergate {
 namespace {
 
-constexpr std::size_t kAllUpTo = 64;       // engines of a service that are all looked at
-constexpr std::size_t kMostHolders = 8;    // else so many of those that keep a part
-constexpr std::size_t kHomeWindow = 8;     // and so many engines for its home
-constexpr std::int64_t kTinyPart = 128;    // parts with fewer tokens have no home
+constexpr std::size_t kAllUpTo = 64;            // engines of a service that are all looked at
+constexpr std::size_t kMostHolders = 8;         // else so many of those that keep a part
+constexpr std::size_t kHomeWindow = 8;          // and so many engines for its home
+constexpr std::int64_t kTinyPart = 128;         // parts with fewer tokens have no home
 constexpr Duration kStartsWithin = seconds(1);  // a request that is sent off has begun by then
 
 std::uint64_t hashOf(std::string_view text, std::uint64_t seed) {
@@ -23,14 +23,14 @@
 
 double slotsOf(const EngineState& engine) {
   bool told = engine.told && engine.told->slots > 0;
-  return static_cast<double>(told ? engine.told->slots : std::max<std::int64_t>(1, engine.listed.slots));
+  return static_cast<double>(told ? engine.told->slots
+                                  : std::max<std::int64_t>(1, engine.listed.slots));
 }
 
 const Placement::Service& Placement::service(const ServiceName& name) {
   Service& service = services_[name];
   const auto& engines = book_.of(name);
-  if (service.version == book_.version() && service.points.size() == engines.size())
-    return service;
+  if (service.version == book_.version() && service.points.size() == engines.size()) return service;
   service.version = book_.version();
   service.points.clear();
   service.byPoint.clear();
@@ -38,7 +38,8 @@
     service.byPoint.push_back(static_cast<std::uint32_t>(service.points.size()));
     service.points.push_back(mixed(hashOf(engine->listed.id.value, 0)));
   }
-  std::ranges::sort(service.byPoint, {}, [&](std::uint32_t place) { return service.points[place]; });
+  std::ranges::sort(service.byPoint, {},
+                    [&](std::uint32_t place) { return service.points[place]; });
   return service;
 }
 
@@ -54,10 +55,10 @@
   return engine ? std::optional(engine->listed.address) : std::nullopt;
 }
 
-District Placement::zoneOf(const EngineId& source) const {
-  if (source == storeId()) return store_ ? store_->zone : District{};
+Zone Placement::zoneOf(const EngineId& source) const {
+  if (source == storeId()) return store_ ? store_->zone : Zone{};
   const EngineState* engine = std::as_const(book_).find(source);
-  return engine ? engine->listed.zone : District{};
+  return engine ? engine->listed.zone : Zone{};
 }
 
 Placement::Prompt& Placement::promptOf(Survey& survey, WeightsVersion version) {
@@ -68,8 +69,7 @@
   prompt.salt = saltOf(survey.wall, survey.ask.model, version);
   prompt.holdings = index_.holdings(prompt.salt, survey.ask.parts);
   for (const auto& holding : prompt.holdings) {
-    if (holding.tokens < prompt.reach || !sourceUsable(holding.engine, survey.now))
-      continue;
+    if (holding.tokens < prompt.reach || !sourceUsable(holding.engine, survey.now)) continue;
     if (holding.tokens > prompt.reach) prompt.sources.clear();
     prompt.reach = holding.tokens;
     prompt.sources.push_back(holding.engine);
@@ -78,10 +78,10 @@
 }
 
 bool Placement::mayServe(const Survey& survey, WeightsVersion version) const {
-  if (version >= survey.named || !props_.guards(Guard::kOldWeights)) return true;
+  if (version >= survey.named || !options_.guards(Guard::kOldWeights)) return true;
   auto named = named_.find(survey.ask.model);
   return named != named_.end() &&
-         survey.now - named->second.at < props_.weightsWithin - kStartsWithin;
+         survey.now - named->second.at < options_.weightsWithin - kStartsWithin;
 }
 
 void Placement::consider(Survey& survey, std::size_t place) {
@@ -138,9 +138,8 @@
   for (auto& choice : survey.choices) choice.near = false;
   const auto& order = survey.service.byPoint;
   std::uint64_t key = homeKey(survey);
-  auto near = std::ranges::lower_bound(order, mixed(key), {}, [&](std::uint32_t place) {
-    return survey.service.points[place];
-  });
+  auto near = std::ranges::lower_bound(
+      order, mixed(key), {}, [&](std::uint32_t place) { return survey.service.points[place]; });
   std::size_t start = static_cast<std::size_t>(near - order.begin());
   for (std::size_t step = 0; key != 0 && step < kHomeWindow; ++step) {
     std::size_t place = order[(start + step) % order.size()];
--- a/src/prompts/survey.h
+++ b/src/prompts/survey.h
@@ -16,17 +16,17 @@
   WeightsVersion version;
   std::string salt;
   std::vector<Holding> holdings;
-  std::int64_t reach = 0;            // the most that a usable source keeps
-  std::vector<EngineId> sources;     // those that keep so much
+  std::int64_t reach = 0;         // the most that a usable source keeps
+  std::vector<EngineId> sources;  // those that keep so much
 };
 
 /// An engine that may run the request.
 struct Placement::Choice {
   const EngineState* engine = nullptr;
-  std::size_t place = 0;             // in the book's order
-  std::size_t prompt = 0;            // in the survey's prompts
+  std::size_t place = 0;   // in the book's order
+  std::size_t prompt = 0;  // in the survey's prompts
   std::int64_t kept = 0;
-  bool near = true;                  // may be the home
+  bool near = true;  // may be the home
   CandidateNumbers numbers;
   CandidateCost cost;
 };
@@ -43,8 +43,8 @@
   std::int64_t tokens = 0, shared = 0;  // of the prompt
   std::vector<Prompt> prompts{};        // one for each version of weights that engines run
   std::vector<Choice> choices{};
-  std::size_t usable = 0;               // engines, also full ones
-  double forecastMs = 500;              // until one of the full ones has room
+  std::size_t usable = 0;   // engines, also full ones
+  double forecastMs = 500;  // until one of the full ones has room
 };
 
 /// Places that it has. Example: `slotsOf(*engine)`.
--- a/src/requests/events.h
+++ b/src/requests/events.h
@@ -17,7 +17,7 @@
 
 /// A message's bytes as they came, to be passed on; only a dialect looks inside.
 struct WireRequest {
-  std::string method, target;  // target: path and query, as sent
+  std::string method, target;                                // target: path and query, as sent
   std::vector<std::pair<std::string, std::string>> headers;  // as sent, in order
   std::string body;
 };
@@ -39,11 +39,11 @@
 /// A client's whole request was read.
 struct RequestArrived {
   RequestId request;
-  std::string clientId;  // names this try of the client; engines give it back
-  std::string host;      // as sent
-  std::string path;      // without the query
-  std::string key;       // empty: none was sent
-  std::optional<Duration> timeLeft;  // how long the client waits
+  std::string clientId;                      // names this try of the client; engines give it back
+  std::string host;                          // as sent
+  std::string path;                          // without the query
+  std::string key;                           // empty: none was sent
+  std::optional<Duration> timeLeft;          // how long the client waits
   std::optional<std::uint64_t> resumeAfter;  // the client has all events up to this one
   ModelName model;
   std::int64_t tokensIn = 0, tokensOut = 0;
@@ -73,8 +73,8 @@
   AttemptTurn turn = AttemptTurn::kBroken;
   // With kHead:
   std::shared_ptr<const WireHead> head;
-  bool notRun = false;  // the engine says that it did not run the request
-  bool success = false; // a 2xx that has the engine's stamp
+  bool notRun = false;   // the engine says that it did not run the request
+  bool success = false;  // a 2xx that has the engine's stamp
   std::optional<EngineLoad> load;
   std::map<ModelName, WeightsVersion> versions;  // as the head tells them, if it does
   std::optional<Duration> retryAfter;
@@ -98,8 +98,8 @@
   bool stream = false;
   Duration timeLeft;  // told to the engine: it stops then
   std::optional<std::uint64_t> resumeAfter;
-  TenantId tenant;    // empty: the route is open
-  std::string salt;   // what kept parts are found under
+  TenantId tenant;   // empty: the route is open
+  std::string salt;  // what kept parts are found under
   int urgency = 5;
   std::optional<WeightsVersion> expect;  // engines with other weights decline
   std::optional<Address> collectFrom, depositAt;
--- a/src/requests/follower_facts.h
+++ b/src/requests/follower_facts.h
@@ -7,11 +7,11 @@
 namespace peppergate {
 
 /// The facts as a front's follower and membership have them.
-/// Example: `FollowerFacts facts(props, follower, membership);`
+/// Example: `FollowerFacts facts(options, follower, membership);`
 class FollowerFacts final : public FleetFacts {
  public:
-  FollowerFacts(const Props& props, const Follower& follower, const Membership& membership)
-      : props_(props), follower_(follower), membership_(membership) {}
+  FollowerFacts(const Options& options, const Follower& follower, const Membership& membership)
+      : options_(options), follower_(follower), membership_(membership) {}
   const FleetConfig& config() const override { return follower_.setup().fleet; }
   const Route* route(std::string_view host, std::string_view path) const override {
     return config().route(host, path);
@@ -20,19 +20,17 @@
     return config().tenantOfKey(key);
   }
   const Weights& weights() const override { return follower_.weights(); }
-  bool installed() const override {
-    return follower_.installed() && config().version.value != 0;
-  }
+  bool installed() const override { return follower_.installed() && config().version.value != 0; }
   MonotonicTime freshUntil(MonotonicTime now) const override {
-    if (!props_.guards(Guard::kFreshness)) return kForever;
+    if (!options_.guards(Guard::kFreshness)) return kForever;
     if (!follower_.fresh(now)) return now;
-    return now + (props_.proofLimit - follower_.proofAge(now));
+    return now + (options_.proofLimit - follower_.proofAge(now));
   }
   std::uint64_t changes() const override { return follower_.changesSeen(); }
   std::size_t liveFronts() const override { return membership_.liveFronts().size(); }
 
  private:
-  const Props& props_;
+  const Options& options_;
   const Follower& follower_;
   const Membership& membership_;
 };
--- a/src/requests/placer.h
+++ b/src/requests/placer.h
@@ -27,8 +27,7 @@
                                                    const Weights& weights, MonotonicTime now,
                                                    Outbox& outbox) = 0;
   /// The first event came, after so long. Example: on the first body bytes of a stream.
-  virtual void firstEvent(RequestId request, Duration took, MonotonicTime now,
-                          Outbox& outbox) = 0;
+  virtual void firstEvent(RequestId request, Duration took, MonotonicTime now, Outbox& outbox) = 0;
   /// The attempt ended without one. Example: on kBroken.
   virtual void dropped(RequestId request) = 0;
 };
--- a/src/requests/request_rules.h
+++ b/src/requests/request_rules.h
@@ -10,8 +10,20 @@
 
 /// Why no attempt can be made now.
 enum class Hurdle : std::uint8_t {
-  kNotInstalled = 0, kStale, kNoRoute, kUnknownKey, kTooLate, kNoAttemptsLeft, kOverBudget,
-  kNoEngine, kFull, kDeclined, kBroken, kUnclear, kDeadline, kNotResumable,
+  kNotInstalled = 0,
+  kStale,
+  kNoRoute,
+  kUnknownKey,
+  kTooLate,
+  kNoAttemptsLeft,
+  kOverBudget,
+  kNoEngine,
+  kFull,
+  kDeclined,
+  kBroken,
+  kUnclear,
+  kDeadline,
+  kNotResumable,
 };
 /// How a request that nothing ran for is refused over a hurdle, and its counters.
 struct HurdleRow {
--- a/src/requests/request_state.h
+++ b/src/requests/request_state.h
@@ -25,7 +25,7 @@
   bool resumed = false;  // it goes on behind events that the client has from this answer
   bool first = false;    // its first event (or head, without a stream) came
   std::shared_ptr<const WireHead> head;
-  bool failure = false;  // the head is an engine's failure, passed on as it is
+  bool failure = false;                    // the head is an engine's failure, passed on as it is
   std::optional<std::uint64_t> lastEvent;  // of this run
 };
 
@@ -112,7 +112,7 @@
   std::shared_ptr<const Route> keepRoute(const Route* route);
   BudgetTerms budgetTerms() const;
   bool repeatable(const Route& route) const {
-    return route.repeatable() || !parts.props.guards(Guard::kNoRepeat);
+    return route.repeatable() || !parts.options.guards(Guard::kNoRepeat);
   }
 
   RequestParts parts;
--- a/src/requests/request_times.cc
+++ b/src/requests/request_times.cc
@@ -20,8 +20,8 @@
   const LiveAttempt& attempt = *request.attempt;
   if (attempt.failure || request.sent + 1 >= request.route->attempts) return std::nullopt;
   if (!attempt.first) return request.heard + firstSilence(*request.route);
-  bool joinable = request.stream() && !request.lengthPassed &&
-                  (request.lastEvent || !request.bytesPassed);
+  bool joinable =
+      request.stream() && !request.lengthPassed && (request.lastEvent || !request.bytesPassed);
   if (!joinable) return std::nullopt;
   return request.heard + eventSilence(*request.route);
 }
--- a/src/requests/request_turns.cc
+++ b/src/requests/request_turns.cc
@@ -39,12 +39,17 @@
   if (turned.turn == AttemptTurn::kHead || turned.turn == AttemptTurn::kBody)
     heardOf[attempt.engine] = now;
   switch (turned.turn) {
-    case AttemptTurn::kWritten: return;
-    case AttemptTurn::kHead: return head(request, turned, now, outbox);
-    case AttemptTurn::kBody: return body(request, turned, now, outbox);
-    case AttemptTurn::kEnded: return ended(request, now, outbox);
+    case AttemptTurn::kWritten:
+      return;
+    case AttemptTurn::kHead:
+      return head(request, turned, now, outbox);
+    case AttemptTurn::kBody:
+      return body(request, turned, now, outbox);
+    case AttemptTurn::kEnded:
+      return ended(request, now, outbox);
     case AttemptTurn::kBroken:
-    case AttemptTurn::kNotWritten: return broken(request, AttemptEnd::kBroken, now, outbox);
+    case AttemptTurn::kNotWritten:
+      return broken(request, AttemptEnd::kBroken, now, outbox);
   }
 }
 
@@ -63,14 +68,16 @@
       if (!request.stream()) firstCame(request, now, outbox);
       if (!repeatable(*request.route)) request.asked.wire.reset();  // nothing is sent again
       return arm(request);
-    case HeadVerdict::kNotRun: return declined(request, turned, now, outbox);
+    case HeadVerdict::kNotRun:
+      return declined(request, turned, now, outbox);
     case HeadVerdict::kNoAnswer:
       outbox.count("attempts.no_answer");
       release(request, blameOf(turned.head->status), now);
       request.mayHaveRun = true;
       return giveUp(request, {Hurdle::kUnclear}, now, outbox);
     case HeadVerdict::kFailed:
-    case HeadVerdict::kFinal: return failed(request, turned, now, outbox);
+    case HeadVerdict::kFinal:
+      return failed(request, turned, now, outbox);
   }
 }
 
@@ -81,8 +88,8 @@
   outbox.count("attempts.declined");
   bool other = turned.head->status == 421;
   bool otherWeights = tellsOtherWeights(turned, request.asked.model, request.attempt->expect);
-  AttemptEnd how = otherWeights ? AttemptEnd::kGood
-                                : (other ? AttemptEnd::kOtherEngine : AttemptEnd::kFull);
+  AttemptEnd how =
+      otherWeights ? AttemptEnd::kGood : (other ? AttemptEnd::kOtherEngine : AttemptEnd::kFull);
   if (request.slow) outbox.push(PauseAttempt{request.attempt->id, false});
   release(request, how, now);
   ++request.sent;
@@ -95,8 +102,7 @@
   outbox.count("attempts.failed");
   int status = turned.head->status;
   bool passable = status >= 300 && !request.answering;
-  if (judgeHead(turned, repeatable(*request.route)) == HeadVerdict::kFailed ||
-      request.answering) {
+  if (judgeHead(turned, repeatable(*request.route)) == HeadVerdict::kFailed || request.answering) {
     parts.placer.dropped(request.asked.request);
     auto planned = plan(request, now, outbox);
     auto* next = std::get_if<AttemptPlan>(&planned);
@@ -157,7 +163,7 @@
 /// Where a stream's events stand: behind what the client has, known to it, or where none may be.
 Requests::State::Order Requests::State::order(const LiveRequest& request,
                                               const AttemptTurned& turned) const {
-  if (!turned.lastEvent || !parts.props.guards(Guard::kPieceOrder)) return Order::kNext;
+  if (!turned.lastEvent || !parts.options.guards(Guard::kPieceOrder)) return Order::kNext;
   const LiveAttempt& attempt = *request.attempt;
   std::uint64_t last = *turned.lastEvent, first = turned.firstEvent.value_or(last);
   if (first > last || (attempt.lastEvent && first <= *attempt.lastEvent)) return Order::kWrong;
@@ -166,8 +172,8 @@
   if (last <= *has) return Order::kKnown;
   if (first <= *has) return Order::kWrong;  // not to be taken apart here
   // Within one run the engine's ids are believed; where two join, nothing may be left out.
-  bool joins = attempt.resumed && (!attempt.lastEvent || *attempt.lastEvent <= *has) &&
-               request.lastEvent;
+  bool joins =
+      attempt.resumed && (!attempt.lastEvent || *attempt.lastEvent <= *has) && request.lastEvent;
   if (!joins) return Order::kNext;
   std::uint64_t largest =
       std::max(request.largestStep, strideOf(parts.facts.config(), request.service));
@@ -191,7 +197,7 @@
   // A run that ends before the events that the client has is not the one that it began.
   bool shorter = attempt.resumed && attempt.lastEvent && request.lastEvent &&
                  *attempt.lastEvent < *request.lastEvent;
-  if (shorter && parts.props.guards(Guard::kPieceOrder))
+  if (shorter && parts.options.guards(Guard::kPieceOrder))
     return broken(request, AttemptEnd::kGarbled, now, outbox);
   if (!attempt.failure) firstCame(request, now, outbox);
   if (!request.answering) outbox.push(AnswerHead{request.asked.request, attempt.head});
@@ -217,8 +223,8 @@
   if (failure) return cut(request, outbox);
   if (!repeatable(*request.route)) return giveUp(request, {Hurdle::kBroken}, now, outbox);
   // Within an answer only events' ids tell where another engine has to go on.
-  bool joinable = request.stream() && !request.lengthPassed &&
-                  (request.lastEvent || !request.bytesPassed);
+  bool joinable =
+      request.stream() && !request.lengthPassed && (request.lastEvent || !request.bytesPassed);
   if (request.answering && !joinable) return cut(request, outbox);
   again(request, "attempts.again.broken", {Hurdle::kBroken}, now, outbox);
 }
--- a/src/requests/requests.cc
+++ b/src/requests/requests.cc
@@ -77,8 +77,8 @@
   } else {
     // Once it may have run, both the route that it came on and today's have to allow another run.
     bool mayHaveRun = request.mayHaveRun || request.attempt;
-    if (mayHaveRun && (route->kind != request.route->kind || !repeatable(*route) ||
-                       !repeatable(*request.route)))
+    if (mayHaveRun &&
+        (route->kind != request.route->kind || !repeatable(*route) || !repeatable(*request.route)))
       return AttemptFault{Hurdle::kBroken};
     if (request.answering && plan.tenant != request.tenant)
       return AttemptFault{Hurdle::kUnknownKey};
@@ -92,7 +92,7 @@
   if (!share) share = chooseService(*route, request.asked.clientId);
   if (!share) return AttemptFault{Hurdle::kNoRoute};
   plan.paid = sent > 0;
-  if (plan.paid && parts.props.guards(Guard::kBudget) &&
+  if (plan.paid && parts.options.guards(Guard::kBudget) &&
       !budgets[share->service].allows(budgetTerms(), now))
     return AttemptFault{Hurdle::kOverBudget};
 
@@ -111,11 +111,10 @@
   auto placed = parts.placer.place(ask, config, parts.facts.weights(), now, outbox);
   if (auto* refusal = std::get_if<PlaceRefusal>(&placed))
     return AttemptFault{refusal->fault == PlaceFault::kFull ? Hurdle::kFull : Hurdle::kNoEngine,
-                     refusal->comeBack};
+                        refusal->comeBack};
   plan.placed = std::move(std::get<Placed>(placed));
   plan.service = share->service;
-  plan.urgency =
-      urgencies.of(tenant ? tenant->urgency : UrgencyTable::kNoTenant, route->urgency);
+  plan.urgency = urgencies.of(tenant ? tenant->urgency : UrgencyTable::kNoTenant, route->urgency);
   plan.writeBefore = std::min(freshUntil, request.deadline);
   plan.route = keepRoute(route);
   return plan;
@@ -178,12 +177,12 @@
   if (request.answering) return cut(request, outbox);
   HurdleRow row = hurdleRow(fault.hurdle);
   bool promise = row.status != 502 && row.status != 504;
-  if (request.mayHaveRun && promise && parts.props.guards(Guard::kHonestNo))
+  if (request.mayHaveRun && promise && parts.options.guards(Guard::kHonestRejection))
     row = hurdleRow(fault.hurdle == Hurdle::kTooLate ? Hurdle::kDeadline : Hurdle::kBroken);
   RefuseRequest refuse{request.asked.request, row.status, row.kind, std::nullopt};
   if (row.status == 503) {
-    Duration left = request.route ? request.deadline - now
-                                  : request.asked.timeLeft.value_or(seconds(3));
+    Duration left =
+        request.route ? request.deadline - now : request.asked.timeLeft.value_or(seconds(3));
     auto forecast = fault.comeBack ? fault.comeBack : request.retryAfter;
     refuse.retryAfter = comeBackAfter(forecast, left, parts.random);
   }
@@ -243,8 +242,8 @@
 }
 
 BudgetTerms Requests::State::budgetTerms() const {
-  return {parts.props.budgetShare, parts.props.budgetWindow,
-          slackPart(parts.props.budgetSlack, fronts.most())};
+  return {parts.options.budgetShare, parts.options.budgetWindow,
+          slackPart(parts.options.budgetSlack, fronts.most())};
 }
 
 }  // namespace peppergate
--- a/src/requests/requests.h
+++ b/src/requests/requests.h
@@ -2,8 +2,8 @@
 // Clients' requests and their attempts at engines: what was promised, and what may have run.
 #include <memory>
 
+#include "core/options.h"
 #include "core/outbox.h"
-#include "core/props.h"
 #include "core/random.h"
 #include "requests/fleet_facts.h"
 #include "requests/placer.h"
@@ -12,7 +12,7 @@
 
 /// What the requests need of the rest of the front.
 struct RequestParts {
-  const Props& props;
+  const Options& options;
   const FleetFacts& facts;
   EngineLedger& ledger;
   KeptParts& kept;
--- a/src/requests/router_node.cc
+++ b/src/requests/router_node.cc
@@ -7,22 +7,22 @@
 
 }  // namespace
 
-RouterNode::RouterNode(const Props& props, MemberRecord self, std::vector<Address> seeds,
-                       std::map<District, std::string> regions, std::uint64_t seed)
-    : props_(props), random_(seed) {
-  membership_ = std::make_unique<Membership>(props_, self, std::move(seeds), random_);
-  follower_ = std::make_unique<Follower>(props_, *membership_, random_);
-  desk_ = std::make_unique<OperatorDesk>(props_, *membership_, *follower_);
-  lister_ = std::make_unique<Lister>(props_, *membership_, random_);
-  book_ = std::make_unique<EngineBook>(props_);
-  watch_ = std::make_unique<PartWatch>(props_, *membership_, index_);
-  fetches_ = std::make_unique<FetchDesk>(props_);
+RouterNode::RouterNode(const Options& options, MemberRecord self, std::vector<Address> seeds,
+                       std::map<Zone, std::string> regions, std::uint64_t seed)
+    : options_(options), random_(seed) {
+  membership_ = std::make_unique<Membership>(options_, self, std::move(seeds), random_);
+  follower_ = std::make_unique<Follower>(options_, *membership_, random_);
+  operatorHandler_ = std::make_unique<OperatorHandler>(options_, *membership_, *follower_);
+  lister_ = std::make_unique<Lister>(options_, *membership_, random_);
+  book_ = std::make_unique<EngineBook>(options_);
+  watch_ = std::make_unique<PartWatch>(options_, *membership_, index_);
+  fetches_ = std::make_unique<FetchDesk>(options_);
   fetches_->regions(std::move(regions));
-  placement_ = std::make_unique<Placement>(props_, *book_, index_, *fetches_, random_);
-  placement_->in(membership_->self().district);
-  facts_ = std::make_unique<FollowerFacts>(props_, *follower_, *membership_);
+  placement_ = std::make_unique<Placement>(options_, *book_, index_, *fetches_, random_);
+  placement_->in(membership_->self().zone);
+  facts_ = std::make_unique<FollowerFacts>(options_, *follower_, *membership_);
   requests_ = std::make_unique<Requests>(
-      RequestParts{props_, *facts_, *book_, index_, *placement_, random_});
+      RequestParts{options_, *facts_, *book_, index_, *placement_, random_});
   membership_->carry([this](Shuffle& shuffle) {
     shuffle.withdrawn = follower_->recentWithdrawn();
     shuffle.engineList = lister_->version();
@@ -31,14 +31,15 @@
 
 void RouterNode::step(const Event& event, MonotonicTime now) {
   if (std::holds_alternative<Ticked>(event)) tick(now);
-  else if (auto* turned = std::get_if<AttemptTurned>(&event)) requests_->turn(*turned, now, outbox_);
+  else if (auto* turned = std::get_if<AttemptTurned>(&event))
+    requests_->turn(*turned, now, outbox_);
   else if (auto* asked = std::get_if<RequestArrived>(&event)) requests_->ask(*asked, now, outbox_);
   else if (auto* arrival = std::get_if<Arrived>(&event)) arrived(*arrival, now);
   else if (auto* gone = std::get_if<RequestGone>(&event))
     requests_->gone(gone->request, now, outbox_);
   else if (auto* slow = std::get_if<ClientSlow>(&event)) requests_->slow(*slow, now, outbox_);
-  else if (auto* page = std::get_if<OperatorAsked>(&event)) operatorAsked(*page, now);
-  else if (std::holds_alternative<DrainAsked>(event)) {
+  else if (auto* page = std::get_if<OperatorRequest>(&event)) operatorAsked(*page, now);
+  else if (std::holds_alternative<DrainRequest>(event)) {
     if (drainSince_ == kForever) drainSince_ = now;
     membership_->leave(outbox_);
   } else if (!answered(event, now)) {
@@ -60,7 +61,7 @@
 void RouterNode::tick(MonotonicTime now) {
   membership_->tick(now, outbox_);
   follower_->tick(now, outbox_);
-  desk_->tick(now, outbox_);
+  operatorHandler_->tick(now, outbox_);
   lister_->tick(false, Epoch{}, now, outbox_);
   takeList(now);
   takeChanges(now);
@@ -83,7 +84,7 @@
 }
 
 void RouterNode::takeChanges(MonotonicTime now) {
-  CoreId primary = follower_->settledView().primary;
+  CoreId primary = follower_->chosenView().primary;
   if (primary != primary_) {
     if (primary_.value != 0) placement_->coreChanged(now);
     primary_ = primary;
@@ -100,7 +101,7 @@
   nextTell_ = now + seconds(0.5);
   auto use = book_->use(membership_->self().member);
   auto troubles = book_->troubles();
-  UsageNote note = placement_->note(membership_->self().member, now);
+  UsageNotification note = placement_->note(membership_->self().member, now);
   bool tellsLinks = !note.links.empty() || !note.mixes.empty();
   for (const auto& front : membership_->liveFronts()) {
     if (front.member == membership_->self().member) continue;
@@ -116,49 +117,49 @@
   if (auto* shuffle = std::get_if<Shuffle>(&message)) {
     for (const auto& digest : shuffle->withdrawn) follower_->withdraw(digest, outbox_);
     membership_->hear(*shuffle, now, outbox_);
-  } else if (auto* news = std::get_if<NewsAsk>(&message)) {
+  } else if (auto* news = std::get_if<StateRequest>(&message)) {
     outbox_.send(from, follower_->relay(*news, now));
-  } else if (auto* answer = std::get_if<NewsAnswer>(&message)) {
+  } else if (auto* answer = std::get_if<StateReply>(&message)) {
     follower_->hear(from, *answer, now, outbox_);
-  } else if (auto* change = std::get_if<ChangeAnswer>(&message)) {
-    desk_->hear(*change, now, outbox_);
-  } else if (auto* roster = std::get_if<RosterNews>(&message)) {
+  } else if (auto* change = std::get_if<ChangeReply>(&message)) {
+    operatorHandler_->hear(*change, now, outbox_);
+  } else if (auto* roster = std::get_if<DiscoveredEnginesUpdate>(&message)) {
     lister_->hear(from, *roster, now, outbox_);
     takeList(now);
-  } else if (auto* rosterAsk = std::get_if<RosterAsk>(&message)) {
+  } else if (auto* rosterAsk = std::get_if<DiscoveredEnginesRequest>(&message)) {
     lister_->hear(from, *rosterAsk, now, outbox_);
-  } else if (auto* parts = std::get_if<PartNews>(&message)) {
+  } else if (auto* parts = std::get_if<PrefixBlockUpdate>(&message)) {
     watch_->hear(from, *parts, now, outbox_);
-  } else if (auto* partAsk = std::get_if<PartAsk>(&message)) {
+  } else if (auto* partAsk = std::get_if<PrefixBlockRequest>(&message)) {
     watch_->hear(from, *partAsk, now, outbox_);
   } else if (auto* use = std::get_if<EngineUse>(&message)) {
     book_->hear(*use, now);
   } else if (auto* trouble = std::get_if<EngineTrouble>(&message)) {
     book_->hear(from, *trouble, now);
-  } else if (auto* usage = std::get_if<UsageNote>(&message)) {
+  } else if (auto* usage = std::get_if<UsageNotification>(&message)) {
     placement_->hear(*usage, now);
-  } else if (std::holds_alternative<CaretakerNote>(message)) {
-    follower_->noteCaretaker(from, now, outbox_);
+  } else if (std::holds_alternative<ReadLeaderNotification>(message)) {
+    follower_->noteReadOnlyLeader(from, now, outbox_);
   } else {
     outbox_.count("messages.unexpected");
   }
 }
 
-void RouterNode::operatorAsked(const OperatorAsked& asked, MonotonicTime now) {
+void RouterNode::operatorAsked(const OperatorRequest& asked, MonotonicTime now) {
   if (asked.path == "/status") {
-    outbox_.push(AnswerWeb{asked.ticket, 200, {{"Content-Type", "application/json"}},
-                           status(now).dump()});
-  } else if (!desk_->take(asked, now, outbox_)) {
+    outbox_.push(
+        AnswerWeb{asked.ticket, 200, {{"Content-Type", "application/json"}}, status(now).dump()});
+  } else if (!operatorHandler_->take(asked, now, outbox_)) {
     outbox_.push(AnswerWeb{asked.ticket, 404, {}, R"({"outcome":"no-such-page"})"});
   }
 }
 
-void RouterNode::reload(const Props& props) {
-  props_ = props;
-  membership_->reload(props);
-  follower_->reload(props);
-  book_->reload(props);
-  fetches_->reload(props);
+void RouterNode::reload(const Options& options) {
+  options_ = options;
+  membership_->reload(options);
+  follower_->reload(options);
+  book_->reload(options);
+  fetches_->reload(options);
 }
 
 bool RouterNode::ready(MonotonicTime now) const {
@@ -177,10 +178,10 @@
   return {{"role", "router"},
           {"member", membership_->self().member.value},
           {"address", membership_->self().address.value},
-          {"district", membership_->self().district.value},
+          {"district", membership_->self().zone.value},
           {"ready", ready(now)},
           {"fresh", follower_->fresh(now)},
-          {"proofFrom", follower_->vouchedBy(now)},
+          {"proofFrom", follower_->attestedBy(now)},
           {"proofAgeMilliseconds", inMilliseconds(follower_->proofAge(now))},
           {"sections", toJson(follower_->have())},
           {"configVersion", follower_->setup().fleet.version.value},
--- a/src/requests/router_node.h
+++ b/src/requests/router_node.h
@@ -14,16 +14,16 @@
 
 namespace peppergate {
 
-/// Example: `RouterNode router(props, self, seeds, regions, 7);`
+/// Example: `RouterNode router(options, self, seeds, regions, 7);`
 class RouterNode final : public Node {
  public:
-  RouterNode(const Props& props, MemberRecord self, std::vector<Address> seeds,
-             std::map<District, std::string> regions, std::uint64_t seed);
+  RouterNode(const Options& options, MemberRecord self, std::vector<Address> seeds,
+             std::map<Zone, std::string> regions, std::uint64_t seed);
 
   void step(const Event& event, MonotonicTime now) override;
   Outbox& outbox() override { return outbox_; }
   Json status(MonotonicTime now) const override;
-  void reload(const Props& props) override;
+  void reload(const Options& options) override;
   /// Whether no new clients come any more; what is open still ends whole. Example: then the door
   /// closes, and the process goes when its last connection ended.
   bool drained(MonotonicTime now) const override;
@@ -42,14 +42,14 @@
   void takeList(MonotonicTime now);
   void takeChanges(MonotonicTime now);
   void tellOthers(MonotonicTime now);
-  void operatorAsked(const OperatorAsked& asked, MonotonicTime now);
+  void operatorAsked(const OperatorRequest& asked, MonotonicTime now);
 
-  Props props_;
+  Options options_;
   Random random_;
   Outbox outbox_;
   std::unique_ptr<Membership> membership_;
   std::unique_ptr<Follower> follower_;
-  std::unique_ptr<OperatorDesk> desk_;
+  std::unique_ptr<OperatorHandler> operatorHandler_;
   std::unique_ptr<Lister> lister_;
   std::unique_ptr<EngineBook> book_;
   PartIndex index_;
--- a/src/sim/batch_engine.cc
+++ b/src/sim/batch_engine.cc
@@ -9,8 +9,8 @@
 
 }  // namespace
 
-BatchEngine::BatchEngine(BatchProps props, EngineId id, std::uint64_t seed)
-    : props_(props), id_(std::move(id)), random_(seed) {}
+BatchEngine::BatchEngine(BatchOptions options, EngineId id, std::uint64_t seed)
+    : options_(options), id_(std::move(id)), random_(seed) {}
 
 BatchVerdict BatchEngine::take(const OpenAttempt& attempt, const RequestArrived& request,
                                MonotonicTime now, BatchRun& run) {
@@ -19,7 +19,7 @@
   auto version = models_.try_emplace(request.model, WeightsVersion{1}).first->second;
   if (attempt.expect && *attempt.expect != version) return BatchVerdict::kOtherVersion;
   if (loading() && loadModel_ == request.model) return BatchVerdict::kLoading;
-  if (running_ >= props_.slots + props_.queue) return BatchVerdict::kFull;
+  if (running_ >= options_.slots + options_.queue) return BatchVerdict::kFull;
   run.number = nextRun_++;
   run.clientId = attempt.clientId;
   run.tenant = attempt.tenant;
@@ -29,10 +29,10 @@
   run.tokensOut = request.tokensOut;
   run.version = version;
   run.last = static_cast<std::uint64_t>(
-      std::max<std::int64_t>(1, (request.tokensOut + props_.stride - 1) / props_.stride));
+      std::max<std::int64_t>(1, (request.tokensOut + options_.stride - 1) / options_.stride));
   // Events' ids count tokens.
   run.next = attempt.resumeAfter
-                 ? (*attempt.resumeAfter / static_cast<std::uint64_t>(props_.stride)) + 1
+                 ? (*attempt.resumeAfter / static_cast<std::uint64_t>(options_.stride)) + 1
                  : 1;
   ++running_;
   return BatchVerdict::kTaken;
@@ -64,9 +64,9 @@
   if (source != nullptr && source != this) {
     std::int64_t theirs = source->kept(run.salt, run.parts);
     if (theirs > own) {
-      double bits = static_cast<double>((theirs - own) * props_.tokenBytes) * 8;
+      double bits = static_cast<double>((theirs - own) * options_.tokenBytes) * 8;
       Duration move{static_cast<std::int64_t>(
-          bits * distance / std::min(props_.linkMbps, source->props_.linkMbps))};
+          bits * distance / std::min(options_.linkMbps, source->options_.linkMbps))};
       MonotonicTime start = std::max({now, linkFree_, source->linkFree_});
       if (start - now < seconds(2)) {
         linkFree_ = source->linkFree_ = ready = start + move;
@@ -86,9 +86,9 @@
   tokensRead_ += missing;
   MonotonicTime start = std::max(ready, readFree_);
   readFree_ = start + Duration{static_cast<std::int64_t>(static_cast<double>(missing) /
-                                                         props_.tokensPerMs * 1000)};
+                                                         options_.tokensPerMs * 1000)};
   keep(run.salt, run.model, run.parts, run.version, run.tenant.value, now);
-  return readFree_ - now + props_.firstStep;
+  return readFree_ - now + options_.firstStep;
 }
 
 /// What is found under the same salt is used as it is, whoever made it and under whatever.
@@ -99,8 +99,8 @@
 }
 
 Duration BatchEngine::pace() const {
-  Duration one = props_.step + props_.stepEach * static_cast<double>(running_);
-  return one * static_cast<double>(props_.stride);
+  Duration one = options_.step + options_.stepEach * static_cast<double>(running_);
+  return one * static_cast<double>(options_.stride);
 }
 
 void BatchEngine::began(const BatchRun& run, MonotonicTime) { ++beganIds_[run.clientId]; }
@@ -110,14 +110,15 @@
 void BatchEngine::note(bool isKept, const std::string& key, std::int64_t tokens,
                        const ModelName& model, MonotonicTime now) {
   auto line = key.find('\n');
-  PartChange change{nextNumber_++, isKept, key.substr(0, line), key.substr(line + 1), tokens, model};
-  if (random_.fraction() < props_.eventsLost) return;
-  told_.push_back({std::move(change), now + props_.eventsLate});
-  if (told_.size() > props_.eventsKept) told_.pop_front();
+  PartChange change{nextNumber_++,        isKept, key.substr(0, line),
+                    key.substr(line + 1), tokens, model};
+  if (random_.fraction() < options_.eventsLost) return;
+  told_.push_back({std::move(change), now + options_.eventsLate});
+  if (told_.size() > options_.eventsKept) told_.pop_front();
 }
 
-void BatchEngine::makeRoom(std::int64_t tokens, MonotonicTime now) {
-  while (keptTokens_ + tokens > props_.kvTokens && !byUse_.empty()) {
+void BatchEngine::allowElection(std::int64_t tokens, MonotonicTime now) {
+  while (keptTokens_ + tokens > options_.kvTokens && !byUse_.empty()) {
     std::string key = byUse_.front();
     byUse_.pop_front();
     auto found = parts_.find(key);
@@ -139,8 +140,8 @@
       byUse_.erase(found->second.place);
       parts_.erase(found);
     }
-    makeRoom(part.tokens, now);
-    if (keptTokens_ + part.tokens > props_.kvTokens) return;
+    allowElection(part.tokens, now);
+    if (keptTokens_ + part.tokens > options_.kvTokens) return;
     byUse_.push_back(key);
     parts_[key] = {part.tokens, model, madeUnder, tenant, now, std::prev(byUse_.end())};
     keptTokens_ += part.tokens;
@@ -169,7 +170,7 @@
   ++orderCount_;
   loadModel_ = order.model;
   loadVersion_ = order.version;
-  loadEnds_ = now + props_.loadTime;
+  loadEnds_ = now + options_.loadTime;
   cuts_ = order.mode == LoadMode::kCut;
   return OrderOutcome::kTaken;
 }
@@ -215,8 +216,8 @@
   answer.next = nextNumber_ - 1;
   for (const auto& [key, part] : parts_) {
     auto line = key.find('\n');
-    answer.held.push_back({0, true, key.substr(0, line), key.substr(line + 1), part.tokens,
-                           part.model});
+    answer.held.push_back(
+        {0, true, key.substr(0, line), key.substr(line + 1), part.tokens, part.model});
   }
   return answer;
 }
@@ -227,7 +228,7 @@
   report.busy = loading();
   report.callCount = orderCount_;
   report.running = running_;
-  report.kvCapacity = props_.kvTokens;
+  report.kvCapacity = options_.kvTokens;
   return report;
 }
 
--- a/src/sim/batch_engine.h
+++ b/src/sim/batch_engine.h
@@ -14,16 +14,16 @@
 
 namespace peppergate {
 
-/// How an engine is made. Example: `BatchProps{.slots = 16}`.
-struct BatchProps {
+/// How an engine is made. Example: `BatchOptions{.slots = 16}`.
+struct BatchOptions {
   std::int64_t slots = 32;
   std::int64_t queue = 96;
   std::int64_t kvTokens = 300'000;
   double tokensPerMs = 150;  // that it reads
   Duration firstStep = milliseconds(26);
-  Duration step = milliseconds(5);  // of one token, when alone
-  Duration stepEach = Duration{50}; // more for each other request that runs
-  std::int64_t stride = 5;          // tokens in an event
+  Duration step = milliseconds(5);   // of one token, when alone
+  Duration stepEach = Duration{50};  // more for each other request that runs
+  std::int64_t stride = 5;           // tokens in an event
   Duration loadTime = seconds(1.1);
   double linkMbps = 370'000;
   std::int64_t tokenBytes = 18'432;
@@ -52,7 +52,7 @@
 /// Example: `if (engine.take(run, attempt, now) == BatchVerdict::kTaken) ...`
 class BatchEngine {
  public:
-  BatchEngine(BatchProps props, EngineId id, std::uint64_t seed);
+  BatchEngine(BatchOptions options, EngineId id, std::uint64_t seed);
 
   /// Whether an attempt is taken; if not, it has not run. Example: see the class.
   BatchVerdict take(const OpenAttempt& attempt, const RequestArrived& request, MonotonicTime now,
@@ -75,14 +75,14 @@
   bool cuts() const { return loading() && cuts_; }
   /// Tenants that share no part with others; what they find is checked.
   void isolate(std::set<std::string> tenants) { isolated_ = std::move(tenants); }
-  /// Links and lost events that change. Example: `engine.props().linkMbps = 100`.
-  BatchProps& props() { return props_; }
+  /// Links and lost events that change. Example: `engine.options().linkMbps = 100`.
+  BatchOptions& options() { return options_; }
   /// Lets a load end. Example: each tick.
   void tick(MonotonicTime now);
   PartsPolled poll(std::uint64_t since, MonotonicTime now) const;
   PartsListed list(MonotonicTime now) const;
   EngineReport report() const;
-  EngineLoad load() const { return {running_, waiting_, props_.slots}; }
+  EngineLoad load() const { return {running_, waiting_, options_.slots}; }
   /// The process starts again with a new id, empty; its version stays. Example: after a crash.
   void restart(EngineId id, std::uint64_t epoch);
   /// New weights for an engine that starts anew. Example: one that replaces another.
@@ -91,7 +91,7 @@
   const EngineId& id() const { return id_; }
   const std::map<ModelName, WeightsVersion>& models() const { return models_; }
   bool loading() const { return loadEnds_ != kForever; }
-  const BatchProps& props() const { return props_; }
+  const BatchOptions& options() const { return options_; }
   /// Client ids that began here, with how often. Example: none may begin twice in the fleet.
   const std::map<std::string, int>& beganIds() const { return beganIds_; }
   /// What went wrong here, by kind. Example: `violations().at("stale-memory")`.
@@ -111,10 +111,10 @@
   };
   void note(bool kept, const std::string& key, std::int64_t tokens, const ModelName& model,
             MonotonicTime now);
-  void makeRoom(std::int64_t tokens, MonotonicTime now);
+  void allowElection(std::int64_t tokens, MonotonicTime now);
   void found(const Kept& part, const BatchRun& run);
 
-  BatchProps props_;
+  BatchOptions options_;
   EngineId id_;
   Random random_;
   std::map<ModelName, WeightsVersion> models_;
--- a/src/sim/callers.cc
+++ b/src/sim/callers.cc
@@ -51,11 +51,12 @@
   stream.resumable = !stream.unary && random_.below(2) == 0;
   stream.pieces = stream.unary ? 1 : 4 + random_.below(world_.scenario().pieces - 3);
   if (!stream.unary)
-    stream.texts = sharedPrefix(row->name, row->prefix,
-                                pickDocument(random_, world_.scenario().documents));
+    stream.texts =
+        sharedPrefix(row->name, row->prefix, pickDocument(random_, world_.scenario().documents));
   stream.texts.push_back("question " + std::to_string(random_.next()));
   stream.asked = world_.now();
-  stream.deadline = world_.now() + seconds(5 + (world_.scenario().deadline - 5) * random_.fraction());
+  stream.deadline =
+      world_.now() + seconds(5 + (world_.scenario().deadline - 5) * random_.fraction());
   send(streams_[stream.id] = stream);
 }
 
@@ -75,7 +76,7 @@
   if (stream.firstHost.empty()) stream.firstHost = front.host;
   StreamId ask{++lastAsk_};
   byAsk_[ask] = stream.id;
-  StreamAsked asked;
+  StreamRequest asked;
   asked.stream = ask;
   asked.unary = stream.unary;
   auto left = inMilliseconds(stream.deadline - world_.now());
--- a/src/sim/callers.h
+++ b/src/sim/callers.h
@@ -18,7 +18,7 @@
 /// One stream as its caller knows it, over all its tries.
 struct CallerStream {
   std::uint64_t id = 0;
-  std::string host;   // of the front that it was sent to
+  std::string host;  // of the front that it was sent to
   std::string firstHost;
   std::string key;
   std::string tenant;
@@ -29,7 +29,7 @@
   std::uint64_t next = 0;
   std::uint64_t weights = 0;
   std::string requestId;
-  std::string run;    // the engine's mark of the run that its pieces came from
+  std::string run;                      // the engine's mark of the run that its pieces came from
   std::vector<std::string> toldNotRun;  // request ids that surely did not run, it was said
   MonotonicTime asked, deadline, first = kForever, ended = kForever;
   CallerEnd end = CallerEnd::kOpen;
--- a/src/sim/checker.cc
+++ b/src/sim/checker.cc
@@ -24,7 +24,8 @@
 
 void Checker::fail(const std::string& what) {
   if (++never_[what] == 1)
-    failures_.push_back("never: " + what + " at " + std::to_string(inSeconds(world_.now() - MonotonicTime{})) + " s");
+    failures_.push_back("never: " + what + " at " +
+                        std::to_string(inSeconds(world_.now() - MonotonicTime{})) + " s");
 }
 
 void Checker::bound(const std::string& name, double value) {
@@ -94,7 +95,8 @@
         return other.outcome == "done" && other.body["kind"] == "apply" &&
                other.version > change.version;
       });
-      if (!change.tenant.empty() && !replaced && !follower.setup().tenants.contains({change.tenant}))
+      if (!change.tenant.empty() && !replaced &&
+          !follower.setup().tenants.contains({change.tenant}))
         fail("acknowledged-change-lost");
       if (!change.key.empty() && follower.keys().live.contains(keyDigest(change.key)))
         fail("acknowledged-withdrawal-lost");
@@ -258,7 +260,8 @@
       break;
     }
     case Wanted::kRanks:
-      if (double gap = worstRankGap(from, to); gap > number) say("a worse rank was better served", gap);
+      if (double gap = worstRankGap(from, to); gap > number)
+        say("a worse rank was better served", gap);
       break;
     case Wanted::kOthers: {
       double got = servedOf(from, to, [&](const CallerStream& stream) {
@@ -275,10 +278,11 @@
       break;
     case Wanted::kVouched:
     case Wanted::kNotVouched: {
-      bool vouched = false;
+      bool attested = false;
       for (const auto& [at, has] : vouchedAt_)
-        if (at <= (to == kForever ? world_.now() : to)) vouched = has;
-      if (vouched != (expectation.wanted == Wanted::kVouched)) say("a caretaker vouching", vouched);
+        if (at <= (to == kForever ? world_.now() : to)) attested = has;
+      if (attested != (expectation.wanted == Wanted::kVouched))
+        say("a caretaker vouching", attested);
       break;
     }
     case Wanted::kDeclinedAs: {
--- a/src/sim/checker.h
+++ b/src/sim/checker.h
@@ -53,7 +53,7 @@
 
   World& world_;
   std::map<std::string, std::uint64_t> never_;
-  std::map<std::string, SetupVersion> highest_;  // by host and section
+  std::map<std::string, SectionVersion> highest_;  // by host and section
   std::vector<std::string> failures_;
   std::map<std::string, double> figures_;
   std::vector<std::pair<MonotonicTime, bool>> primaryAt_;
--- a/src/sim/checker_rules.cc
+++ b/src/sim/checker_rules.cc
@@ -40,15 +40,15 @@
 }
 
 void Checker::watchVouchers(int leaders) {
-  bool vouched = false;
+  bool attested = false;
   for (auto& process : world_.processes()) {
     if (!process->alive || process->frozen || process->role != Role::kCore) continue;
     auto& core = static_cast<CoreNode&>(*process->node);
-    vouched = vouched || core.caretaker().vouches(process->local(world_.now()));
+    attested = attested || core.readOnlyLeader().attests(process->local(world_.now()));
   }
-  if (vouched && leaders > 0) fail("caretaker-beside-a-primary");
-  if (vouched) figures_["vouched-seconds"] += 0.05;
-  vouchedAt_.emplace_back(world_.now(), vouched);
+  if (attested && leaders > 0) fail("caretaker-beside-a-primary");
+  if (attested) figures_["vouched-seconds"] += 0.05;
+  vouchedAt_.emplace_back(world_.now(), attested);
 }
 
 void Checker::watchLevels() {
@@ -81,20 +81,21 @@
     for (auto [name, version] : {std::pair{"/setup", have.setup}, std::pair{"/keys", have.keys},
                                  std::pair{"/weights", have.weights}}) {
       if (version.epoch.value == 0) continue;
-      SetupVersion& highest = highest_[process->host + name];
+      SectionVersion& highest = highest_[process->host + name];
       if (version < highest) fail("machine-went-back-to-older-setup");
       highest = std::max(highest, version);
     }
     // Whoever allows new streams, cut off or not, allows none under an older state. What stood
     // before a restart has to be there again only with the first proof.
     bool allows = !process->frozen && follower.fresh(process->local(world_.now()));
-    SetupVersion newest = std::max({have.setup, have.keys, have.weights});
+    SectionVersion newest = std::max({have.setup, have.keys, have.weights});
     for (const auto& change : world_.changes()) {
       if (change.outcome != "done") continue;
       Duration since = world_.now() - change.done;
       if (newest >= change.version) {
         bool first = inForce_.insert({process->host, change.id}).second;
-        if (first && allows && allowed_.contains(process->host)) bound("setup-in-force", inSeconds(since));
+        if (first && allows && allowed_.contains(process->host))
+          bound("setup-in-force", inSeconds(since));
         continue;
       }
       if (allows && since > kSetupBound) fail("setup-not-in-force");
--- a/src/sim/engine_model.cc
+++ b/src/sim/engine_model.cc
@@ -70,16 +70,19 @@
   std::vector<std::string> texts;
   for (const auto& part : document.value("parts", Json::array())) {
     texts.push_back(part.at("text"));
-    ask.parts.push_back({{part.at("name").get<std::string>()}, texts.back().size(),
-                         part.value("shared", false)});
+    ask.parts.push_back(
+        {{part.at("name").get<std::string>()}, texts.back().size(), part.value("shared", false)});
   }
   ask.promptDigest = promptDigest(texts);
   return ask;
 }
 
-EngineModel::EngineModel(EngineProps props, EngineId id, WeightsVersion weights,
+EngineModel::EngineModel(EngineOptions options, EngineId id, WeightsVersion weights,
                          std::uint64_t seed)
-    : props_(props), id_(std::move(id)), random_(seed), life_{random_.next() >> 1},
+    : options_(options),
+      id_(std::move(id)),
+      random_(seed),
+      life_{random_.next() >> 1},
       weights_(weights) {}
 
 void EngineModel::violation(const std::string& kind) { ++violations_[kind]; }
@@ -88,24 +91,24 @@
   if (ask.life != life_ && !ask.anyLife) return {412, "other-life"};
   if (isLoading_) return {503, "loading"};
   if (drained_) return {503, "draining"};
-  if (running_ >= props_.places) return {503, "full"};
+  if (running_ >= options_.places) return {503, "full"};
   (ask.shot > 1 ? secondShots_ : firstShots_).push_back(now);
   // From here on it runs; what is wrong is written down, not refused.
   began_.insert(ask.requestId);
   if (!ask.resumable && !begun_.insert(ask.requestId).second) violation("ran-twice");
   if (ask.weights != weights_) violation("other-weights");
   bool drains = markedAt_ != kForever && !ask.withoutList;
-  if (drains && now - markedAt_ > props_.drainGrace) violation("work-while-draining");
+  if (drains && now - markedAt_ > options_.drainGrace) violation("work-while-draining");
   auto newer = named_.upper_bound(weights_);
   if (newer != named_.end()) latestOldStart_ = std::max(latestOldStart_, now - newer->second);
   if (drains) latestDrainedStart_ = std::max(latestDrainedStart_, now - markedAt_);
-  if (newer != named_.end() && now - newer->second > props_.weightsGrace)
+  if (newer != named_.end() && now - newer->second > options_.weightsGrace)
     violation("old-weights-started");
   auto wall = walls_.find(ask.tenant);
   if (ask.shot == 1 && wall != walls_.end() && wall->second.former.contains(ask.wall)) {
     Duration late = now - wall->second.since;
     latestOldWall_ = std::max(latestOldWall_, late);
-    if (late > props_.wallGrace) violation("older-setup-used");
+    if (late > options_.wallGrace) violation("older-setup-used");
   }
   ++running_;
   return {200, {}};
@@ -124,7 +127,7 @@
   kept_[name] = std::move(part);
   keptOrder_.push_back(name);
   ++revision_;
-  if (keptOrder_.size() <= props_.cacheParts) return;
+  if (keptOrder_.size() <= options_.cacheParts) return;
   kept_.erase(keptOrder_.front());
   keptOrder_.erase(keptOrder_.begin());
 }
@@ -132,7 +135,7 @@
 void EngineModel::collected(const RealPart& part) { keep(part); }
 
 Duration EngineModel::prefill(const RunAsk& ask, std::vector<RealPart>& made) {
-  Duration time = props_.start;
+  Duration time = options_.start;
   bool prefix = true;  // kept parts help only while all before them are there
   for (const auto& part : ask.parts) {
     auto kept = kept_.find(part.name);
@@ -142,7 +145,7 @@
       continue;
     }
     prefix = false;
-    time = time + Duration{props_.perCharacter.microseconds *
+    time = time + Duration{options_.perCharacter.microseconds *
                            static_cast<std::int64_t>(part.characters)};
     if (!part.shared) continue;
     RealPart real{{part.name, ask.wall, ask.weights}, ask.wall, weights_};
@@ -163,7 +166,7 @@
 
 void EngineModel::tick(MonotonicTime now) {
   if (!isLoading_) return;
-  if (loadEnds_ == kForever && running_ <= 0) loadEnds_ = now + props_.loadTime;
+  if (loadEnds_ == kForever && running_ <= 0) loadEnds_ = now + options_.loadTime;
   if (now < loadEnds_) return;
   restart(loading_, now);
 }
--- a/src/sim/engine_model.h
+++ b/src/sim/engine_model.h
@@ -34,12 +34,12 @@
   std::int64_t pieces = 8;
   std::vector<AskedPart> parts;
   std::string promptDigest;
-  Address source;               // X-Collect-From
+  Address source;  // X-Collect-From
   double rate = 0;
   std::vector<PartName> collect;
-  Address deposit;              // X-Deposit-At
-  bool withoutList = false;     // no way to the platform's list led to the asker lately
-  std::string run;              // the engine's own mark of this run, in each piece
+  Address deposit;           // X-Deposit-At
+  bool withoutList = false;  // no way to the platform's list led to the asker lately
+  std::string run;           // the engine's own mark of this run, in each piece
 };
 
 /// Reads the headers (in lower case) and the body of a /run. Example: `parseRun(headers, body)`.
@@ -47,12 +47,12 @@
 
 /// A kept part and under what it was really made.
 struct RealPart {
-  KeptPart told;          // as the requests labelled it
-  Wall wall;              // of the request that made it
+  KeptPart told;  // as the requests labelled it
+  Wall wall;      // of the request that made it
   WeightsVersion madeUnder;
 };
 
-struct EngineProps {
+struct EngineOptions {
   std::int64_t places = 32;
   std::size_t cacheParts = 400;
   Duration perCharacter{30};
@@ -71,7 +71,7 @@
     int status = 200;
     std::string reason;
   };
-  EngineModel(EngineProps props, EngineId id, WeightsVersion weights, std::uint64_t seed);
+  EngineModel(EngineOptions options, EngineId id, WeightsVersion weights, std::uint64_t seed);
 
   /// Whether a request starts; if not, it did not run. Example: see the class.
   Verdict begin(const RunAsk& ask, MonotonicTime now);
@@ -123,13 +123,13 @@
   const EngineId& id() const { return id_; }
   WeightsVersion weights() const { return weights_; }
   std::int64_t running() const { return running_; }
-  const EngineProps& props() const { return props_; }
+  const EngineOptions& options() const { return options_; }
 
  private:
   void violation(const std::string& kind);
   void keep(RealPart part);
 
-  EngineProps props_;
+  EngineOptions options_;
   EngineId id_;
   Random random_;
   EngineLife life_;
