--- a/src/sim/hollow_fleet.cc
+++ b/src/sim/hollow_fleet.cc
@@ -17,12 +17,12 @@
 constexpr std::string_view kJoinedNote = "member joined: ";
 
 constexpr std::array<std::string_view, kMessageKinds> kKindNames{
-    "Shuffle", "PromiseAsk", "PromiseAnswer", "AcceptAsk", "AcceptAnswer", "CopyAsk",
-    "CopyAnswer", "NewsAsk", "NewsAnswer", "ChangeAsk", "ChangeAnswer", "HoldAsk",
-    "HoldAnswer", "EngineListNews", "EngineListAsk", "PictureNote", "IndexPut",
-    "IndexAsk", "UsageNote", "HolderAsk", "HolderAnswer", "CaretakerAsk",
-    "CaretakerAnswer", "CaretakerNote", "PartNews", "RosterNews", "RosterAsk",
-    "EngineTrouble", "EngineUse", "PartAsk"};
+    "Shuffle",      "PromiseAsk",   "PromiseAnswer",   "AcceptAsk",      "AcceptAnswer",
+    "CopyAsk",      "CopyAnswer",   "NewsAsk",         "NewsAnswer",     "ChangeAsk",
+    "ChangeAnswer", "HoldAsk",      "HoldAnswer",      "EngineListNews", "EngineListAsk",
+    "PictureNote",  "IndexPut",     "IndexAsk",        "UsageNote",      "HolderAsk",
+    "HolderAnswer", "CaretakerAsk", "CaretakerAnswer", "CaretakerNote",  "PartNews",
+    "RosterNews",   "RosterAsk",    "EngineTrouble",   "EngineUse",      "PartAsk"};
 static_assert(!kKindNames.back().empty(), "a kind of message without a name");
 
 const Follower& followerOf(const HollowMember& member) {
@@ -68,7 +68,7 @@
   for (int read = 0; read < kReads; ++read) (void)threadMicros();
   clockCost_ = (threadMicros() - before) / kReads;
   // A configuration above the limit is refused; the hollow fleet raises the limit to see the cost.
-  if (shape_.tenants > 2000) props_.largestSetup = 64 << 20;
+  if (shape_.tenants > 2000) options_.largestSetup = 64 << 20;
   listText_ = engineList();
   for (int index = 0; index < shape_.cores + shape_.fronts; ++index) {
     auto member = std::make_unique<HollowMember>();
@@ -92,19 +92,19 @@
   self.member = {random_.next() >> 1};
   self.address = self.pages = member.address;
   self.role = member.role;
-  self.district = {"zone" + std::to_string(member.zone + 1)};
+  self.zone = {"zone" + std::to_string(member.zone + 1)};
   std::vector<Address> seeds{members_[0]->address, members_[1 % members_.size()]->address,
                              members_.back()->address};
   if (member.role == Role::kCore) {
-    Founding founding;
-    if (index == 0 && member.disk.empty()) founding.cores = static_cast<std::size_t>(shape_.cores);
+    Bootstrap bootstrap;
+    if (index == 0 && member.disk.empty()) bootstrap.cores = static_cast<std::size_t>(shape_.cores);
     if (member.disk.empty())
-      member.disk["identity"] = identityFile({random_.next() >> 1}, founding);
-    member.node = std::make_unique<CoreNode>(props_, self, seeds, DiskFound{member.disk},
-                                             random_.next(), now_, founding);
+      member.disk["identity"] = identityFile({random_.next() >> 1}, bootstrap);
+    member.node = std::make_unique<CoreNode>(options_, self, seeds, DiskFound{member.disk},
+                                             random_.next(), now_, bootstrap);
   } else {
     Address platform{shape_.engines > 0 ? "10.200.0.1:80" : ""};
-    member.node = std::make_unique<FrontNode>(props_, self, seeds, platform, random_.next());
+    member.node = std::make_unique<FrontNode>(options_, self, seeds, platform, random_.next());
   }
   // Members' ticks are spread over the tick's length.
   push(Duration{static_cast<std::int64_t>(random_.below(kTick.microseconds))}, index, Ticked{});
@@ -120,7 +120,12 @@
 }
 
 void HollowFleet::push(Duration delay, std::size_t to, Event event) {
-  queue_.push({now_ + delay, ++orders_, to, members_[to]->life, to, {},
+  queue_.push({now_ + delay,
+               ++orders_,
+               to,
+               members_[to]->life,
+               to,
+               {},
                std::make_shared<Event>(std::move(event))});
 }
 
@@ -195,7 +200,7 @@
 }
 
 Duration HollowFleet::delay(const HollowMember& one, const HollowMember& other) {
-  Duration base = one.zone == other.zone ? shape_.nearDelay
+  Duration base = one.zone == other.zone                                     ? shape_.nearDelay
                   : one.zone % shape_.regions == other.zone % shape_.regions ? shape_.zoneDelay
                                                                              : shape_.regionDelay;
   return base * (0.9 + 0.4 * random_.fraction());
@@ -231,7 +236,8 @@
   std::vector<std::string> names;
   for (const auto& [name, content] : disk)
     if (name.starts_with(command.prefix + ".")) names.push_back(name);
-  for (std::size_t place = 0; place + command.keep < names.size(); ++place) disk.erase(names[place]);
+  for (std::size_t place = 0; place + command.keep < names.size(); ++place)
+    disk.erase(names[place]);
 }
 
 void HollowFleet::note(std::size_t index, const std::string& text) {
@@ -269,7 +275,7 @@
   std::vector<std::size_t> found;
   for (std::size_t index = 0; index < static_cast<std::size_t>(shape_.cores); ++index) {
     if (!members_[index]->node) continue;
-    CoreId core = static_cast<CoreNode&>(*members_[index]->node).voter().record().identity;
+    CoreId core = static_cast<CoreNode&>(*members_[index]->node).acceptor().record().identity;
     if (std::ranges::find(view.backups, core) != view.backups.end()) found.push_back(index);
   }
   return found;
@@ -282,7 +288,7 @@
   return zones;
 }
 
-std::optional<MonotonicTime> HollowFleet::inForceSince(const SetupVersion& version) const {
+std::optional<MonotonicTime> HollowFleet::inForceSince(const SectionVersion& version) const {
   MonotonicTime last = kNever;
   for (const auto& member : members_) {
     if (!member->node) continue;
--- a/src/sim/hollow_fleet.h
+++ b/src/sim/hollow_fleet.h
@@ -25,9 +25,9 @@
   int fronts = 9;
   int cores = 4;
   int regions = 2;
-  int zones = 5;        // spread over the regions in turn
-  int engines = 0;      // 0: no engine list at all
-  int keptParts = 0;    // of each engine
+  int zones = 5;      // spread over the regions in turn
+  int engines = 0;    // 0: no engine list at all
+  int keptParts = 0;  // of each engine
   int tenants = 8;
   Duration reportEvery = seconds(1);  // how often an engine's kept parts change
   Duration nearDelay = Duration{300}, zoneDelay = milliseconds(1), regionDelay = milliseconds(30);
@@ -80,11 +80,11 @@
   /// An operator asks a front for a change; true at the yes. Example: see `changeBody`.
   void ask(std::size_t front, Json body);
   /// The asked change's version once it was answered with yes. Example: `fleet.answered()`.
-  std::optional<SetupVersion> answered() const { return answered_; }
+  std::optional<SectionVersion> answered() const { return answered_; }
   MonotonicTime answeredAt() const { return answeredAt_; }
   const std::string& lastAnswer() const { return lastAnswer_; }
   /// When the last live member put a version in force; nothing while one has not.
-  std::optional<MonotonicTime> inForceSince(const SetupVersion& version) const;
+  std::optional<MonotonicTime> inForceSince(const SectionVersion& version) const;
 
   /// A machine loses power, or comes back as a new life. Example: `fleet.stop(7);`
   void stop(std::size_t index);
@@ -136,7 +136,7 @@
   double spent(double since) const;
 
   HollowShape shape_;
-  Props props_;
+  Options options_;
   Random random_;
   MonotonicTime now_{};
   std::uint64_t orders_ = 0;
@@ -146,7 +146,7 @@
   std::map<Address, std::size_t> byAddress_;
   std::vector<int> cut_;
   std::string listText_;
-  std::optional<SetupVersion> answered_;
+  std::optional<SectionVersion> answered_;
   MonotonicTime answeredAt_{};
   std::string lastAnswer_;
   std::uint64_t lastTicket_ = 1'000'000'000;
--- a/src/sim/hollow_measures.cc
+++ b/src/sim/hollow_measures.cc
@@ -54,7 +54,10 @@
       const HollowCost& then = before_[index];
       bool core = fleet.member(index).role == Role::kCore;
       bool backup = std::ranges::find(backups, index) != backups.end();
-      Sum& sum = sums[!core ? "front" : index == primary ? "primary" : backup ? "backup" : "witness"];
+      Sum& sum = sums[!core              ? "front"
+                      : index == primary ? "primary"
+                      : backup           ? "backup"
+                                         : "witness"];
       ++sum.members;
       for (std::size_t kind = 0; kind < kMessageKinds; ++kind) {
         sum.messages += static_cast<double>(now.messages[kind] - then.messages[kind]);
@@ -71,10 +74,10 @@
     Json told = Json::object();
     for (const auto& [role, sum] : sums) {
       double each = sum.members * span;
-      told[role] = {{"members", sum.members}, {"messagesOut", sum.messages / each},
-                    {"bytesOut", sum.bytes / each}, {"messagesIn", sum.messagesIn / each},
-                    {"bytesIn", sum.bytesIn / each}, {"micros", sum.micros / each},
-                    {"worstMicros", sum.worst}, {"tickMicros", sum.tick / each},
+      told[role] = {{"members", sum.members},          {"messagesOut", sum.messages / each},
+                    {"bytesOut", sum.bytes / each},    {"messagesIn", sum.messagesIn / each},
+                    {"bytesIn", sum.bytesIn / each},   {"micros", sum.micros / each},
+                    {"worstMicros", sum.worst},        {"tickMicros", sum.tick / each},
                     {"webCalls", sum.webCalls / each}, {"webBytes", sum.webBytes / each}};
     }
     return told;
@@ -105,7 +108,9 @@
 }
 
 Json measureChanges(HollowFleet& fleet, const HollowPlan& plan, std::size_t firstFront) {
-  Json told{{"inForce", Json::array()}, {"yes", Json::array()}, {"bytes", Json::array()},
+  Json told{{"inForce", Json::array()},
+            {"yes", Json::array()},
+            {"bytes", Json::array()},
             {"primaryMicros", Json::array()}};
   std::size_t front = firstFront;
   for (int turn = 0; turn < plan.changes; ++turn) {
@@ -145,11 +150,14 @@
   MonotonicTime from = fleet.now();
   for (std::size_t index : chosen) fleet.stop(index);
   std::size_t words = chosen.size() * (fleet.size() - chosen.size());
-  auto took = runUntil(fleet, seconds(30), [&] { return fleet.noticed().size() - before >= words; });
+  auto took =
+      runUntil(fleet, seconds(30), [&] { return fleet.noticed().size() - before >= words; });
   std::vector<double> noticed(fleet.noticed().begin() + static_cast<std::ptrdiff_t>(before),
                               fleet.noticed().end());
-  Json told{{"stopped", plan.stops}, {"allNoticed", orNull(took)},
-            {"median", quantile(noticed, 0.5)}, {"last", quantile(noticed, 1)},
+  Json told{{"stopped", plan.stops},
+            {"allNoticed", orNull(took)},
+            {"median", quantile(noticed, 0.5)},
+            {"last", quantile(noticed, 1)},
             {"bytesASecond", (bytesSent(fleet) - bytes) / inSeconds(fleet.now() - from)}};
   bytes = bytesSent(fleet);
   from = fleet.now();
@@ -170,8 +178,10 @@
   auto leads = runUntil(fleet, plan.cutFor,
                         [&] { return fleet.now() - from > seconds(3) && fleet.primary(); });
   fleet.run(plan.cutFor - (fleet.now() - from));
-  Json told{{"zones", zones.size()}, {"cutFor", inSeconds(plan.cutFor)},
-            {"primaryAfter", orNull(leads)}, {"freshShare", fleet.freshShare()},
+  Json told{{"zones", zones.size()},
+            {"cutFor", inSeconds(plan.cutFor)},
+            {"primaryAfter", orNull(leads)},
+            {"freshShare", fleet.freshShare()},
             {"bytesASecond", (bytesSent(fleet) - bytes) / inSeconds(plan.cutFor)}};
   bytes = bytesSent(fleet);
   from = fleet.now();
@@ -203,10 +213,11 @@
   HollowFleet fleet(shape);
   auto firstFront = static_cast<std::size_t>(shape.cores);
   auto members = static_cast<double>(fleet.size());
-  Json told{{"fronts", shape.fronts}, {"cores", shape.cores}, {"regions", shape.regions},
-            {"zones", shape.zones}, {"engines", shape.engines}, {"keptParts", shape.keptParts},
+  Json told{{"fronts", shape.fronts},   {"cores", shape.cores},     {"regions", shape.regions},
+            {"zones", shape.zones},     {"engines", shape.engines}, {"keptParts", shape.keptParts},
             {"tenants", shape.tenants}, {"seed", shape.seed}};
-  told["firstPrimary"] = orNull(runUntil(fleet, seconds(20), [&] { return fleet.primary().has_value(); }));
+  told["firstPrimary"] =
+      orNull(runUntil(fleet, seconds(20), [&] { return fleet.primary().has_value(); }));
   fleet.run(seconds(1));
   for (int turn = 0; turn < 5 && !fleet.answered(); ++turn) {
     fleet.ask(firstFront, firstChange(shape.tenants, "1.1"));
--- a/src/sim/hollow_outside.cc
+++ b/src/sim/hollow_outside.cc
@@ -9,7 +9,8 @@
 namespace {
 
 std::string engineAddress(int engine) {
-  return "10.100." + std::to_string(engine / 250) + "." + std::to_string(engine % 250 + 1) + ":8000";
+  return "10.100." + std::to_string(engine / 250) + "." + std::to_string(engine % 250 + 1) +
+         ":8000";
 }
 
 int engineAt(const std::string& address) {  // "10.100.HIGH.LOW:PORT"
@@ -38,10 +39,12 @@
 std::string HollowFleet::keptText(int engine) const {
   Json parts = Json::array();
   for (int part = 0; part < shape_.keptParts; ++part) {
-    std::uint64_t name = Random(static_cast<std::uint64_t>(engine) * 1'000'003 +
-                                static_cast<std::uint64_t>(part)).next();
+    std::uint64_t name =
+        Random(static_cast<std::uint64_t>(engine) * 1'000'003 + static_cast<std::uint64_t>(part))
+            .next();
     parts.push_back({{"name", digestText(std::to_string(name))},
-                     {"wall", "wall-" + std::to_string(name % 97)}, {"weights", 1}});
+                     {"wall", "wall-" + std::to_string(name % 97)},
+                     {"weights", 1}});
   }
   return parts.dump();
 }
@@ -54,8 +57,12 @@
     int engine = engineAt(command.address.value);
     auto revision = 1 + (now_ - MonotonicTime{}).microseconds / shape_.reportEvery.microseconds;
     if (command.path == "/health")
-      answer.body = Json{{"life", engine + 1}, {"weights", 1}, {"ready", true}, {"running", 3},
-                         {"revision", shape_.keptParts > 0 ? revision : 0}}.dump();
+      answer.body = Json{{"life", engine + 1},
+                         {"weights", 1},
+                         {"ready", true},
+                         {"running", 3},
+                         {"revision", shape_.keptParts > 0 ? revision : 0}}
+                        .dump();
     else if (command.path == "/kept")
       answer.body = R"({"life":)" + std::to_string(engine + 1) + R"(,"revision":)" +
                     std::to_string(revision) + R"(,"parts":)" + keptText(engine) + "}";
@@ -70,7 +77,7 @@
   answered_.reset();
   lastAnswer_.clear();
   body["changeId"] = "change-" + std::to_string(lastTicket_);
-  push(Duration{1}, front, OperatorAsked{{++lastTicket_}, "POST", "/change", body.dump()});
+  push(Duration{1}, front, OperatorRequest{{++lastTicket_}, "POST", "/change", body.dump()});
 }
 
 void HollowFleet::answer(const AnswerWeb& command) {
@@ -91,14 +98,17 @@
     std::string name = "tenant-" + std::to_string(10000 + tenant);
     table[name] = {{"template", tenant % 2 == 0 ? "steady" : "plain"},
                    {"parameters",
-                    {{"rank", tenant % 4}, {"wall", "wall-" + name},
+                    {{"rank", tenant % 4},
+                     {"wall", "wall-" + name},
                      {"keys", Json::array({keyDigest(name).value})}}}};
   }
   return change;
 }
 
 Json changeBody(int turn, const std::string& basedOn) {
-  return {{"kind", "stamp"}, {"basedOn", basedOn}, {"template", "steady"},
+  return {{"kind", "stamp"},
+          {"basedOn", basedOn},
+          {"template", "steady"},
           {"tenant", "added-" + std::to_string(turn)},
           {"parameters", {{"rank", 2}, {"wall", "wall-added-" + std::to_string(turn)}}}};
 }
--- a/src/sim/hollow_tables.cc
+++ b/src/sim/hollow_tables.cc
@@ -15,7 +15,8 @@
   double allocated = allocatedBytes(), micros = threadMicros();
   Json told(double entries) const {
     double time = threadMicros() - micros;
-    return {{"entries", entries}, {"bytesEach", (allocatedBytes() - allocated) / entries},
+    return {{"entries", entries},
+            {"bytesEach", (allocatedBytes() - allocated) / entries},
             {"microsEach", time / entries}};
   }
 };
@@ -24,7 +25,7 @@
   MemberRecord record;
   record.member = {Random(number).next() >> 1};
   record.address = record.pages = {"10.0.1." + std::to_string(number % 250) + ":7100"};
-  record.district = {"zone1"};
+  record.zone = {"zone1"};
   return record;
 }
 
@@ -33,17 +34,18 @@
 }
 
 Json tenantsTable(int tenants) {
-  Props props;
-  props.largestSetup = 64 << 20;
+  Options options;
+  options.largestSetup = 64 << 20;
   ControlState state = ControlState::founded({1});
   std::string change = firstChange(tenants, "1.1").dump();
   double before = threadMicros();
-  ChangeAnswer answer = state.apply(change, "c1", {1}, props);
+  ChangeReply answer = state.apply(change, "c1", {1}, options);
   double applied = threadMicros() - before;
   ControlState defaults = ControlState::founded({1});
-  bool fits = defaults.apply(change, "c1", {1}, Props{}).outcome == ChangeOutcome::kDone;
+  bool fits = defaults.apply(change, "c1", {1}, Options{}).outcome == ChangeOutcome::kDone;
   before = threadMicros();
-  ChangeAnswer one = state.apply(changeBody(1, versionText(answer.version)).dump(), "c2", {1}, props);
+  ChangeReply one =
+      state.apply(changeBody(1, versionText(answer.version)).dump(), "c2", {1}, options);
   double appliedOne = threadMicros() - before;
   std::string text = state.setupText(), keys = state.keysText(), whole = state.text();
   malloc_trim(0);
@@ -52,17 +54,21 @@
   auto read = readKeys(keys);
   Json told = growth.told(tenants);
   bool good = setup.ok() && read.ok() && one.outcome == ChangeOutcome::kDone;
-  told.update({{"good", good}, {"fitsDefaultLimit", fits}, {"setupBytes", text.size()},
-               {"keysBytes", keys.size()}, {"stateBytes", whole.size()},
-               {"applyAllMicros", applied}, {"applyOneMicros", appliedOne}});
+  told.update({{"good", good},
+               {"fitsDefaultLimit", fits},
+               {"setupBytes", text.size()},
+               {"keysBytes", keys.size()},
+               {"stateBytes", whole.size()},
+               {"applyAllMicros", applied},
+               {"applyOneMicros", appliedOne}});
   return told;
 }
 
 Json indexTable(int engines, int partsEach) {
-  Props props;
+  Options options;
   Random random(3);
-  Membership membership(props, anyMember(1), {}, random);
-  PrefixIndex index(props, membership);
+  Membership membership(options, anyMember(1), {}, random);
+  PrefixIndex index(options, membership);
   std::vector<IndexPut> puts;
   std::uint64_t number = 0;
   for (int engine = 0; engine < engines; ++engine) {
@@ -86,9 +92,12 @@
     KeptPart part = anyPart(look * 7919 % number);
     found += index.holders(part.name, part.wall, part.weights).size();
   }
-  told.update({{"engines", engines}, {"partsEach", partsEach}, {"putFrameBytes", frame},
+  told.update({{"engines", engines},
+               {"partsEach", partsEach},
+               {"putFrameBytes", frame},
                {"putFrameFits", frame <= static_cast<double>(kLargestFrame)},
-               {"putEncodeMicros", coded}, {"found", found},
+               {"putEncodeMicros", coded},
+               {"found", found},
                {"lookupMicros", (threadMicros() - before) / kLookups}});
   return told;
 }
@@ -113,14 +122,19 @@
   auto first = micros(few, small);
   auto second = micros(many, large);
   double entries = many - few;
-  return {{"few", few}, {"many", many}, {"fewBytes", small}, {"manyBytes", large},
+  return {{"few", few},
+          {"many", many},
+          {"fewBytes", small},
+          {"manyBytes", large},
           {"bytesEach", static_cast<double>(large - small) / entries},
-          {"sendMicrosFew", first.first}, {"sendMicrosEach", (second.first - first.first) / entries},
-          {"takeMicrosFew", first.second}, {"takeMicrosEach", (second.second - first.second) / entries}};
+          {"sendMicrosFew", first.first},
+          {"sendMicrosEach", (second.first - first.first) / entries},
+          {"takeMicrosFew", first.second},
+          {"takeMicrosEach", (second.second - first.second) / entries}};
 }
 
-UsageNote usageOf(int links) {
-  UsageNote note{{Random(5).next() >> 1}, {}, {}};
+UsageNotification usageOf(int links) {
+  UsageNotification note{{Random(5).next() >> 1}, {}, {}};
   for (int link = 0; link < links; ++link) {
     LinkId id{"engine:engine" + std::to_string(link)};
     note.links.push_back({id, 12.5, 25, 0, 0.75, 0, 3});
@@ -129,8 +143,8 @@
   return note;
 }
 
-PartNews newsOf(int events) {
-  PartNews news{{"engine17"}, 4, 100, 100, false, {}, {}, {}};
+PrefixBlockUpdate newsOf(int events) {
+  PrefixBlockUpdate news{{"engine17"}, 4, 100, 100, false, {}, {}, {}};
   for (int event = 0; event < events; ++event) {
     news.salts.push_back("wall-" + std::to_string(event % 97) + "/3");
     news.parts.push_back(digestText(std::to_string(event)));
@@ -149,11 +163,16 @@
   return use;
 }
 
-PictureNote picturesOf(int engines) {
-  PictureNote note{{Random(8).next() >> 1}, {}};
+EngineSnapshotNotification picturesOf(int engines) {
+  EngineSnapshotNotification note{{Random(8).next() >> 1}, {}};
   for (int engine = 0; engine < engines; ++engine)
-    note.pictures.push_back({{"engine" + std::to_string(engine)}, {static_cast<std::uint64_t>(engine) + 70000},
-                             {9}, 12345, milliseconds(300), 20, true});
+    note.pictures.push_back({{"engine" + std::to_string(engine)},
+                             {static_cast<std::uint64_t>(engine) + 70000},
+                             {9},
+                             12345,
+                             milliseconds(300),
+                             20,
+                             true});
   return note;
 }
 
@@ -170,9 +189,11 @@
   Json list{{"version", 1}, {"engines", Json::array()}};
   for (int engine = 0; engine < engines; ++engine)
     list["engines"].push_back({{"id", "engine" + std::to_string(engine)},
-                               {"address", "10.100.0.1:8000"}, {"service", "model"},
+                               {"address", "10.100.0.1:8000"},
+                               {"service", "model"},
                                {"rack", "rack" + std::to_string(engine / 20)},
-                               {"district", "zone1"}, {"link", 100.0}});
+                               {"district", "zone1"},
+                               {"link", 100.0}});
   std::string text = list.dump();
   malloc_trim(0);
   Growth growth;
@@ -187,7 +208,8 @@
 Json measureTables() {
   Json told = Json::object();
   for (int tenants : {8, 1000, 10000}) told["tenants"].push_back(tenantsTable(tenants));
-  for (auto [engines, parts] : {std::pair{6, 1000}, {60, 1000}, {600, 294}, {6, 29412}, {2, 100000}})
+  for (auto [engines, parts] :
+       {std::pair{6, 1000}, {60, 1000}, {600, 294}, {6, 29412}, {2, 100000}})
     told["index"].push_back(indexTable(engines, parts));
   for (int engines : {30, 600}) told["engineList"].push_back(listTable(engines));
   told["messages"] = {{"UsageNote", messageSlope(usageOf, 0, 100)},
--- a/src/sim/random_day.cc
+++ b/src/sim/random_day.cc
@@ -35,9 +35,8 @@
   struct Busy {
     std::vector<std::pair<double, double>> spans;
     bool free(double from, double to) const {
-      return std::ranges::none_of(spans, [&](const auto& span) {
-        return from < span.second && span.first < to;
-      });
+      return std::ranges::none_of(
+          spans, [&](const auto& span) { return from < span.second && span.first < to; });
     }
   };
   using Kind = void (Drawer::*)(double at);
@@ -48,7 +47,9 @@
     return text;
   }
   double between(double low, double high) { return low + (high - low) * random_.fraction(); }
-  int pick(int most) { return 1 + static_cast<int>(random_.below(static_cast<std::uint64_t>(most))); }
+  int pick(int most) {
+    return 1 + static_cast<int>(random_.below(static_cast<std::uint64_t>(most)));
+  }
   bool coin() { return random_.below(2) == 0; }
   template <std::size_t Size>
   std::string_view one(const std::array<std::string_view, Size>& words) {
@@ -114,7 +115,8 @@
   }
   void clocksLeap(double at) {
     for (int turn = pick(3); turn > 0; --turn)
-      add(at + between(0, 1), "leap " + (coin() ? fixedCore() : front()) + " " + number(between(0.3, 20)));
+      add(at + between(0, 1),
+          "leap " + (coin() ? fixedCore() : front()) + " " + number(between(0.3, 20)));
   }
   void coreCut(double at) {
     double end = at + between(1, 14);
@@ -129,11 +131,13 @@
     std::array<int, 4> cores{1, 2, 3, 4};
     random_.shuffle(std::span<int>(cores));
     for (int index = 0; index < 4; ++index)
-      (index < 2 ? one : other) += " core " + std::to_string(cores[static_cast<std::size_t>(index)]);
+      (index < 2 ? one : other) +=
+          " core " + std::to_string(cores[static_cast<std::size_t>(index)]);
     for (int index = 1; index <= size_.fronts; ++index)
       (index % 2 == 0 ? one : other) += " front " + std::to_string(index);
     std::string engines;
-    for (int index = 1; index <= size_.engines; index += 3) engines += " engine " + std::to_string(index);
+    for (int index = 1; index <= size_.engines; index += 3)
+      engines += " engine " + std::to_string(index);
     switch (random_.below(3)) {
       case 0:
         add(at, "oneway" + one + " to" + other);
@@ -243,26 +247,31 @@
 
   void drawOne() {
     static constexpr std::array<Kind, 26> kKinds{
-        &Drawer::coreKilled, &Drawer::coreWiped, &Drawer::coreReplaced, &Drawer::coreFrozen,
-        &Drawer::coreDisk, &Drawer::clocksLeap, &Drawer::coreCut, &Drawer::halves,
-        &Drawer::frontCut, &Drawer::partialCut, &Drawer::frontsKilled, &Drawer::frontFrozen,
-        &Drawer::engineKilled, &Drawer::engineRestarted, &Drawer::connectionsBreak,
-        &Drawer::engineDrained, &Drawer::linkSlow, &Drawer::reportsBad, &Drawer::garbles,
-        &Drawer::storeLost, &Drawer::powerLost, &Drawer::weights, &Drawer::withdrawal,
-        &Drawer::changes, &Drawer::walls, &Drawer::badNetwork};
+        &Drawer::coreKilled,    &Drawer::coreWiped,       &Drawer::coreReplaced,
+        &Drawer::coreFrozen,    &Drawer::coreDisk,        &Drawer::clocksLeap,
+        &Drawer::coreCut,       &Drawer::halves,          &Drawer::frontCut,
+        &Drawer::partialCut,    &Drawer::frontsKilled,    &Drawer::frontFrozen,
+        &Drawer::engineKilled,  &Drawer::engineRestarted, &Drawer::connectionsBreak,
+        &Drawer::engineDrained, &Drawer::linkSlow,        &Drawer::reportsBad,
+        &Drawer::garbles,       &Drawer::storeLost,       &Drawer::powerLost,
+        &Drawer::weights,       &Drawer::withdrawal,      &Drawer::changes,
+        &Drawer::walls,         &Drawer::badNetwork};
     (this->*kKinds[random_.below(kKinds.size())])(between(kFirstFault, kLastFault - 12));
     // Half of the time a change or a withdrawal is under way just then.
     double near = lines_.empty() ? kFirstFault : lines_.back().at;
-    if (random_.below(3) == 0) withdrawal(std::clamp(near + between(-0.3, 0.3), kFirstFault, kLastFault));
-    if (random_.below(3) == 0) changes(std::clamp(near + between(-1, 0.3), kFirstFault, kLastFault));
-    if (random_.below(16) == 0) large(std::clamp(near + between(-0.5, 0.5), kFirstFault, kLastFault));
+    if (random_.below(3) == 0)
+      withdrawal(std::clamp(near + between(-0.3, 0.3), kFirstFault, kLastFault));
+    if (random_.below(3) == 0)
+      changes(std::clamp(near + between(-1, 0.3), kFirstFault, kLastFault));
+    if (random_.below(16) == 0)
+      large(std::clamp(near + between(-0.5, 0.5), kFirstFault, kLastFault));
   }
 
   void lastFault() {
     static constexpr std::array<Kind, 9> kKinds{
-        &Drawer::coreKilled, &Drawer::coreWiped, &Drawer::coreFrozen, &Drawer::coreCut,
-        &Drawer::halves, &Drawer::frontsKilled, &Drawer::powerLost, &Drawer::engineKilled,
-        &Drawer::coreReplaced};
+        &Drawer::coreKilled, &Drawer::coreWiped,    &Drawer::coreFrozen,
+        &Drawer::coreCut,    &Drawer::halves,       &Drawer::frontsKilled,
+        &Drawer::powerLost,  &Drawer::engineKilled, &Drawer::coreReplaced};
     double at = kFirstFault;
     for (const auto& line : lines_) at = std::max(at, line.at);
     (this->*kKinds[random_.below(kKinds.size())])(at + between(0.5, 6));
--- a/src/sim/router_attempts.cc
+++ b/src/sim/router_attempts.cc
@@ -24,7 +24,7 @@
 
 std::uint64_t idOf(const RouterRun& run, std::uint64_t event) {
   auto tokens = static_cast<std::uint64_t>(run.run.tokensOut);
-  return std::min(event * static_cast<std::uint64_t>(run.engine->model->props().stride), tokens);
+  return std::min(event * static_cast<std::uint64_t>(run.engine->model->options().stride), tokens);
 }
 
 std::string runName(const RouterRun& run) {
--- a/src/sim/router_checker.cc
+++ b/src/sim/router_checker.cc
@@ -31,8 +31,8 @@
   const std::string& tenant = run.open.tenant.value;
   if (tenant.starts_with("mark-")) {
     std::uint64_t marker = std::strtoull(tenant.c_str() + 5, nullptr, 10);
-    Duration bound = world_.inTouch(*run.process, kTouch) ? kConfigBound
-                                                          : world_.props().applyWithin;
+    Duration bound =
+        world_.inTouch(*run.process, kTouch) ? kConfigBound : world_.options().applyWithin;
     auto& [life, newest, since] = markers_[run.process];
     if (life != run.processLife) newest = 0;
     life = run.processLife;
@@ -41,8 +41,8 @@
                             std::to_string(newest));
     if (marker > newest) newest = marker, since = now;
     if (marker < world_.operators().ackedBefore(now - bound))
-      fail("old-config", run.process->host + " used " + std::to_string(marker) + " for " +
-                             run.open.clientId);
+      fail("old-config",
+           run.process->host + " used " + std::to_string(marker) + " for " + run.open.clientId);
   }
   if (further) overBudget(run.engine->service);
 }
@@ -55,7 +55,7 @@
 void RouterChecker::overBudget(const ServiceName& service) {
   MonotonicTime now = world_.now();
   auto& tries = tries_[service];
-  const Duration window = world_.props().budgetWindow;
+  const Duration window = world_.options().budgetWindow;
   while (!tries.empty() && now - tries.front().first >= window * 2) tries.pop_front();
   tries.emplace_back(now, true);
   ++further_;
@@ -71,10 +71,10 @@
         firstsIn[half] += 1;
   }
   double firsts = std::ranges::max(firstsIn);
-  double allowed = world_.props().budgetShare * firsts + world_.props().budgetSlack;
+  double allowed = world_.options().budgetShare * firsts + world_.options().budgetSlack;
   if (more > allowed)
-    fail("over-budget", service.value + " " + std::to_string(more) + " of " +
-                            std::to_string(firsts));
+    fail("over-budget",
+         service.value + " " + std::to_string(more) + " of " + std::to_string(firsts));
 }
 
 void RouterChecker::took(const RouterRun& run, ClientRequest& request) {
@@ -92,15 +92,15 @@
   if (!request.asked.host.starts_with(run.engine->service.value))
     fail("other-service", run.open.clientId + " at " + run.engine->host);
   if (request.refused) fail("refused", run.open.clientId + " ran after its refusal");
-  if (now - world_.operators().withdrawnAt(request.asked.key) > world_.props().withdrawWithin &&
+  if (now - world_.operators().withdrawnAt(request.asked.key) > world_.options().withdrawWithin &&
       world_.operators().withdrawnAt(request.asked.key) != kForever)
     fail("withdrawn", request.asked.key + " at " + run.process->host);
   // The time doesn't count while the platform's list can't be had.
   MonotonicTime draining = std::max(run.engine->drainingSince, world_.listedSince());
-  if (draining != kForever && now - draining > world_.props().drainWithin &&
+  if (draining != kForever && now - draining > world_.options().drainWithin &&
       world_.inTouch(*run.process, kTouch))
     fail("draining", run.process->host + " to " + run.engine->model->id().value);
-  const Duration within = world_.props().weightsWithin;
+  const Duration within = world_.options().weightsWithin;
   bool calm = now - world_.coreDisturbed() > within + seconds(4);
   bool settled = now - run.engine->since > within;
   if (calm && settled &&
@@ -114,8 +114,8 @@
   if (!request.lastRun.empty() && request.lastRun != run && !route.resumable)
     fail("order", request.asked.clientId + " joins two runs without resume");
   if (before != request.lastEvent)
-    fail("order", request.asked.clientId + " got " + std::to_string(id) + " of " + run +
-                      " after " + std::to_string(request.lastEvent));
+    fail("order", request.asked.clientId + " got " + std::to_string(id) + " of " + run + " after " +
+                      std::to_string(request.lastEvent));
   request.lastRun = run;
   request.lastEvent = id;
 }
@@ -138,9 +138,8 @@
   if (passedOn && (route.kind == RouteKind::kSafe || route.resumable)) return;
   request.refused = true;
   if (request.takes > 0)
-    fail("refused", request.asked.clientId + " (" +
-                        std::string(kClientRoutes[request.route].name) + ") ran and was told " +
-                        std::to_string(request.status));
+    fail("refused", request.asked.clientId + " (" + std::string(kClientRoutes[request.route].name) +
+                        ") ran and was told " + std::to_string(request.status));
 }
 
 void RouterChecker::denied(const ClientRequest& request) {
@@ -173,8 +172,8 @@
   } else {
     std::uint64_t version = leader->core().leadership().published().configVersion().value;
     if (version < world_.operators().acked())
-      fail("config-lost", std::to_string(world_.operators().acked()) + " is " +
-                              std::to_string(version));
+      fail("config-lost",
+           std::to_string(world_.operators().acked()) + " is " + std::to_string(version));
   }
   expectations();
 }
@@ -196,7 +195,8 @@
               {"takes", static_cast<double>(takes_)},
               {"further", static_cast<double>(further_)},
               {"acknowledged", static_cast<double>(acknowledged)},
-              {"tokens-read-each", takes_ > 0 ? static_cast<double>(read) / static_cast<double>(takes_) : 0},
+              {"tokens-read-each",
+               takes_ > 0 ? static_cast<double>(read) / static_cast<double>(takes_) : 0},
               {"orders", static_cast<double>(orders)}};
   MonotonicTime last = actions.empty() ? MonotonicTime{} : actions.back().at;
   double settled = world_.clients().served(last + kSettled, end);
--- a/src/sim/router_clients.cc
+++ b/src/sim/router_clients.cc
@@ -10,9 +10,9 @@
 namespace peppergate {
 namespace {
 
-constexpr Duration kLookEvery = seconds(1);      // at routers that are ready
-constexpr Duration kProbeEvery = seconds(0.2);   // with the marker's key
-constexpr Duration kPatience = seconds(1);       // beyond the route's time
+constexpr Duration kLookEvery = seconds(1);     // at routers that are ready
+constexpr Duration kProbeEvery = seconds(0.2);  // with the marker's key
+constexpr Duration kPatience = seconds(1);      // beyond the route's time
 constexpr int kLargestTries = 4;
 constexpr std::array<std::string_view, 5> kTenants{"first", "second", "third", "walled1",
                                                    "walled2"};
--- a/src/sim/router_clients.h
+++ b/src/sim/router_clients.h
@@ -29,10 +29,10 @@
   std::uint64_t routerLife = 0;
   MonotonicTime sent, giveUp;
   bool arrived = false, over = false;
-  int status = 0;             // as the client saw it; 0: none yet
-  bool refused = false;       // by a promise that it has not run
-  std::string body;           // of one that is no stream
-  std::string lastRun;        // whose events came last
+  int status = 0;        // as the client saw it; 0: none yet
+  bool refused = false;  // by a promise that it has not run
+  std::string body;      // of one that is no stream
+  std::string lastRun;   // whose events came last
   std::uint64_t lastEvent = 0;
   int takes = 0, writes = 0;  // by engines, by routers
   bool engineBroke = false;   // an engine's end was the reason of its own
--- a/src/sim/router_commands.cc
+++ b/src/sim/router_commands.cc
@@ -12,7 +12,7 @@
 namespace peppergate {
 
 namespace {
-constexpr std::size_t kPageSize = 4;       // engines on a page of the platform's list
+constexpr std::size_t kPageSize = 4;         // engines on a page of the platform's list
 constexpr Duration kListLag = seconds(0.6);  // the list is as old
 }  // namespace
 
@@ -25,19 +25,18 @@
   void operator()(const DropOlder& command) const { world.dropOlder(process, command); }
   void operator()(const ListEngines& command) const { world.listEngines(process, command); }
   void operator()(const AskReport& command) const {
-    world.callEngine<ReportAnswered>(
-        process, command.address, command.timeout, kForever, {command.ticket, 0, {}},
-        [ticket = command.ticket](RouterEngine& engine) {
-          return ReportAnswered{ticket, 200, engine.model->report()};
-        });
+    world.callEngine<ReportAnswered>(process, command.address, command.timeout, kForever,
+                                     {command.ticket, 0, {}},
+                                     [ticket = command.ticket](RouterEngine& engine) {
+                                       return ReportAnswered{ticket, 200, engine.model->report()};
+                                     });
   }
   void operator()(const OrderWeights& command) const {
     auto ask = [world = &world, command](RouterEngine& engine) {
-      return OrderAnswered{command.ticket, engine.model->order(command, world->scenario().fenced,
-                                                               world->now())};
+      return OrderAnswered{command.ticket,
+                           engine.model->order(command, world->scenario().fenced, world->now())};
     };
-    world.callEngine<OrderAnswered>(process, command.address, command.timeout,
-                                    command.writeBefore,
+    world.callEngine<OrderAnswered>(process, command.address, command.timeout, command.writeBefore,
                                     {command.ticket, OrderOutcome::kUnknown}, ask);
   }
   void operator()(const PollParts& command) const {
@@ -78,7 +77,9 @@
   }
   /// What only fronts of the product's own interface do has no place in this world.
   template <class Other>
-  void operator()(const Other&) const { world.checker().fail("unknown-command", process.host); }
+  void operator()(const Other&) const {
+    world.checker().fail("unknown-command", process.host);
+  }
 };
 
 void RouterWorld::runCommands(RouterProcess& process) {
@@ -172,7 +173,7 @@
     entry.service = engine->service;
     entry.address = engine->address;
     entry.zone = engine->zone;
-    entry.slots = engine->model->props().slots;
+    entry.slots = engine->model->options().slots;
     entry.draining = engine->draining;
     entry.models = engine->model->models();
     list.push_back(std::move(entry));
@@ -198,7 +199,7 @@
   answer.ticket = command.ticket;
   if (listDown_ || !reachable(process.host, "platform")) return give(command.timeout, answer);
   while (!listCalls_.empty() && now_ - listCalls_.front() >= seconds(1)) listCalls_.pop_front();
-  if (static_cast<double>(listCalls_.size()) >= props_.listRate) {
+  if (static_cast<double>(listCalls_.size()) >= options_.listRate) {
     answer.status = 429;
     return give(latency(), answer);
   }
--- a/src/sim/router_days.cc
+++ b/src/sim/router_days.cc
@@ -12,10 +12,11 @@
   Random random;
   RouterScenario day;
   bool replaced = false;
-  std::string number(int most) { return std::to_string(1 + random.below(static_cast<std::uint64_t>(most))); }
+  std::string number(int most) {
+    return std::to_string(1 + random.below(static_cast<std::uint64_t>(most)));
+  }
   void add(double at, std::string verb, std::vector<std::string> words = {}) {
-    day.actions.push_back(
-        {MonotonicTime{} + seconds(at), std::move(verb), std::move(words), 0});
+    day.actions.push_back({MonotonicTime{} + seconds(at), std::move(verb), std::move(words), 0});
   }
 };
 
@@ -24,47 +25,115 @@
   double length = 1 + 4 * draw.random.fraction();
   std::string router = draw.number(day.routers), core = draw.number(day.cores);
   std::string engine = draw.number(day.engines);
-  constexpr std::array kGarbles{"lost", "foreign", "short", "fails", "busy",
-                                "unstamped", "repeat", "skip"};
+  constexpr std::array kGarbles{"lost", "foreign",   "short",  "fails",
+                                "busy", "unstamped", "repeat", "skip"};
   switch (draw.random.below(21)) {
-    case 0: draw.add(at, "kill", {"primary"}); draw.add(at + length, "start", {"all"}); break;
-    case 1: draw.add(at, "kill", {"core", core}); draw.add(at + length, "start", {"core", core}); break;
+    case 0:
+      draw.add(at, "kill", {"primary"});
+      draw.add(at + length, "start", {"all"});
+      break;
+    case 1:
+      draw.add(at, "kill", {"core", core});
+      draw.add(at + length, "start", {"core", core});
+      break;
     case 2:  // one lost disk a day: two at once may be too many for the fleet
       if (std::exchange(draw.replaced, true)) draw.add(at, "stop", {"core", core});
       else draw.add(at, "replace", {"core", core});
       draw.add(at + 9, "start", {"core", core});
       break;
-    case 3: draw.add(at, "cut", {"primary"}); draw.add(at + length, "heal"); break;
-    case 4: draw.add(at, "cut", {"router", router}); draw.add(at + length * 2, "heal"); break;
-    case 5: draw.add(at, "freeze", {"router", router}); draw.add(at + length * 2, "thaw", {"router", router}); break;
-    case 6: draw.add(at, "freeze", {"primary"}); draw.add(at + length, "thaw", {"all"}); break;
-    case 7: draw.add(at, "kill", {"half"}); draw.add(at + length, "start", {"half"}); break;
-    case 8: draw.add(at, "crash", {engine, std::to_string(2 + draw.random.below(6))}); break;
-    case 9: draw.add(at, "dark", {engine, std::to_string(2 + draw.random.below(6))}); break;
-    case 10: draw.add(at, "leave", {engine}); break;
-    case 11: draw.add(at, "garble", {engine, kGarbles[draw.random.below(kGarbles.size())]});
-      draw.add(at + length * 2, "garble", {engine, "off"}); break;
-    case 12: draw.add(at, "slow", {engine, "8"}); draw.add(at + length * 2, "slow", {engine, "1"}); break;
-    case 13: draw.add(at, "store", {"lost"}); draw.add(at + length, "store", {"back"}); break;
-    case 14: draw.add(at, "link", {"0.002"}); draw.add(at + length * 2, "link", {"1"}); break;
-    case 15: draw.add(at, "list", {"off"}); draw.add(at + length, "list", {"on"}); break;
-    case 17: draw.add(at, "stop", {"router", router}); draw.add(at + 9, "start", {"router", router}); break;
-    case 18: draw.add(at, "traffic", {"6"}); draw.add(at + length, "traffic", {"1"}); break;
-    case 19: draw.add(at, "events", {"0.5"}); draw.add(at + length * 2, "events", {"0.02"}); break;
-    case 16: draw.add(at, "late", {"0.05"}); draw.add(at + length, "late", {"0.003"}); break;
-    default: draw.add(at, "cut", {"router", router, "core", core}); draw.add(at + length, "heal"); break;
+    case 3:
+      draw.add(at, "cut", {"primary"});
+      draw.add(at + length, "heal");
+      break;
+    case 4:
+      draw.add(at, "cut", {"router", router});
+      draw.add(at + length * 2, "heal");
+      break;
+    case 5:
+      draw.add(at, "freeze", {"router", router});
+      draw.add(at + length * 2, "thaw", {"router", router});
+      break;
+    case 6:
+      draw.add(at, "freeze", {"primary"});
+      draw.add(at + length, "thaw", {"all"});
+      break;
+    case 7:
+      draw.add(at, "kill", {"half"});
+      draw.add(at + length, "start", {"half"});
+      break;
+    case 8:
+      draw.add(at, "crash", {engine, std::to_string(2 + draw.random.below(6))});
+      break;
+    case 9:
+      draw.add(at, "dark", {engine, std::to_string(2 + draw.random.below(6))});
+      break;
+    case 10:
+      draw.add(at, "leave", {engine});
+      break;
+    case 11:
+      draw.add(at, "garble", {engine, kGarbles[draw.random.below(kGarbles.size())]});
+      draw.add(at + length * 2, "garble", {engine, "off"});
+      break;
+    case 12:
+      draw.add(at, "slow", {engine, "8"});
+      draw.add(at + length * 2, "slow", {engine, "1"});
+      break;
+    case 13:
+      draw.add(at, "store", {"lost"});
+      draw.add(at + length, "store", {"back"});
+      break;
+    case 14:
+      draw.add(at, "link", {"0.002"});
+      draw.add(at + length * 2, "link", {"1"});
+      break;
+    case 15:
+      draw.add(at, "list", {"off"});
+      draw.add(at + length, "list", {"on"});
+      break;
+    case 17:
+      draw.add(at, "stop", {"router", router});
+      draw.add(at + 9, "start", {"router", router});
+      break;
+    case 18:
+      draw.add(at, "traffic", {"6"});
+      draw.add(at + length, "traffic", {"1"});
+      break;
+    case 19:
+      draw.add(at, "events", {"0.5"});
+      draw.add(at + length * 2, "events", {"0.02"});
+      break;
+    case 16:
+      draw.add(at, "late", {"0.05"});
+      draw.add(at + length, "late", {"0.003"});
+      break;
+    default:
+      draw.add(at, "cut", {"router", router, "core", core});
+      draw.add(at + length, "heal");
+      break;
   }
 }
 
 void deed(Drawing& draw, double at) {
   constexpr std::array kTenants{"first", "second", "third", "walled1"};
   switch (draw.random.below(6)) {
-    case 0: draw.add(at, "amend"); break;
-    case 1: draw.add(at, "swap"); break;
-    case 2: draw.add(at, "race"); break;
-    case 3: draw.add(at, "withdraw", {kTenants[draw.random.below(kTenants.size())]}); break;
-    case 4: draw.add(at, "invalid"); break;
-    default: draw.add(at, "version", {draw.random.below(3) == 0 ? "brief" : "deep"}); break;
+    case 0:
+      draw.add(at, "amend");
+      break;
+    case 1:
+      draw.add(at, "swap");
+      break;
+    case 2:
+      draw.add(at, "race");
+      break;
+    case 3:
+      draw.add(at, "withdraw", {kTenants[draw.random.below(kTenants.size())]});
+      break;
+    case 4:
+      draw.add(at, "invalid");
+      break;
+    default:
+      draw.add(at, "version", {draw.random.below(3) == 0 ? "brief" : "deep"});
+      break;
   }
 }
 
--- a/src/sim/router_faults.cc
+++ b/src/sim/router_faults.cc
@@ -10,8 +10,8 @@
 namespace peppergate {
 namespace {
 
-constexpr Duration kGrace = seconds(8);       // a leaving engine's, from its draining on
-constexpr Duration kCrashListed = seconds(3); // so long a crashed one stays on the list
+constexpr Duration kGrace = seconds(8);        // a leaving engine's, from its draining on
+constexpr Duration kCrashListed = seconds(3);  // so long a crashed one stays on the list
 
 int numberOf(const std::string& word) { return std::atoi(word.c_str()); }
 
@@ -52,9 +52,9 @@
 void RouterWorld::stop(RouterProcess& process) {
   if (!process.alive || process.frozen) return;
   process.stopping = true;
-  deliver(process, DrainAsked{});
+  deliver(process, DrainRequest{});
   if (process.role == Role::kCore) process.disturbed = coreDisturbed_ = now_;
-  after(props_.graceTime, [this, &process, life = process.life] {
+  after(options_.graceTime, [this, &process, life = process.life] {
     if (process.life == life) kill(process, true);  // its time is up
   });
 }
@@ -66,7 +66,8 @@
   engine.draining = engine.dark = false;
   engine.drainingSince = kForever;
   engine.since = now_;
-  EngineId id = engine.store ? storeId() : EngineId{engine.host + "-" + std::to_string(engine.life)};
+  EngineId id =
+      engine.store ? storeId() : EngineId{engine.host + "-" + std::to_string(engine.life)};
   engine.model->restart(id, engine.life);
 }
 
@@ -100,7 +101,7 @@
     const View& view = primary->core().leadership().view();
     for (auto& process : processes_) {
       if (!process->alive || process->role != Role::kCore) continue;
-      CoreId core = process->core().voter().record().identity;
+      CoreId core = process->core().acceptor().record().identity;
       if (core == view.primary) roles_["primary"] = process.get();
       else if (isMember(view, core)) roles_["backup"] = process.get();
     }
@@ -139,7 +140,7 @@
     for (auto* process : targets(words)) {
       kill(*process);
       process->disk.clear();
-      process->founds = false;
+      process->bootstraps = false;
       if (verb == "wipe") continue;
       process->address = {process->address.value + std::to_string(process->life)};
       start(*process);
@@ -195,9 +196,9 @@
     engineOf(0).slow = std::atof(words[1].c_str());
   } else if (verb == "link") {
     for (auto& engine : engines_)
-      engine->model->props().linkMbps = BatchProps{}.linkMbps * std::atof(words[0].c_str());
+      engine->model->options().linkMbps = BatchOptions{}.linkMbps * std::atof(words[0].c_str());
   } else if (verb == "events") {
-    for (auto& engine : engines_) engine->model->props().eventsLost = std::atof(words[0].c_str());
+    for (auto& engine : engines_) engine->model->options().eventsLost = std::atof(words[0].c_str());
   } else if (verb == "store") {
     RouterEngine& store = *engines_.back();
     if (words[0] == "lost") store.alive = false;
--- a/src/sim/router_operators.cc
+++ b/src/sim/router_operators.cc
@@ -57,7 +57,9 @@
     OperatorChange& change = add(intent.kind);
     change.model = model;
     change.version = version;
-    change.body = {{"changeId", change.id}, {"kind", "model-version"}, {"model", model.value},
+    change.body = {{"changeId", change.id},
+                   {"kind", "model-version"},
+                   {"model", model.value},
                    {"version", version}};
     return;
   }
@@ -129,10 +131,11 @@
   if (doors.empty()) return;
   RouterProcess& door = *doors[world_.random().below(doors.size())];
   change.ticket = ++lastTicket_;
-  world_.after(world_.latency(), [this, &door, life = door.life, ticket = change.ticket,
-                                  body = change.body.dump()] {
-    if (door.life == life) world_.deliver(door, OperatorAsked{{ticket}, "POST", "/change", body});
-  });
+  world_.after(world_.latency(),
+               [this, &door, life = door.life, ticket = change.ticket, body = change.body.dump()] {
+                 if (door.life == life)
+                   world_.deliver(door, OperatorRequest{{ticket}, "POST", "/change", body});
+               });
 }
 
 void RouterOperators::answered(const AnswerWeb& answer) {
@@ -142,7 +145,8 @@
   Json body = Json::parse(answer.body);
   std::string outcome = body.value("outcome", "?");
   if (answer.status == 503 || answer.status == 504) {
-    change.nextTry = world_.now() + milliseconds(300 + static_cast<std::int64_t>(world_.random().below(400)));
+    change.nextTry =
+        world_.now() + milliseconds(300 + static_cast<std::int64_t>(world_.random().below(400)));
     return;
   }
   change.outcome = outcome;
@@ -169,7 +173,8 @@
 std::uint64_t RouterOperators::ackedBefore(MonotonicTime time) const {
   std::uint64_t version = 0;
   for (const auto& change : changes_)
-    if (change.done <= time && change.kind != "version") version = std::max(version, change.version);
+    if (change.done <= time && change.kind != "version")
+      version = std::max(version, change.version);
   return version;
 }
 
--- a/src/sim/router_operators.h
+++ b/src/sim/router_operators.h
@@ -13,13 +13,13 @@
 struct OperatorChange {
   std::string id, kind, key;  // key: that it withdraws
   Json body;
-  Json becomes;               // the document if it is done
+  Json becomes;  // the document if it is done
   std::uint64_t base = 0, version = 0, marker = 0;
   ModelName model;
   MonotonicTime begun{}, nextTry{};
   std::uint64_t ticket = 0;
   int tries = 0;
-  std::string outcome;        // empty while open
+  std::string outcome;  // empty while open
   MonotonicTime done = kForever;
 };
 
@@ -29,12 +29,12 @@
   explicit RouterOperators(RouterWorld& world);
   void tick();
   void answered(const AnswerWeb& answer);
-  void amend();                                 // a small change of no consequence
-  void swap();                                  // the whole configuration anew
-  void race();                                  // two whole ones on one base
-  void invalid();                               // one that has to be refused
-  void nameVersion(const std::string& model);   // new weights
-  void withdraw(const std::string& tenant);     // its first key is a key no more
+  void amend();                                // a small change of no consequence
+  void swap();                                 // the whole configuration anew
+  void race();                                 // two whole ones on one base
+  void invalid();                              // one that has to be refused
+  void nameVersion(const std::string& model);  // new weights
+  void withdraw(const std::string& tenant);    // its first key is a key no more
   const std::vector<OperatorChange>& changes() const { return changes_; }
   /// The version whose configuration the marker's key belonged to. Example: `markerAcked()`.
   std::uint64_t ackedBefore(MonotonicTime time) const;
--- a/src/sim/router_scenario.cc
+++ b/src/sim/router_scenario.cc
@@ -5,7 +5,7 @@
 #include <charconv>
 #include <sstream>
 
-#include "core/props.h"
+#include "core/options.h"
 #include "core/random.h"
 #include "sim/router_world.h"
 
@@ -24,7 +24,7 @@
     {"race", 0, 0},    {"storm", 1, 1},   {"invalid", 0, 0}, {"version", 1, 1}, {"withdraw", 1, 1},
     {"stop", 1, 2},    {"traffic", 1, 1}, {"late", 1, 1},    {"loss", 1, 1},    {"list", 1, 1},
 }};
-constexpr std::array<std::string_view, 6> kExpected{"clean",  "served", "served-at-most",
+constexpr std::array<std::string_view, 6> kExpected{"clean",        "served",   "served-at-most",
                                                     "acknowledged", "versions", "kept"};
 
 absl::Status wrong(int line, const std::string& what) {
@@ -43,10 +43,10 @@
   return good && number >= 0;
 }
 
-absl::Status readAction(const std::vector<std::string>& words, int line,
-                        RouterScenario& scenario) {
+absl::Status readAction(const std::vector<std::string>& words, int line, RouterScenario& scenario) {
   Duration at;
-  if (words.size() < 3 || !readTime(words[1], at)) return wrong(line, "'at' needs a time and a verb");
+  if (words.size() < 3 || !readTime(words[1], at))
+    return wrong(line, "'at' needs a time and a verb");
   auto row = std::ranges::find(kVerbs, words[2], &VerbRow::verb);
   if (row == kVerbs.end()) return wrong(line, "unknown verb '" + words[2] + "'");
   RouterAction action{MonotonicTime{} + at, words[2], {words.begin() + 3, words.end()}, line};
@@ -82,10 +82,10 @@
 
 absl::Status readHead(const std::vector<std::string>& words, int line, RouterScenario& scenario) {
   if (words[0] == "prop") {
-    Props props;
-    if (words.size() != 3 || !setProp(props, words[1], words[2]).ok())
+    Options options;
+    if (words.size() != 3 || !setOption(options, words[1], words[2]).ok())
       return wrong(line, "'prop' needs a known name and a number");
-    scenario.props.emplace_back(words[1], words[2]);
+    scenario.options.emplace_back(words[1], words[2]);
     return absl::OkStatus();
   }
   if (words.size() != 2) return wrong(line, "'" + words[0] + "' needs one word");
@@ -137,7 +137,8 @@
     if (!status.ok()) return status;
   }
   if (scenario.name.empty()) return wrong(0, "a scenario needs a name");
-  if (scenario.expectations.empty()) return wrong(0, "a scenario without expectation proves nothing");
+  if (scenario.expectations.empty())
+    return wrong(0, "a scenario without expectation proves nothing");
   // Traffic goes on long enough after the last fault to see the fleet serve again.
   if (!scenario.actions.empty())
     scenario.run =
@@ -150,7 +151,7 @@
   text << "name " << name << "\nrouters " << routers << "\ncores " << cores << "\nengines "
        << engines << "\nrequests " << requests << "\nfenced " << fenced << "\nevents-lost "
        << eventsLost << "\nsettles " << settles << "\nrun " << inSeconds(run) << "s\n";
-  for (const auto& [prop, value] : props) text << "prop " << prop << " " << value << "\n";
+  for (const auto& [prop, value] : options) text << "prop " << prop << " " << value << "\n";
   for (const auto& action : actions) {
     text << "at " << timeText(action.at) << " " << action.verb;
     for (const auto& word : action.words) text << " " << word;
--- a/src/sim/router_scenario.h
+++ b/src/sim/router_scenario.h
@@ -29,12 +29,12 @@
 struct RouterScenario {
   std::string name;
   int routers = 4, cores = 3, engines = 6;
-  bool fenced = true;      // engines decline orders with a lower fence
-  double requests = 40;    // a second
+  bool fenced = true;    // engines decline orders with a lower fence
+  double requests = 40;  // a second
   double eventsLost = 0.02;
-  double settles = 0.9;    // served from 12 s after the last fault on; 0: not looked at
+  double settles = 0.9;  // served from 12 s after the last fault on; 0: not looked at
   Duration run = seconds(30);
-  std::vector<std::pair<std::string, std::string>> props;
+  std::vector<std::pair<std::string, std::string>> options;
   std::uint32_t guardsOff = 0;  // "without GUARD", to show that it is needed
   std::vector<RouterAction> actions;
   std::vector<RouterExpectation> expectations;
--- a/src/sim/router_world.cc
+++ b/src/sim/router_world.cc
@@ -15,16 +15,16 @@
 constexpr Duration kClientTick = milliseconds(10);
 constexpr Duration kAfterRun = seconds(14);  // for the last deadlines and settling
 
-District zoneOf(int number) { return {"zone" + std::to_string(number % 3 + 1)}; }
+Zone zoneOf(int number) { return {"zone" + std::to_string(number % 3 + 1)}; }
 
 }  // namespace
 
 RouterWorld::RouterWorld(const RouterScenario& scenario, std::uint64_t seed)
     : scenario_(scenario), random_(seed), now_(MonotonicTime{} - kRouterWarmUp) {
   // Half of the slack is a margin for routers whose windows don't end at the same moment.
-  props_.budgetSlack = 10;
-  for (const auto& [name, value] : scenario_.props) (void)setProp(props_, name, value);
-  props_.guardsOff = scenario_.guardsOff;
+  options_.budgetSlack = 10;
+  for (const auto& [name, value] : scenario_.options) (void)setOption(options_, name, value);
+  options_.guardsOff = scenario_.guardsOff;
   for (int number = 1; number <= scenario_.cores + scenario_.routers; ++number) {
     bool core = number <= scenario_.cores;
     int place = core ? number : number - scenario_.cores;
@@ -46,11 +46,11 @@
     engine->service = {small ? "small" : "large"};
     engine->modelName = {small ? "brief" : "deep"};
     engine->zone = zoneOf(number);
-    BatchProps props;
-    props.eventsLost = scenario_.eventsLost;
-    if (engine->store) props.kvTokens *= 8;
+    BatchOptions options;
+    options.eventsLost = scenario_.eventsLost;
+    if (engine->store) options.kvTokens *= 8;
     EngineId id = engine->store ? storeId() : EngineId{engine->host + "-1"};
-    engine->model = std::make_unique<BatchEngine>(props, id, random_.next());
+    engine->model = std::make_unique<BatchEngine>(options, id, random_.next());
     if (!engine->store) engine->model->setVersion(engine->modelName, WeightsVersion{1});
     engine->model->isolate({"walled1", "walled2"});
     engines_.push_back(std::move(engine));
@@ -82,15 +82,15 @@
     }
   Json services = Json::array();
   for (std::string service : {"large", "small"}) {
-    BatchProps props;
+    BatchOptions options;
     Json model{{"name", service == "small" ? "brief" : "deep"}};
     services.push_back({{"name", service},
                         {"engine",
-                         {{"slots", props.slots},
-                          {"kvTokens", props.kvTokens},
-                          {"kvTokenBytes", props.tokenBytes},
-                          {"linkMbps", props.linkMbps},
-                          {"stride", props.stride},
+                         {{"slots", options.slots},
+                          {"kvTokens", options.kvTokens},
+                          {"kvTokenBytes", options.tokenBytes},
+                          {"linkMbps", options.linkMbps},
+                          {"stride", options.stride},
                           {"largestPolls", 4},
                           {"models", Json::array({model})}}}});
   }
@@ -98,8 +98,8 @@
   services.push_back({{"name", "kept"},
                       {"store", store.address.value},
                       {"zone", store.zone.value},
-                      {"kvTokens", store.model->props().kvTokens},
-                      {"linkMbps", store.model->props().linkMbps},
+                      {"kvTokens", store.model->options().kvTokens},
+                      {"linkMbps", store.model->options().linkMbps},
                       {"largestPolls", 4}});
   Json tenants = Json::array();
   for (std::string name : {"first", "second", "third", "walled1", "walled2"})
@@ -156,26 +156,26 @@
   self.member = {random_.next() >> 1};
   self.address = self.pages = process.address;
   self.role = process.role;
-  self.district = process.zone;
+  self.zone = process.zone;
   if (process.role == Role::kCore) {
-    Founding founding{process.founds, seeds_, 0};
-    if (!process.founds) founding = {};
+    Bootstrap bootstrap{process.bootstraps, seeds_, 0};
+    if (!process.bootstraps) bootstrap = {};
     DiskFound found{process.disk};
     if (identityOn(found).value == 0) {
       // Only its first disk is told that the fleet is new.
       process.disk["identity"] =
-          identityFile({random_.next() >> 1}, process.born ? Founding{} : founding);
+          identityFile({random_.next() >> 1}, process.born ? Bootstrap{} : bootstrap);
       process.born = true;
       found.files = process.disk;
     }
-    process.node = std::make_unique<CoreNode>(props_, self, seeds_, found, random_.next(),
-                                              process.local(now_), founding);
+    process.node = std::make_unique<CoreNode>(options_, self, seeds_, found, random_.next(),
+                                              process.local(now_), bootstrap);
     process.core().takeEngineDuties();
     return;
   }
-  std::map<District, std::string> regions;
+  std::map<Zone, std::string> regions;
   for (int number = 0; number < 3; ++number) regions[zoneOf(number)] = "region";
-  process.node = std::make_unique<RouterNode>(props_, self, seeds_, regions, random_.next());
+  process.node = std::make_unique<RouterNode>(options_, self, seeds_, regions, random_.next());
 }
 
 void RouterWorld::deliver(RouterProcess& process, const Event& event) {
--- a/src/sim/router_world.h
+++ b/src/sim/router_world.h
@@ -20,17 +20,17 @@
   std::string host;
   Address address;
   Role role = Role::kFront;
-  District zone;
+  Zone zone;
   std::unique_ptr<Node> node;
   bool alive = false, frozen = false;
   bool stopping = false;  // it was told to leave
-  Duration clock;   // where its boot clock stood when the simulated time was 0
-  double rate = 1;  // how fast its boot clock goes
+  Duration clock;         // where its boot clock stood when the simulated time was 0
+  double rate = 1;        // how fast its boot clock goes
   std::uint64_t life = 0;
   std::map<std::string, std::string> disk;
   std::vector<std::function<void()>> held;  // what arrives while it is frozen
   MonotonicTime disturbed{};                // when it last began, froze, woke or was cut off
-  bool founds = true;                       // until it loses its first disk
+  bool bootstraps = true;                   // until it loses its first disk
   bool born = false;
   MonotonicTime local(MonotonicTime now) const {
     return MonotonicTime{} + clock + (now - MonotonicTime{}) * rate;
@@ -45,7 +45,7 @@
   Address address;
   ServiceName service;
   ModelName modelName;
-  District zone;
+  Zone zone;
   std::unique_ptr<BatchEngine> model;
   bool alive = true, listed = true, draining = false, dark = false, store = false;
   std::string garble;  // how its answers go wrong; empty: they don't
@@ -64,8 +64,8 @@
   RouterEngine* engine = nullptr;
   std::uint64_t engineLife = 0;
   BatchRun run;
-  bool taken = false;   // by the engine, which has not ended it yet
-  bool over = false;    // nothing more reaches the router
+  bool taken = false;  // by the engine, which has not ended it yet
+  bool over = false;   // nothing more reaches the router
   bool garbles = false;
   int events = 0;
   MonotonicTime lastTurn{};  // its turns keep their order
@@ -88,7 +88,7 @@
   MonotonicTime now() const { return now_; }
   Random& random() { return random_; }
   const RouterScenario& scenario() const { return scenario_; }
-  const Props& props() const { return props_; }
+  const Options& options() const { return options_; }
   RouterClients& clients() { return *clients_; }
   RouterChecker& checker() { return *checker_; }
   RouterOperators& operators() { return *operators_; }
@@ -163,7 +163,7 @@
 
   RouterScenario scenario_;
   Random random_;
-  Props props_;
+  Options options_;
   MonotonicTime now_;
   std::uint64_t orders_ = 0;
   std::priority_queue<Item> queue_;
--- a/src/sim/scenario.cc
+++ b/src/sim/scenario.cc
@@ -5,7 +5,7 @@
 #include <charconv>
 #include <sstream>
 
-#include "core/props.h"
+#include "core/options.h"
 
 namespace peppergate {
 namespace {
@@ -18,23 +18,23 @@
 };
 // Targets: c core, f front, e engine, s store, p primary, backup or witness, a all.
 constexpr std::array<VerbRow, 34> kVerbs{{
-    {"kill", Verb::kKill, 1, 2, "cfespa"},    {"start", Verb::kStart, 1, 2, "cfespa"},
-    {"wipe", Verb::kWipe, 1, 2, "cp"},        {"replace", Verb::kReplace, 2, 2, "c"},
-    {"freeze", Verb::kFreeze, 1, 2, "cfp"},   {"thaw", Verb::kThaw, 1, 2, "cfpa"},
-    {"cut", Verb::kCut, 1, 40, ""},           {"heal", Verb::kHeal, 0, 0, ""},
-    {"disk", Verb::kDisk, 2, 3, "cp"},        {"drain", Verb::kDrain, 2, 2, "e"},
-    {"undrain", Verb::kUndrain, 2, 2, "e"},   {"gone", Verb::kGone, 2, 2, "e"},
-    {"return", Verb::kReturn, 2, 2, "e"},     {"weights", Verb::kWeights, 1, 1, ""},
-    {"withdraw", Verb::kWithdraw, 1, 1, ""},  {"stamp", Verb::kStamp, 0, 0, ""},
-    {"race", Verb::kRace, 0, 0, ""},          {"storm", Verb::kStorm, 1, 1, ""},
-    {"large", Verb::kLarge, 1, 1, ""},        {"traffic", Verb::kTraffic, 1, 1, ""},
-    {"flood", Verb::kFlood, 2, 2, ""},        {"link", Verb::kLink, 3, 3, "e"},
-    {"reports", Verb::kReports, 3, 3, "e"},   {"seeds", Verb::kSeeds, 1, 1, ""},
-    {"restart", Verb::kRestart, 2, 3, "e"},   {"reset", Verb::kReset, 2, 2, "e"},
-    {"part", Verb::kPart, 2, 16, ""},         {"oneway", Verb::kOneWay, 3, 40, ""},
-    {"newwall", Verb::kNewWall, 1, 1, ""},    {"garble", Verb::kGarble, 3, 3, "e"},
-    {"leap", Verb::kLeap, 2, 3, "cfp"},       {"loss", Verb::kLoss, 1, 1, ""},
-    {"late", Verb::kLate, 1, 1, ""},          {"leave", Verb::kLeave, 1, 2, "cp"},
+    {"kill", Verb::kKill, 1, 2, "cfespa"},   {"start", Verb::kStart, 1, 2, "cfespa"},
+    {"wipe", Verb::kWipe, 1, 2, "cp"},       {"replace", Verb::kReplace, 2, 2, "c"},
+    {"freeze", Verb::kFreeze, 1, 2, "cfp"},  {"thaw", Verb::kThaw, 1, 2, "cfpa"},
+    {"cut", Verb::kCut, 1, 40, ""},          {"heal", Verb::kHeal, 0, 0, ""},
+    {"disk", Verb::kDisk, 2, 3, "cp"},       {"drain", Verb::kDrain, 2, 2, "e"},
+    {"undrain", Verb::kUndrain, 2, 2, "e"},  {"gone", Verb::kGone, 2, 2, "e"},
+    {"return", Verb::kReturn, 2, 2, "e"},    {"weights", Verb::kWeights, 1, 1, ""},
+    {"withdraw", Verb::kWithdraw, 1, 1, ""}, {"stamp", Verb::kStamp, 0, 0, ""},
+    {"race", Verb::kRace, 0, 0, ""},         {"storm", Verb::kStorm, 1, 1, ""},
+    {"large", Verb::kLarge, 1, 1, ""},       {"traffic", Verb::kTraffic, 1, 1, ""},
+    {"flood", Verb::kFlood, 2, 2, ""},       {"link", Verb::kLink, 3, 3, "e"},
+    {"reports", Verb::kReports, 3, 3, "e"},  {"seeds", Verb::kSeeds, 1, 1, ""},
+    {"restart", Verb::kRestart, 2, 3, "e"},  {"reset", Verb::kReset, 2, 2, "e"},
+    {"part", Verb::kPart, 2, 16, ""},        {"oneway", Verb::kOneWay, 3, 40, ""},
+    {"newwall", Verb::kNewWall, 1, 1, ""},   {"garble", Verb::kGarble, 3, 3, "e"},
+    {"leap", Verb::kLeap, 2, 3, "cfp"},      {"loss", Verb::kLoss, 1, 1, ""},
+    {"late", Verb::kLate, 1, 1, ""},         {"leave", Verb::kLeave, 1, 2, "cp"},
 }};
 
 struct WantedRow {
@@ -43,19 +43,31 @@
   bool number;
 };
 constexpr std::array<WantedRow, 25> kWanted{{
-    {"clean", Wanted::kClean, false},        {"served", Wanted::kServed, true},
+    {"clean", Wanted::kClean, false},
+    {"served", Wanted::kServed, true},
     {"served-at-most", Wanted::kServedAtMost, true},
-    {"done", Wanted::kDone, true},           {"declined", Wanted::kDeclined, true},
-    {"fetched", Wanted::kFetched, true},     {"first-event", Wanted::kFirstEvent, true},
-    {"primary", Wanted::kPrimary, false},    {"no-primary", Wanted::kNoPrimary, false},
-    {"second-share", Wanted::kShare, true},  {"rung-changes", Wanted::kRungPace, true},
-    {"heal-bytes", Wanted::kBytes, true},    {"overshoot", Wanted::kOvershoot, true},
-    {"ranks", Wanted::kRanks, true},         {"others", Wanted::kOthers, true},
-    {"goodput", Wanted::kGoodput, true},     {"each-front", Wanted::kEachFront, true},
-    {"vouched", Wanted::kVouched, false},    {"not-vouched", Wanted::kNotVouched, false},
-    {"declined-as", Wanted::kDeclinedAs, true}, {"level-spread", Wanted::kLevelSpread, true},
-    {"yes-within", Wanted::kYes, true},      {"cut-streams", Wanted::kCut, true},
-    {"acknowledged-within", Wanted::kAcknowledged, true}, {"led-within", Wanted::kLed, true},
+    {"done", Wanted::kDone, true},
+    {"declined", Wanted::kDeclined, true},
+    {"fetched", Wanted::kFetched, true},
+    {"first-event", Wanted::kFirstEvent, true},
+    {"primary", Wanted::kPrimary, false},
+    {"no-primary", Wanted::kNoPrimary, false},
+    {"second-share", Wanted::kShare, true},
+    {"rung-changes", Wanted::kRungPace, true},
+    {"heal-bytes", Wanted::kBytes, true},
+    {"overshoot", Wanted::kOvershoot, true},
+    {"ranks", Wanted::kRanks, true},
+    {"others", Wanted::kOthers, true},
+    {"goodput", Wanted::kGoodput, true},
+    {"each-front", Wanted::kEachFront, true},
+    {"vouched", Wanted::kVouched, false},
+    {"not-vouched", Wanted::kNotVouched, false},
+    {"declined-as", Wanted::kDeclinedAs, true},
+    {"level-spread", Wanted::kLevelSpread, true},
+    {"yes-within", Wanted::kYes, true},
+    {"cut-streams", Wanted::kCut, true},
+    {"acknowledged-within", Wanted::kAcknowledged, true},
+    {"led-within", Wanted::kLed, true},
 }};
 
 absl::Status wrong(int line, const std::string& what) {
@@ -83,8 +95,15 @@
 
 char targetKind(const std::string& word) {
   static constexpr std::array<std::pair<std::string_view, char>, 10> kKinds{
-      {{"core", 'c'}, {"front", 'f'}, {"engine", 'e'}, {"store", 's'}, {"primary", 'p'},
-       {"backup", 'p'}, {"all", 'a'}, {"other-backup", 'p'}, {"witness", 'p'},
+      {{"core", 'c'},
+       {"front", 'f'},
+       {"engine", 'e'},
+       {"store", 's'},
+       {"primary", 'p'},
+       {"backup", 'p'},
+       {"all", 'a'},
+       {"other-backup", 'p'},
+       {"witness", 'p'},
        {"other-witness", 'p'}}};
   for (const auto& [name, kind] : kKinds)
     if (name == word) return kind;
@@ -113,7 +132,9 @@
     double number = 0;
     if (numbered && (action.words.size() < 2 || !readNumber(action.words[1], number)))
       return wrong(line, "'" + action.words[0] + "' needs its number");
-    int most = kind == 'c' ? scenario.cores + scenario.spares : kind == 'f' ? scenario.fronts : scenario.engines;
+    int most = kind == 'c'   ? scenario.cores + scenario.spares
+               : kind == 'f' ? scenario.fronts
+                             : scenario.engines;
     if (numbered && (number < 1 || number > most))
       return wrong(line, "there is no " + action.words[0] + " " + action.words[1]);
   }
@@ -123,8 +144,7 @@
   return absl::OkStatus();
 }
 
-absl::Status readExpectation(const std::vector<std::string>& words, int line,
-                             Scenario& scenario) {
+absl::Status readExpectation(const std::vector<std::string>& words, int line, Scenario& scenario) {
   Expectation expectation;
   expectation.line = line;
   if (words.size() < 2) return wrong(line, "'expect' needs a word");
@@ -137,7 +157,8 @@
   if (row->wanted == Wanted::kDeclinedAs && at < words.size()) expectation.word = words[at++];
   for (; at + 1 < words.size(); at += 2) {
     Duration time;
-    if (!readTime(words[at + 1], time) || time < Duration{}) return wrong(line, "'" + words[at + 1] + "' is no time");
+    if (!readTime(words[at + 1], time) || time < Duration{})
+      return wrong(line, "'" + words[at + 1] + "' is no time");
     if (words[at] == "from") expectation.from = MonotonicTime{} + time;
     else if (words[at] == "to" || words[at] == "at") expectation.to = MonotonicTime{} + time;
     else return wrong(line, "unknown word '" + words[at] + "'");
@@ -149,10 +170,10 @@
 
 absl::Status readHead(const std::vector<std::string>& words, int line, Scenario& scenario) {
   if (words[0] == "prop") {
-    Props props;
-    if (words.size() != 3 || !setProp(props, words[1], words[2]).ok())
+    Options options;
+    if (words.size() != 3 || !setOption(options, words[1], words[2]).ok())
       return wrong(line, "'prop' needs a known name and a number");
-    scenario.props.emplace_back(words[1], words[2]);
+    scenario.options.emplace_back(words[1], words[2]);
     return absl::OkStatus();
   }
   if (words.size() != 2) return wrong(line, "'" + words[0] + "' needs one word");
@@ -219,15 +240,16 @@
     if (!status.ok()) return status;
   }
   if (scenario.name.empty()) return wrong(0, "a scenario needs a name");
-  if (scenario.expectations.empty()) return wrong(0, "a scenario without expectation proves nothing");
+  if (scenario.expectations.empty())
+    return wrong(0, "a scenario without expectation proves nothing");
   if (scenario.fronts < 1 || scenario.cores < 1 || scenario.engines < 1)
     return wrong(0, "a fleet needs fronts, cores and engines");
   if (!scenario.actions.empty() && scenario.actions.back().at > MonotonicTime{} + scenario.run)
     return wrong(scenario.actions.back().line, "after the end of the run");
   // Traffic goes on long enough after the last fault to see the fleet serve again.
   if (!scenario.actions.empty())
-    scenario.run = std::max(scenario.run,
-                            scenario.actions.back().at - MonotonicTime{} + seconds(18));
+    scenario.run =
+        std::max(scenario.run, scenario.actions.back().at - MonotonicTime{} + seconds(18));
   for (const auto& expectation : scenario.expectations)
     if (expectation.to != kForever && expectation.to < expectation.from)
       return wrong(expectation.line, "ends before it begins");
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -13,21 +13,21 @@
 constexpr Duration kTick = milliseconds(50);
 constexpr Duration kAfterRun = seconds(14);  // for the last deadlines and settling
 
-std::string districtOf(int number) { return "district" + std::to_string(number % 4 + 1); }
+std::string zoneOf(int number) { return "district" + std::to_string(number % 4 + 1); }
 
 }  // namespace
 
 World::World(const Scenario& scenario, std::uint64_t seed)
     : scenario_(scenario), random_(seed), now_(kWarmUp) {
-  for (const auto& [name, value] : scenario_.props) (void)setProp(props_, name, value);
-  props_.guardsOff = scenario_.guardsOff;
+  for (const auto& [name, value] : scenario_.options) (void)setOption(options_, name, value);
+  options_.guardsOff = scenario_.guardsOff;
   late_ = scenario_.late;
   for (int number = 1; number <= scenario_.cores + scenario_.spares; ++number) {
     auto process = std::make_unique<SimProcess>();
     process->host = "core" + std::to_string(number);
     process->address = {"10.0.0." + std::to_string(number) + ":7100"};
     process->role = Role::kCore;
-    process->district = {districtOf(number)};
+    process->zone = {zoneOf(number)};
     process->spare = number > scenario_.cores;
     processes_.push_back(std::move(process));
   }
@@ -35,11 +35,10 @@
     auto process = std::make_unique<SimProcess>();
     process->host = "front" + std::to_string(number);
     process->address = {"10.0.1." + std::to_string(number) + ":7100"};
-    process->district = {districtOf(number)};
+    process->zone = {zoneOf(number)};
     processes_.push_back(std::move(process));
   }
-  seeds_ = {processes_[0]->address, processes_[1 % processes_.size()]->address,
-            front(1)->address};
+  seeds_ = {processes_[0]->address, processes_[1 % processes_.size()]->address, front(1)->address};
   if (scenario_.foundedBySeeds) {
     seeds_.clear();
     for (int number = 1; number <= std::min(3, scenario_.cores); ++number)
@@ -55,12 +54,12 @@
     engine->entry.address = engine->address;
     engine->entry.service = store ? Service::kStore : desk ? Service::kDesk : Service::kModel;
     engine->entry.rack = store ? "" : "rack" + std::to_string(number % scenario_.racks + 1);
-    engine->entry.district = {districtOf(number)};
+    engine->entry.zone = {zoneOf(number)};
     engine->entry.link = scenario_.link;
-    EngineProps props;
-    props.cacheParts = store ? 4000 : scenario_.cache;
-    engine->model = std::make_unique<EngineModel>(props, engine->entry.id, WeightsVersion{1},
-                                                  random_.next());
+    EngineOptions options;
+    options.cacheParts = store ? 4000 : scenario_.cache;
+    engine->model =
+        std::make_unique<EngineModel>(options, engine->entry.id, WeightsVersion{1}, random_.next());
     engines_.push_back(std::move(engine));
   }
   checker_ = std::make_unique<Checker>(*this);
@@ -73,9 +72,7 @@
   queue_.push({now_ + delay, ++orders_, std::move(what)});
 }
 
-Duration World::latency() {
-  return Duration{300 + static_cast<std::int64_t>(random_.below(1500))};
-}
+Duration World::latency() { return Duration{300 + static_cast<std::int64_t>(random_.below(1500))}; }
 
 bool World::reachable(const std::string& one, const std::string& other) const {
   auto groupOf = [&](const std::string& host) {
@@ -115,11 +112,11 @@
   return nullptr;
 }
 
-Founding World::foundingOf(const SimProcess& process) const {
+Bootstrap World::bootstrapOf(const SimProcess& process) const {
   if (scenario_.foundedBySeeds) return {!process.spare, seeds_, 0};
-  Founding founding;
-  if (process.host == "core1") founding.cores = static_cast<std::size_t>(scenario_.cores);
-  return founding;
+  Bootstrap bootstrap;
+  if (process.host == "core1") bootstrap.cores = static_cast<std::size_t>(scenario_.cores);
+  return bootstrap;
 }
 
 void World::start(SimProcess& process) {
@@ -137,22 +134,22 @@
   self.address = process.address;
   self.pages = process.address;
   self.role = process.role;
-  self.district = process.district;
+  self.zone = process.zone;
   if (process.role == Role::kCore) {
     DiskFound found{process.disk};
     if (identityOn(found).value == 0) {
       // Only its first disk is told that the fleet is new.
-      Founding born = process.born ? Founding{} : foundingOf(process);
+      Bootstrap born = process.born ? Bootstrap{} : bootstrapOf(process);
       process.born = true;
       process.disk["identity"] = identityFile({random_.next() >> 1}, born);
       found.files = process.disk;
     }
-    Founding founding = process.founds ? foundingOf(process) : Founding{};
-    process.node = std::make_unique<CoreNode>(props_, self, seeds_, found, random_.next(),
-                                              process.local(now_), founding);
+    Bootstrap bootstrap = process.bootstraps ? bootstrapOf(process) : Bootstrap{};
+    process.node = std::make_unique<CoreNode>(options_, self, seeds_, found, random_.next(),
+                                              process.local(now_), bootstrap);
   } else {
-    process.node = std::make_unique<FrontNode>(props_, self, seeds_, Address{"10.0.3.1:80"},
-                                               random_.next());
+    process.node =
+        std::make_unique<FrontNode>(options_, self, seeds_, Address{"10.0.3.1:80"}, random_.next());
   }
 }
 
@@ -193,7 +190,8 @@
       if (hears.contains(process.get())) continue;
       bool way = reachable(process->host, "platform") && reachable("platform", process->host);
       for (const SimProcess* other : hears)
-        way = way || (reachable(process->host, other->host) && reachable(other->host, process->host));
+        way =
+            way || (reachable(process->host, other->host) && reachable(other->host, process->host));
       if (way) more = hears.insert(process.get()).second || more;
     }
   }
@@ -296,7 +294,7 @@
                        {"address", engine->address.value},
                        {"service", engine->entry.service == Service::kDesk ? "desk" : "model"},
                        {"rack", engine->entry.rack},
-                       {"district", engine->entry.district.value},
+                       {"district", engine->entry.zone.value},
                        {"link", engine->entry.link},
                        {"draining", engine->entry.draining}});
   }
@@ -306,8 +304,7 @@
   return Json{{"version", listVersion_},
               {"engines", engines},
               {"racks", racks},
-              {"store", {{"address", engines_.back()->address.value},
-                         {"link", scenario_.uplink}}}}
+              {"store", {{"address", engines_.back()->address.value}, {"link", scenario_.uplink}}}}
       .dump();
 }
 
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -21,12 +21,12 @@
   std::string host;
   Address address;
   Role role = Role::kFront;
-  District district;
+  Zone zone;
   std::unique_ptr<Node> node;
   bool alive = false;
   bool frozen = false;
-  Duration clock;    // where its boot clock stood when the simulated time was 0
-  double rate = 1;   // how fast its boot clock goes
+  Duration clock;   // where its boot clock stood when the simulated time was 0
+  double rate = 1;  // how fast its boot clock goes
   /// Its own boot clock. Example: `process.local(world.now())`.
   MonotonicTime local(MonotonicTime now) const {
     return MonotonicTime{} + clock + (now - MonotonicTime{}) * rate;
@@ -37,8 +37,8 @@
   std::vector<Event> held;  // what arrives while it is frozen
   MonotonicTime disturbed{};
   MonotonicTime withoutList = kNever;  // when last no chain of members led to the platform
-  bool founds = true;  // until it loses its first disk
-  bool born = false;   // it had its first disk
+  bool bootstraps = true;              // until it loses its first disk
+  bool born = false;                   // it had its first disk
   bool leaving = false;
   bool spare = false;  // off until it is started
 };
@@ -51,11 +51,11 @@
   bool alive = true;
   bool listed = true;
   double linkFactor = 1;
-  Duration reportDelay;   // reports come so late
+  Duration reportDelay;  // reports come so late
   bool reportsOff = false;
-  std::string garble;       // repeat, skip, foreign, early: how its answers go wrong
+  std::string garble;  // repeat, skip, foreign, early: how its answers go wrong
   std::uint64_t life = 0;
-  double fetching = 0;    // rates now on its link, megabytes a second
+  double fetching = 0;  // rates now on its link, megabytes a second
 };
 
 /// What an operator asked for and heard.
@@ -66,9 +66,9 @@
   MonotonicTime lastAsked{};  // the try that was answered
   int tries = 0;
   std::string outcome;  // empty while open
-  SetupVersion version;
-  std::string tenant;       // a stamp's
-  std::string key;          // a withdrawal's
+  SectionVersion version;
+  std::string tenant;  // a stamp's
+  std::string key;     // a withdrawal's
   bool retry = true;
   MonotonicTime nextTry{};
   std::uint64_t ticket = 0;
@@ -77,11 +77,11 @@
 /// How the fetches of a run went on the links.
 struct FetchFigures {
   double count = 0;
-  double over = 0;       // began while a link on the path was asked for more than its size
-  double excess = 0;     // sum over those of what was asked above the size, in sizes
-  double took = 0;       // seconds
+  double over = 0;    // began while a link on the path was asked for more than its size
+  double excess = 0;  // sum over those of what was asked above the size, in sizes
+  double took = 0;    // seconds
   double megabytes = 0;
-  double rates = 0;      // sum of the rates that were asked for
+  double rates = 0;  // sum of the rates that were asked for
 };
 
 class Callers;
@@ -121,7 +121,7 @@
 
   // Faults and operators, called by the scenario's actions.
   void start(SimProcess& process);
-  Founding foundingOf(const SimProcess& process) const;
+  Bootstrap bootstrapOf(const SimProcess& process) const;
   void kill(SimProcess& process);
   void act(const Action& action);
   void change(Json body, bool retry = true, const std::string& tenant = {},
@@ -199,7 +199,7 @@
   std::uint64_t messages_ = 0, messageBytes_ = 0, lastTicket_ = 1'000'000'000;
   std::vector<std::uint64_t> bytesBySecond_;
   int stamps_ = 0;
-  Props props_;
+  Options options_;
   std::vector<Address> seeds_;
   std::unique_ptr<Checker> checker_;
   std::unique_ptr<Callers> callers_;
--- a/src/sim/world_actions.cc
+++ b/src/sim/world_actions.cc
@@ -21,7 +21,7 @@
     const View& view = static_cast<CoreNode&>(*primary->node).leadership().view();
     for (auto& process : processes_) {
       if (!process->alive || process->role != Role::kCore) continue;
-      CoreId core = static_cast<CoreNode&>(*process->node).voter().record().identity;
+      CoreId core = static_cast<CoreNode&>(*process->node).acceptor().record().identity;
       if (core == view.primary) roles_["primary"] = process.get();
       else if (isMember(view, core)) backups.push_back(process.get());
       else if (std::ranges::find(view.voters, core) != view.voters.end())
@@ -74,7 +74,8 @@
     case Verb::kKill:
       if (engineTarget) killEngine(engineOf());
       else if (storeTarget) killEngine(store());
-      else for (SimProcess* process : targets(words)) kill(*process);
+      else
+        for (SimProcess* process : targets(words)) kill(*process);
       break;
     case Verb::kStart:
       if (engineTarget || storeTarget) {
@@ -89,14 +90,14 @@
       for (SimProcess* process : targets(words)) {
         kill(*process);
         process->disk.clear();
-        process->founds = false;
+        process->bootstraps = false;
       }
       break;
     case Verb::kReplace: {  // back empty, at a new address
       SimProcess& process = *targets(words).at(0);
       kill(process);
       process.disk.clear();
-      process.founds = false;
+      process.bootstraps = false;
       process.address = {"10.0.9." + words.at(1) + ":" + std::to_string(7200 + process.life)};
       start(process);
       break;
@@ -106,7 +107,7 @@
         if (!process->alive) continue;
         process->leaving = true;
         process->disturbed = now_;
-        deliver(*process, DrainAsked{});
+        deliver(*process, DrainRequest{});
       }
       break;
     case Verb::kFreeze:
@@ -164,7 +165,7 @@
       parted_.clear();
       break;
     case Verb::kDisk: {
-      DiskMode mode = words.back() == "slow"   ? DiskMode::kSlow
+      DiskMode mode = words.back() == "slow"    ? DiskMode::kSlow
                       : words.back() == "stall" ? DiskMode::kStalled
                       : words.back() == "fail"  ? DiskMode::kFailing
                       : words.back() == "full"  ? DiskMode::kFull
@@ -195,18 +196,22 @@
       break;
     case Verb::kStamp:
     case Verb::kNewWall: {
-      std::string name = action.verb == Verb::kStamp ? "stamped" + std::to_string(++stamps_)
-                                                     : words.at(0);
+      std::string name =
+          action.verb == Verb::kStamp ? "stamped" + std::to_string(++stamps_) : words.at(0);
       Json parameters{{"rank", 2}, {"wall", "wall-" + name + std::to_string(now_.microseconds)}};
-      change({{"kind", "stamp"}, {"template", "plain"}, {"tenant", name},
-              {"parameters", parameters}}, true, name);
+      change(
+          {{"kind", "stamp"}, {"template", "plain"}, {"tenant", name}, {"parameters", parameters}},
+          true, name);
       break;
     }
     case Verb::kRace:
       for (int racer = 0; racer < 2; ++racer) {
         std::string name = "racer" + std::to_string(++stamps_);
-        change({{"kind", "stamp"}, {"template", "plain"}, {"tenant", name},
-                {"parameters", {{"rank", 2}, {"wall", name}}}}, false, name);
+        change({{"kind", "stamp"},
+                {"template", "plain"},
+                {"tenant", name},
+                {"parameters", {{"rank", 2}, {"wall", name}}}},
+               false, name);
       }
       break;
     case Verb::kStorm:
@@ -225,8 +230,10 @@
       for (int index = 0; size < static_cast<std::size_t>(number(0)); ++index) {
         std::string tenant = name + "-" + std::to_string(index);
         Json entry{{"template", "plain"},
-                   {"parameters", {{"rank", 3}, {"wall", "wall-" + tenant},
-                                   {"keys", Json::array({keyDigest(tenant).value})}}}};
+                   {"parameters",
+                    {{"rank", 3},
+                     {"wall", "wall-" + tenant},
+                     {"keys", Json::array({keyDigest(tenant).value})}}}};
         size += entry.dump().size() + tenant.size() + 4;
         body["setup"]["tenants"][tenant] = std::move(entry);
       }
@@ -253,9 +260,9 @@
       SimEngine& engine = engineOf();
       killEngine(engine);
       engine.alive = true;
-      WeightsVersion weights =
-          words.size() > 2 ? WeightsVersion{std::strtoull(words[2].c_str(), nullptr, 10)}
-                           : engine.model->weights();
+      WeightsVersion weights = words.size() > 2
+                                   ? WeightsVersion{std::strtoull(words[2].c_str(), nullptr, 10)}
+                                   : engine.model->weights();
       engine.model->restart(weights, now_);
       break;
     }
--- a/src/sim/world_commands.cc
+++ b/src/sim/world_commands.cc
@@ -30,7 +30,9 @@
   }
   /// What only routers do has no place in this world.
   template <class Other>
-  void operator()(const Other&) const { process.node->outbox().count("commands.unknown"); }
+  void operator()(const Other&) const {
+    process.node->outbox().count("commands.unknown");
+  }
 };
 
 void World::runCommands(SimProcess& process) {
@@ -53,7 +55,8 @@
   after(time, [this, &process, life, command] {
     if (process.life != life) {
       // Power went before the yes: the file may be there or not, never half of it.
-      if (!process.disk.empty() && random_.below(2) == 0) process.disk[command.name] = command.content;
+      if (!process.disk.empty() && random_.below(2) == 0)
+        process.disk[command.name] = command.content;
       return;
     }
     // A full disk leaves the aside file unwritten and the old one as it was; what waits is tried
@@ -172,7 +175,7 @@
       if (!change.retry) change.body["basedOn"] = body["basedOn"];  // a racer keeps its base
     }
     change.ticket = ++lastTicket_;
-    deliver(door, OperatorAsked{{change.ticket}, "POST", "/change", body.dump()});
+    deliver(door, OperatorRequest{{change.ticket}, "POST", "/change", body.dump()});
   }
 }
 
@@ -181,8 +184,8 @@
     if (change.ticket != answer.ticket.value || !change.outcome.empty()) continue;
     Json body = Json::parse(answer.body);
     std::string outcome = body.value("outcome", "?");
-    bool again = answer.status == 503 || answer.status == 504 ||
-                 (outcome == "stale" && change.retry);
+    bool again =
+        answer.status == 503 || answer.status == 504 || (outcome == "stale" && change.retry);
     if (again) {
       change.nextTry = now_ + milliseconds(300 + static_cast<std::int64_t>(random_.below(400)));
       return;
@@ -192,7 +195,8 @@
     change.done = now_;
     std::string version = body["version"];
     auto dot = version.find('.');
-    change.version = {{std::stoull(version.substr(0, dot))}, {std::stoull(version.substr(dot + 1))}};
+    change.version = {{std::stoull(version.substr(0, dot))},
+                      {std::stoull(version.substr(dot + 1))}};
     if (change.body["kind"] == "weights") namedToEngines({0});
     if (change.body["kind"] == "apply")
       for (const auto& [tenant, entry] : change.body["setup"]["tenants"].items())
--- a/src/sim/world_engines.cc
+++ b/src/sim/world_engines.cc
@@ -15,7 +15,8 @@
   Headers headers;
   for (const auto& [name, value] : command.headers) {
     std::string lower = name;
-    std::ranges::transform(lower, lower.begin(), [](unsigned char letter) { return std::tolower(letter); });
+    std::ranges::transform(lower, lower.begin(),
+                           [](unsigned char letter) { return std::tolower(letter); });
     headers[lower] = value;
   }
   run->ask = parseRun(headers, command.body);
@@ -81,8 +82,8 @@
       for (double* link : run->fetching) {
         *link += run->rate;
         bool rack = link != &engine.fetching && link != &source->fetching;
-        double size = rack || source->entry.service == Service::kStore ? scenario_.uplink
-                                                                       : scenario_.link;
+        double size =
+            rack || source->entry.service == Service::kStore ? scenario_.uplink : scenario_.link;
         if (link == &engine.fetching) size = scenario_.link * engine.linkFactor;
         if (link == &source->fetching) size *= source->linkFactor;
         share = std::min(share, size / *link);
@@ -115,8 +116,12 @@
     return;
   }
   bool last = piece.value + 1 >= static_cast<std::uint64_t>(run->ask.pieces);
-  ShotTurned turned{run->shot, ShotTurn::kPiece, piece, engine.model->pieceText(run->ask, piece),
-                    run->ask.requestId, 200};
+  ShotTurned turned{run->shot,
+                    ShotTurn::kPiece,
+                    piece,
+                    engine.model->pieceText(run->ask, piece),
+                    run->ask.requestId,
+                    200};
   if (!engine.garble.empty() && random_.below(6) == 0) {
     if (engine.garble == "repeat" && piece.value > 0) --turned.piece.value;
     else if (engine.garble == "skip") ++turned.piece.value;
@@ -133,7 +138,8 @@
     engine.model->end(now_);
     return;
   }
-  after(engine.model->props().pieceEvery, [this, run, piece] { generate(run, {piece.value + 1}); });
+  after(engine.model->options().pieceEvery,
+        [this, run, piece] { generate(run, {piece.value + 1}); });
 }
 
 void World::turnShot(const std::shared_ptr<Run>& run, ShotTurned turned) {
--- a/src/standin/engine_process.cc
+++ b/src/standin/engine_process.cc
@@ -17,8 +17,9 @@
 }  // namespace
 
 EngineProcess::EngineProcess(Loop& loop, EngineProcessSetup setup)
-    : loop_(loop), setup_(std::move(setup)),
-      model_(setup_.props, {setup_.id}, setup_.weights,
+    : loop_(loop),
+      setup_(std::move(setup)),
+      model_(setup_.options, {setup_.id}, setup_.weights,
              static_cast<std::uint64_t>(bootNow().microseconds)),
       client_(loop),
       server_(loop, [this](std::shared_ptr<WebRequest> request) { take(std::move(request)); }) {}
@@ -96,7 +97,8 @@
                       {"weights", part->told.weights.value},
                       {"realWall", part->wall.value},
                       {"madeUnder", part->madeUnder.value},
-                      {"room", setup_.link * factor_}}.dump());
+                      {"room", setup_.link * factor_}}
+                     .dump());
 }
 
 void EngineProcess::start(std::shared_ptr<WebRequest> request) {
@@ -138,8 +140,8 @@
         model_.collected(part);
         for (const auto& asked : run->ask.parts)
           if (asked.name == name)
-            run->megabytes += static_cast<double>(asked.characters) *
-                              setup_.partBytesPerCharacter / 1e6;
+            run->megabytes +=
+                static_cast<double>(asked.characters) * setup_.partBytesPerCharacter / 1e6;
       }
       if (--run->waiting == 0) collected(run);
     });
@@ -169,7 +171,8 @@
                        {"wall", part.told.wall.value},
                        {"weights", part.told.weights.value},
                        {"realWall", part.wall.value},
-                       {"madeUnder", part.madeUnder.value}}.dump();
+                       {"madeUnder", part.madeUnder.value}}
+                      .dump();
       client_.call(call, [](const WebResult&) {});
     }
   loop_.after(time, [this, run] { generate(run); });
@@ -188,7 +191,7 @@
     model_.end(bootNow());
     return;
   }
-  loop_.after(model_.props().pieceEvery, [this, run] { generate(run); });
+  loop_.after(model_.options().pieceEvery, [this, run] { generate(run); });
 }
 
 }  // namespace peppergate
--- a/src/standin/engine_process.h
+++ b/src/standin/engine_process.h
@@ -12,8 +12,8 @@
   Address listen;
   std::string id = "engine";
   WeightsVersion weights{1};
-  EngineProps props;
-  double link = 60;               // megabytes a second
+  EngineOptions options;
+  double link = 60;  // megabytes a second
   double partBytesPerCharacter = 200;
 };
 
--- a/src/standin/platform_process.cc
+++ b/src/standin/platform_process.cc
@@ -3,7 +3,10 @@
 namespace peppergate {
 
 PlatformProcess::PlatformProcess(Loop& loop, Address listen, Json list)
-    : loop_(loop), listen_(std::move(listen)), list_(std::move(list)), client_(loop),
+    : loop_(loop),
+      listen_(std::move(listen)),
+      list_(std::move(list)),
+      client_(loop),
       server_(loop, [this](std::shared_ptr<WebRequest> request) { take(std::move(request)); }) {
   if (!list_.contains("version")) list_["version"] = 1;
 }
--- a/src/standin/requester_process.cc
+++ b/src/standin/requester_process.cc
@@ -15,7 +15,7 @@
   std::shared_ptr<Ask> ask;
   evhttp_connection* connection = nullptr;
   EventReader events;
-  std::string end;    // "end" or "error" once it came
+  std::string end;  // "end" or "error" once it came
   std::string error;
   std::string body;
   std::string requestId;
--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -208,7 +208,9 @@
 struct Putter {
   avro_value_t* value;
   template <class T>
-  void operator()(const T& message) const { putValue(value, message); }
+  void operator()(const T& message) const {
+    putValue(value, message);
+  }
 };
 
 }  // namespace
@@ -264,10 +266,10 @@
 }
 
 absl::StatusOr<Message> decodeBody(std::uint16_t kind, std::span<const char> body) {
-  if (kind >= kKinds) return absl::InvalidArgumentError(std::string(faultName(FrameFault::kUnknownKind)));
+  if (kind >= kKinds)
+    return absl::InvalidArgumentError(std::string(faultName(FrameFault::kUnknownKind)));
   AvroValue value(kind);
-  avro_reader_t reader =
-      avro_reader_memory(body.data(), static_cast<std::int64_t>(body.size()));
+  avro_reader_t reader = avro_reader_memory(body.data(), static_cast<std::int64_t>(body.size()));
   bool good = avro_value_read(reader, &value.value) == 0;
   avro_reader_free(reader);
   Message message;
@@ -282,8 +284,8 @@
 
 std::string_view faultName(FrameFault fault) {
   static constexpr std::array<std::string_view, 8> kNames{
-      "none", "bad magic", "other wire version", "other fleet", "unknown kind", "too large",
-      "bad body", "bad sum"};
+      "none",         "bad magic", "other wire version", "other fleet",
+      "unknown kind", "too large", "bad body",           "bad sum"};
   return kNames[static_cast<std::size_t>(fault)];
 }
 
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -16,7 +16,14 @@
 inline constexpr std::size_t kLargestFrame = 24U << 20;
 
 enum class FrameFault : std::uint8_t {
-  kNone, kBadMagic, kOtherWireVersion, kOtherFleet, kUnknownKind, kTooLarge, kBadBody, kBadSum,
+  kNone,
+  kBadMagic,
+  kOtherWireVersion,
+  kOtherFleet,
+  kUnknownKind,
+  kTooLarge,
+  kBadBody,
+  kBadSum,
 };
 
 struct FrameHead {
@@ -28,7 +35,7 @@
 
 /// The fleet's mark in each frame. Example: `fleetMark("hutline") != fleetMark("fjordsyn")`.
 std::uint64_t fleetMark(std::string_view fleet);
-/// Codes a message with its head. Example: `encodeFrame(mark, Message{NewsAsk{}})`.
+/// Codes a message with its head. Example: `encodeFrame(mark, Message{StateRequest{}})`.
 std::string encodeFrame(std::uint64_t mark, const Message& message);
 /// Reads the head; a wrong one says why. Example: `readFrameHead(mark, bytes).fault`.
 FrameHead readFrameHead(std::uint64_t mark, std::span<const char> bytes);
--- a/src/wire/json_fields.h
+++ b/src/wire/json_fields.h
@@ -30,16 +30,20 @@
 struct JsonWriter {
   Json& object;
   template <class T>
-  void operator()(const char* name, const T& field) { object[name] = toJson(field); }
+  void operator()(const char* name, const T& field) {
+    object[name] = toJson(field);
+  }
 };
 
 struct JsonReader {
   const Json& object;
   template <class T>
-  void operator()(const char* name, T& field) { fromJson(object.at(name), field); }
+  void operator()(const char* name, T& field) {
+    fromJson(object.at(name), field);
+  }
 };
 
-/// Writes a value as JSON. Example: `toJson(SetupVersion{{1},{2}})["epoch"] == 1`.
+/// Writes a value as JSON. Example: `toJson(SectionVersion{{1},{2}})["epoch"] == 1`.
 template <class T>
 Json toJson(const T& value) {
   if constexpr (kIsTagged<T>) return value.value;
--- a/tests/config_cores_test.cc
+++ b/tests/config_cores_test.cc
@@ -31,13 +31,13 @@
       DiskFound disk;
       disk.files["identity"] = identityFile({static_cast<std::uint64_t>(1 + index)});
       std::vector<Address> seeds{addressOf(0)};
-      Founding founding;
-      if (index == 0) founding.cores = kCores;
+      Bootstrap bootstrap;
+      if (index == 0) bootstrap.cores = kCores;
       if (index == kFront)
-        nodes_.push_back(std::make_unique<FrontNode>(props_, self, seeds, Address{}, 9));
+        nodes_.push_back(std::make_unique<FrontNode>(options_, self, seeds, Address{}, 9));
       else
-        nodes_.push_back(std::make_unique<CoreNode>(props_, self, seeds, disk, 5 + index, now_,
-                                                    founding));
+        nodes_.push_back(
+            std::make_unique<CoreNode>(options_, self, seeds, disk, 5 + index, now_, bootstrap));
     }
   }
 
@@ -58,7 +58,7 @@
                 const std::string& body = "") {
     TicketId ticket{++lastTicket_};
     now_ = now_ + milliseconds(1);  // a request takes some time to come
-    step(index, OperatorAsked{ticket, method, path, body});
+    step(index, OperatorRequest{ticket, method, path, body});
     return ticket;
   }
   const AnswerWeb* answerTo(TicketId ticket) const {
@@ -99,7 +99,7 @@
     }
   }
 
-  Props props_;
+  Options options_;
   MonotonicTime now_ = at(100);
   std::vector<std::unique_ptr<Node>> nodes_;
   std::set<int> dead_;
--- a/tests/config_desk_test.cc
+++ b/tests/config_desk_test.cc
@@ -4,7 +4,7 @@
 
 #include "core/control_state.h"
 #include "core/digest.h"
-#include "core/operator_desk.h"
+#include "core/operator_handler.h"
 #include "tests/testing.h"
 
 using namespace peppergate;
@@ -34,12 +34,12 @@
 }  // namespace
 
 TEST_GROUP(Desk) {
-  Props props;
+  Options options;
   Random random{1};
   Outbox outbox;
-  Membership membership{props, memberOf(1, {"10.0.1.1:1"}, {}), {}, random};
-  Follower follower{props, membership, random};
-  OperatorDesk desk{props, membership, follower};
+  Membership membership{options, memberOf(1, {"10.0.1.1:1"}, {}), {}, random};
+  Follower follower{options, membership, random};
+  OperatorHandler desk{options, membership, follower};
   std::uint64_t lastTicket = 0;
 
   void know(std::uint64_t id, const Address& address, CoreId core, double second) {
@@ -71,14 +71,14 @@
     return outbox.take();
   }
   void answer(TicketId ticket, ChangeOutcome outcome, double second) {
-    ChangeAnswer change;
+    ChangeReply change;
     change.ticket = ticket;
     change.outcome = outcome;
     desk.hear(change, when(second), outbox);
   }
   /// The primary's answer to a question sent at `asked`.
   void proof(const ControlState& state, double asked, double heard, Duration age = {}) {
-    NewsAnswer news;
+    StateReply news;
     news.sentAt = when(asked);
     news.proof = true;
     news.age = age;
@@ -112,7 +112,7 @@
   post(kChange, 1);
   until(1, 1.5);
   knowPrimary();
-  auto asks = messages<ChangeAsk>(until(1.55, 1.55));
+  auto asks = messages<ChangeRequest>(until(1.55, 1.55));
   LONGS_EQUAL(1, asks.size());
   STRCMP_EQUAL("c1", asks[0].changeId.c_str());
   STRCMP_EQUAL(kChange, asks[0].change.c_str());
@@ -123,15 +123,16 @@
 TEST(Desk, AnUnansweredChangeIsRepeatedAndANewPrimaryAskedAtOnce) {
   knowPrimary();
   post(kChange, 1);
-  LONGS_EQUAL(1, messages<ChangeAsk>(outbox.take()).size());
-  LONGS_EQUAL(0, messages<ChangeAsk>(until(1.05, 1.25)).size());
-  LONGS_EQUAL(3, messages<ChangeAsk>(until(1.3, 1.95)).size());
+  LONGS_EQUAL(1, messages<ChangeRequest>(outbox.take()).size());
+  LONGS_EQUAL(0, messages<ChangeRequest>(until(1.05, 1.25)).size());
+  LONGS_EQUAL(3, messages<ChangeRequest>(until(1.3, 1.95)).size());
   know(12, kSecondAddress, kSecond, 1.9);
   leads(2, kSecond);
   auto sends = taken<Send>(until(2, 2));
   bool sent = false;
   for (const auto& send : sends)
-    sent = sent || (std::holds_alternative<ChangeAsk>(send.message) && send.to == kSecondAddress);
+    sent =
+        sent || (std::holds_alternative<ChangeRequest>(send.message) && send.to == kSecondAddress);
   CHECK(sent);
   CHECK(taken<AnswerWeb>(until(2.05, 7)).empty());
   answered(until(7.05, 7.1), 504, "lost");
@@ -139,13 +140,14 @@
 
 TEST(Desk, RefusalsAreTriedAgainForAWhile) {
   knowPrimary();
-  for (auto outcome : {ChangeOutcome::kNoBackup, ChangeOutcome::kNotPrimary, ChangeOutcome::kLost}) {
+  for (auto outcome :
+       {ChangeOutcome::kNoBackup, ChangeOutcome::kNotPrimary, ChangeOutcome::kLost}) {
     TicketId ticket = post(kChange, 1);
     outbox.take();
     answer(ticket, outcome, 1.1);
     auto commands = until(1.15, 1.5);
     CHECK(taken<AnswerWeb>(commands).empty());
-    LONGS_EQUAL(1, messages<ChangeAsk>(commands).size());
+    LONGS_EQUAL(1, messages<ChangeRequest>(commands).size());
     answer(ticket, ChangeOutcome::kDone, 1.6);
     answered(outbox.take(), 200, "done");
   }
@@ -163,7 +165,7 @@
   knowPrimary();
   TicketId ticket = post(kChange, 1);
   outbox.take();
-  ChangeAnswer stale;
+  ChangeReply stale;
   stale.ticket = ticket;
   stale.outcome = ChangeOutcome::kStale;
   stale.field = "[basedOnVersion]";
@@ -184,8 +186,8 @@
     post(body, 1);
     answered(outbox.take(), 400, "invalid");
   }
-  for (const char* body : {"{}", R"({"changeId":""})", R"({"changeId":5})",
-                           R"({"config":{"changeId":"inner"}})"}) {
+  for (const char* body :
+       {"{}", R"({"changeId":""})", R"({"changeId":5})", R"({"config":{"changeId":"inner"}})"}) {
     post(body, 1);
     AnswerWeb web = onlyAnswer(outbox.take());
     STRCMP_EQUAL("[changeId]", Json::parse(web.body)["field"].get<std::string>().c_str());
@@ -193,14 +195,14 @@
   post(R"({"changeId":"a","x":)" + std::string(1'000'000, '[') + std::string(1'000'000, ']') + "}",
        1);
   answered(outbox.take(), 400, "invalid");
-  post(std::string(static_cast<std::size_t>(props.largestSetup) + 1, ' '), 1);
+  post(std::string(static_cast<std::size_t>(options.largestSetup) + 1, ' '), 1);
   answered(outbox.take(), 413, "too-large");
 }
 
 TEST(Desk, KeysLeaveAsDigestsOnly) {
   knowPrimary();
   post(R"({"changeId":"k","kind":"key-withdraw","key":"secret"})", 1);
-  auto asks = messages<ChangeAsk>(outbox.take());
+  auto asks = messages<ChangeRequest>(outbox.take());
   LONGS_EQUAL(1, asks.size());
   CHECK(asks[0].change.find("secret") == std::string::npos);
   CHECK(asks[0].change.find(keyDigest("secret").value) != std::string::npos);
@@ -211,9 +213,9 @@
   knowPrimary();
   std::string padding(4'000'000, 'x');
   post(R"({"changeId":"l","x":")" + padding + R"("})", 1);
-  LONGS_EQUAL(1, messages<ChangeAsk>(outbox.take()).size());
-  LONGS_EQUAL(0, messages<ChangeAsk>(until(1.05, 2.25)).size());
-  LONGS_EQUAL(1, messages<ChangeAsk>(until(2.3, 2.5)).size());
+  LONGS_EQUAL(1, messages<ChangeRequest>(outbox.take()).size());
+  LONGS_EQUAL(0, messages<ChangeRequest>(until(1.05, 2.25)).size());
+  LONGS_EQUAL(1, messages<ChangeRequest>(until(2.3, 2.5)).size());
   for (int more = 0; more < 7; ++more) post(R"({"changeId":"l","x":")" + padding + R"("})", 1);
   outbox.take();
   post(R"({"changeId":"l","x":")" + padding + R"("})", 1);
@@ -224,9 +226,9 @@
   knowPrimary();
   ControlState state = ControlState::founded({1});
   state.apply(R"({"kind":"replace","basedOnVersion":0,"config":{"version":3,"odd":1.50}})", "c",
-              {1}, props);
+              {1}, options);
   read(1);
-  auto asks = messages<NewsAsk>(outbox.take());
+  auto asks = messages<StateRequest>(outbox.take());
   CHECK(!asks.empty() && asks[0].relayed);
   proof(state, 1, 1.01);
   AnswerWeb web = onlyAnswer(outbox.take());
@@ -248,7 +250,7 @@
   outbox.take();
   auto commands = until(1.05, 3.5);
   CHECK(taken<AnswerWeb>(commands).empty());
-  CHECK(messages<NewsAsk>(commands).size() >= 7);
+  CHECK(messages<StateRequest>(commands).size() >= 7);
   answered(until(3.55, 3.6), 503, "no-primary");
   LONGS_EQUAL(0, taken<AnswerWeb>(until(3.65, 5)).size());
 }
@@ -266,7 +268,8 @@
   knowPrimary();
   ControlState state = ControlState::founded({1});
   state.apply(R"({"kind":"replace","basedOnVersion":0,"config":{"version":3,
-                  "tenants":[{"name":"red","keys":["secret"]}]}})", "c", {1}, props);
+                  "tenants":[{"name":"red","keys":["secret"]}]}})",
+              "c", {1}, options);
   read(1);
   proof(state, 1, 1.01);
   outbox.take();
--- a/tests/config_fleet_test.cc
+++ b/tests/config_fleet_test.cc
@@ -68,7 +68,7 @@
   DOUBLES_EQUAL(370000, model.engine->linkMbps, 0);
   CHECK(config.store() != nullptr && config.store()->name == ServiceName{"shelf"});
   CHECK(config.store()->store->address == Address{"172.20.0.2:8680"});
-  CHECK(config.store()->store->zone == District{"north"});
+  CHECK(config.store()->store->zone == Zone{"north"});
   CHECK(config.limits.headerBytes == 8192 && config.limits.bodyBytes == 1048576);
   CHECK(config.limits.headerWait == seconds(2) && config.limits.idle == seconds(9));
   const TenantConfig& red = config.tenants.at({"red"});
@@ -112,8 +112,7 @@
     const char* field;
   };
   constexpr std::array<Row, 36> kRows{{
-      {R"([{"op":"replace","path":"/routes/1/service","value":"nobody"}])",
-       "[routes][1][service]"},
+      {R"([{"op":"replace","path":"/routes/1/service","value":"nobody"}])", "[routes][1][service]"},
       {R"([{"op":"replace","path":"/routes/1/service","value":"shelf"}])", "[routes][1][service]"},
       {R"([{"op":"replace","path":"/routes/1/service","value":5}])", "[routes][1][service]"},
       {R"([{"op":"remove","path":"/routes/1/service"}])", "[routes][1][service]"},
@@ -133,13 +132,13 @@
        "[routes][0][services][0][weight]"},
       {R"([{"op":"replace","path":"/routes/1/prefix","value":"/a/"}])", "[routes][1][prefix]"},
       {R"([{"op":"replace","path":"/routes/2/host","value":"DESK.example:80"},
-           {"op":"replace","path":"/routes/2/prefix","value":"/a/b/"}])", "[routes][2][prefix]"},
+           {"op":"replace","path":"/routes/2/prefix","value":"/a/b/"}])",
+       "[routes][2][prefix]"},
       {R"([{"op":"replace","path":"/routes/1/name","value":"ask"}])", "[routes][1][name]"},
       {R"([{"op":"remove","path":"/routes/1/name"}])", "[routes][1][name]"},
       {R"([{"op":"replace","path":"/routes/1/timeoutMs","value":0}])", "[routes][1][timeoutMs]"},
       {R"([{"op":"replace","path":"/routes/1/timeoutMs","value":-5}])", "[routes][1][timeoutMs]"},
-      {R"([{"op":"replace","path":"/routes/1/timeoutMs","value":"5"}])",
-       "[routes][1][timeoutMs]"},
+      {R"([{"op":"replace","path":"/routes/1/timeoutMs","value":"5"}])", "[routes][1][timeoutMs]"},
       {R"([{"op":"remove","path":"/routes/1/timeoutMs"}])", "[routes][1][timeoutMs]"},
       {R"([{"op":"replace","path":"/routes/1/open","value":1}])", "[routes][1][open]"},
       {R"([{"op":"replace","path":"/routes/1","value":3}])", "[routes][1]"},
@@ -166,34 +165,34 @@
 }
 
 TEST(FleetConfigs, OddButValidOnesAreTaken) {
-  for (const char* patch : {
-           "[]",
-           R"([{"op":"remove","path":"/limits"},{"op":"remove","path":"/tenants"}])",
-           R"([{"op":"replace","path":"/limits","value":null}])",
-           R"([{"op":"replace","path":"/limits","value":{"idleMs":1e300,"more":[{}]}}])",
-           R"([{"op":"add","path":"/pinned","value":{"any":[1,2.5,null]}}])",
-           R"([{"op":"add","path":"/routes/1/pinned","value":"yes"}])",
-           R"([{"op":"add","path":"/services/1/protocol","value":{"h":1}}])",
-           R"([{"op":"replace","path":"/routes/1/kind","value":"of-a-later-release"}])",
-           R"([{"op":"replace","path":"/routes/1/kind","value":null}])",
-           R"([{"op":"replace","path":"/routes/1/prefix","value":"no-slash"}])",
-           R"([{"op":"replace","path":"/routes/1/host","value":""}])",
-           R"([{"op":"add","path":"/routes/1/attempts","value":0}])",
-           R"([{"op":"add","path":"/routes/1/urgency","value":1e99}])",
-           R"([{"op":"replace","path":"/routes/1/timeoutMs","value":1e300}])",
-           R"([{"op":"replace","path":"/routes/0/services/0/weight","value":0}])",
-           R"([{"op":"remove","path":"/routes/0/services/0/weight"}])",
-           R"([{"op":"replace","path":"/routes/0/services/1/service","value":"model"}])",
-           R"([{"op":"add","path":"/tenants/0/keys/-","value":"k1"}])",
-           R"([{"op":"remove","path":"/tenants/0/keys"}])",
-           R"([{"op":"replace","path":"/tenants/1/keys","value":[]}])",
-           R"([{"op":"remove","path":"/services/0/engine"}])",
-           R"([{"op":"replace","path":"/services/0/engine","value":{}}])",
-           R"([{"op":"replace","path":"/version","value":7.0}])",
-           R"([{"op":"replace","path":"/version","value":18446744073709551615}])",
-           R"([{"op":"replace","path":"/routes","value":[]}])",
-           R"([{"op":"remove","path":"/routes"}])",
-           R"([{"op":"remove","path":"/routes"},{"op":"remove","path":"/services"}])"})
+  for (const char* patch :
+       {"[]",
+        R"([{"op":"remove","path":"/limits"},{"op":"remove","path":"/tenants"}])",
+        R"([{"op":"replace","path":"/limits","value":null}])",
+        R"([{"op":"replace","path":"/limits","value":{"idleMs":1e300,"more":[{}]}}])",
+        R"([{"op":"add","path":"/pinned","value":{"any":[1,2.5,null]}}])",
+        R"([{"op":"add","path":"/routes/1/pinned","value":"yes"}])",
+        R"([{"op":"add","path":"/services/1/protocol","value":{"h":1}}])",
+        R"([{"op":"replace","path":"/routes/1/kind","value":"of-a-later-release"}])",
+        R"([{"op":"replace","path":"/routes/1/kind","value":null}])",
+        R"([{"op":"replace","path":"/routes/1/prefix","value":"no-slash"}])",
+        R"([{"op":"replace","path":"/routes/1/host","value":""}])",
+        R"([{"op":"add","path":"/routes/1/attempts","value":0}])",
+        R"([{"op":"add","path":"/routes/1/urgency","value":1e99}])",
+        R"([{"op":"replace","path":"/routes/1/timeoutMs","value":1e300}])",
+        R"([{"op":"replace","path":"/routes/0/services/0/weight","value":0}])",
+        R"([{"op":"remove","path":"/routes/0/services/0/weight"}])",
+        R"([{"op":"replace","path":"/routes/0/services/1/service","value":"model"}])",
+        R"([{"op":"add","path":"/tenants/0/keys/-","value":"k1"}])",
+        R"([{"op":"remove","path":"/tenants/0/keys"}])",
+        R"([{"op":"replace","path":"/tenants/1/keys","value":[]}])",
+        R"([{"op":"remove","path":"/services/0/engine"}])",
+        R"([{"op":"replace","path":"/services/0/engine","value":{}}])",
+        R"([{"op":"replace","path":"/version","value":7.0}])",
+        R"([{"op":"replace","path":"/version","value":18446744073709551615}])",
+        R"([{"op":"replace","path":"/routes","value":[]}])",
+        R"([{"op":"remove","path":"/routes"}])",
+        R"([{"op":"remove","path":"/routes"},{"op":"remove","path":"/services"}])"})
     STRCMP_EQUAL_TEXT("", faultOf(patch).c_str(), patch);
 }
 
@@ -227,16 +226,16 @@
     const char* amendment;
     const char* field;
   };
-  constexpr std::array<Row, 9> kRows{{
-      {R"({"upsert":{}})", "[version]"},
-      {R"({"version":9,"upsert":[]})", "[upsert]"},
-      {R"({"version":9,"upsert":{"routes":{}}})", "[upsert][routes]"},
-      {R"({"version":9,"upsert":{"routes":[5]}})", "[upsert][routes][0]"},
-      {R"({"version":9,"upsert":{"tenants":[{}]}})", "[upsert][tenants][0][name]"},
-      {R"({"version":9,"remove":"routes"})", "[remove]"},
-      {R"({"version":9,"remove":{"services":"x"}})", "[remove][services]"},
-      {R"({"version":9,"remove":{"services":["a",1]}})", "[remove][services][1]"},
-      {R"([])", "<root>"}}};
+  constexpr std::array<Row, 9> kRows{
+      {{R"({"upsert":{}})", "[version]"},
+       {R"({"version":9,"upsert":[]})", "[upsert]"},
+       {R"({"version":9,"upsert":{"routes":{}}})", "[upsert][routes]"},
+       {R"({"version":9,"upsert":{"routes":[5]}})", "[upsert][routes][0]"},
+       {R"({"version":9,"upsert":{"tenants":[{}]}})", "[upsert][tenants][0][name]"},
+       {R"({"version":9,"remove":"routes"})", "[remove]"},
+       {R"({"version":9,"remove":{"services":"x"}})", "[remove][services]"},
+       {R"({"version":9,"remove":{"services":["a",1]}})", "[remove][services][1]"},
+       {R"([])", "<root>"}}};
   for (const auto& row : kRows) {
     auto fault = checkFleetAmendment(Json::parse(row.amendment));
     STRCMP_EQUAL_TEXT(row.field, fault ? fault->field.c_str() : "", row.amendment);
--- a/tests/config_state_test.cc
+++ b/tests/config_state_test.cc
@@ -47,19 +47,19 @@
 
 TEST_GROUP(FleetChanges) {
   ControlState state = ControlState::founded({1});
-  Props props;
+  Options options;
 
-  ChangeAnswer apply(const Json& change, const std::string& id) {
-    return state.apply(change.dump(), id, {2}, props);
+  ChangeReply apply(const Json& change, const std::string& id) {
+    return state.apply(change.dump(), id, {2}, options);
   }
   void taken(const Json& change, const std::string& id) {
-    ChangeAnswer answer = apply(change, id);
+    ChangeReply answer = apply(change, id);
     STRCMP_EQUAL("", (answer.field + answer.detail).c_str());
     CHECK(answer.outcome == ChangeOutcome::kDone);
   }
   void refused(const Json& change, const char* field) {
-    SetupVersion before = state.version();
-    ChangeAnswer answer = apply(change, "refused");
+    SectionVersion before = state.version();
+    ChangeReply answer = apply(change, "refused");
     CHECK(answer.outcome == ChangeOutcome::kInvalid);
     STRCMP_EQUAL(field, answer.field.c_str());
     CHECK(state.version() == before);
@@ -71,7 +71,7 @@
   std::string sent = R"({"version":3,"zeta":1.0,"alpha":[370000.0,0.1,1e-7,123456789012345,-0.0,)"
                      R"("\u0001\u20ac\"\\",{},[],null,false],"routes":[]})";
   std::string change = R"({"kind":"replace","basedOnVersion":0,"config":)" + sent + "}";
-  CHECK(state.apply(change, "c", {2}, props).outcome == ChangeOutcome::kDone);
+  CHECK(state.apply(change, "c", {2}, options).outcome == ChangeOutcome::kDone);
   STRCMP_EQUAL(Json::parse(sent).dump().c_str(), stored().dump().c_str());
   auto parsed = ControlState::parse(state.text());
   CHECK(parsed.ok());
@@ -108,10 +108,13 @@
   refused(amendWith(5, R"({"version":5})"), "[version]");
   refused(amendWith(5, R"({"version":6,"remove":{"services":["s"]}})"), "[routes][0][service]");
   refused(amendWith(5, R"({"version":6,"upsert":{"routes":[{"name":"q","host":"a.example",
-      "prefix":"/","timeoutMs":1,"service":"s"}]}})"), "[routes][1][prefix]");
+      "prefix":"/","timeoutMs":1,"service":"s"}]}})"),
+          "[routes][1][prefix]");
   taken(replaceWith(5, configOf(8)), "c8");
-  CHECK(state.apply(R"({"kind":"replace","basedOnVersion":8,"config":{"version":9)", "cut", {2},
-                    props).outcome == ChangeOutcome::kInvalid);
+  CHECK(state
+            .apply(R"({"kind":"replace","basedOnVersion":8,"config":{"version":9)", "cut", {2},
+                   options)
+            .outcome == ChangeOutcome::kInvalid);
 }
 
 TEST(FleetChanges, OfTwoOnTheSameBaseOneWins) {
@@ -119,7 +122,7 @@
   Json first = amendWith(5, R"({"version":7,"remove":{"tenants":["red"]}})");
   Json second = amendWith(5, R"({"version":9,"remove":{"services":["t"]}})");
   taken(first, "first");
-  ChangeAnswer late = apply(second, "second");
+  ChangeReply late = apply(second, "second");
   CHECK(late.outcome == ChangeOutcome::kStale);
   STRCMP_EQUAL("[basedOnVersion]", late.field.c_str());
   LONGS_EQUAL(7, late.newest);
@@ -130,16 +133,16 @@
 TEST(FleetChanges, AChangeSentAgainIsDoneAlsoLater) {
   Json first = replaceWith(0, configOf(5));
   taken(first, "c5");
-  SetupVersion version = state.version();
+  SectionVersion version = state.version();
   CHECK(apply(first, "c5").version == version);
   taken(amendWith(5, R"({"version":6,"upsert":{"services":[{"name":"u"}]}})"), "c6");
   auto parsed = ControlState::parse(state.text());
-  ChangeAnswer again = parsed->apply(first.dump(), "c5", {3}, props);
+  ChangeReply again = parsed->apply(first.dump(), "c5", {3}, options);
   CHECK(again.outcome == ChangeOutcome::kDone && again.version == version);
   LONGS_EQUAL(6, parsed->configVersion().value);
   // Under another id the very configuration in place is no second change, either.
   Json current = replaceWith(5, stored());
-  SetupVersion before = state.version();
+  SectionVersion before = state.version();
   taken(current, "other");
   CHECK(state.version() == before);
 }
@@ -166,7 +169,7 @@
 TEST(FleetChanges, WhatWouldChangeIsToldInNumbers) {
   Json change = replaceWith(0, configOf(5));
   change["dryRun"] = true;
-  ChangeAnswer answer = apply(change, "dry");
+  ChangeReply answer = apply(change, "dry");
   CHECK(answer.outcome == ChangeOutcome::kWould);
   STRCMP_EQUAL(R"({"fleet":{"routes":[0,1],"services":[0,2],"tenants":[0,1],"version":[0,5]}})",
                answer.detail.c_str());
@@ -178,12 +181,12 @@
     taken({{"kind", "model-version"}, {"model", "m"}, {"version", version}}, id);
   };
   auto current = [&] { return readWeights(state.weightsText())->models; };
-  SetupVersion before = state.version();
+  SectionVersion before = state.version();
   named(1, "one");  // what an unnamed model has
   CHECK(state.version() == before && current().empty());
   named(3, "three");
   LONGS_EQUAL(3, current().at({"m"}).value);
-  SetupVersion third = state.sections().weights;
+  SectionVersion third = state.sections().weights;
   named(2, "two");
   named(3, "three-again");
   CHECK(state.sections().weights == third);
@@ -199,13 +202,13 @@
   for (std::size_t depth : {200UL, 2'000'000UL}) {
     std::string change = R"({"kind":"replace","basedOnVersion":0,"config":{"version":1,"x":)" +
                          std::string(depth, '[') + std::string(depth, ']') + "}}";
-    ChangeAnswer answer = state.apply(change, "deep", {2}, props);
+    ChangeReply answer = state.apply(change, "deep", {2}, options);
     CHECK(answer.outcome == ChangeOutcome::kInvalid);
     STRCMP_EQUAL("<root>", answer.field.c_str());
     CHECK_FALSE(readHead(change).readable);
   }
-  std::string huge(static_cast<std::size_t>(props.largestSetup) + 1, ' ');
-  CHECK(state.apply(huge, "huge", {2}, props).outcome == ChangeOutcome::kTooLarge);
+  std::string huge(static_cast<std::size_t>(options.largestSetup) + 1, ' ');
+  CHECK(state.apply(huge, "huge", {2}, options).outcome == ChangeOutcome::kTooLarge);
   Json brackets = configOf(1);
   brackets["text"] = std::string(500, '[') + "\"\\" + std::string(500, '{');
   taken(replaceWith(0, brackets), "brackets");
@@ -235,11 +238,11 @@
   for (int number = 0; number < 1500; ++number)
     taken({{"kind", "model-version"}, {"model", "m"}, {"version", number + 2}},
           "id" + std::to_string(number));
-  SetupVersion version = state.version();
+  SectionVersion version = state.version();
   CHECK(apply({}, "id1499").outcome == ChangeOutcome::kDone);
   CHECK(apply({}, "id500").outcome == ChangeOutcome::kDone);
   CHECK(apply({}, "id499").outcome == ChangeOutcome::kInvalid);
   CHECK(state.version() == version);
-  CHECK(ControlState::parse(state.text())->apply("", "id500", {2}, props).outcome ==
+  CHECK(ControlState::parse(state.text())->apply("", "id500", {2}, options).outcome ==
         ChangeOutcome::kDone);
 }
--- a/tests/disk_test.cc
+++ b/tests/disk_test.cc
@@ -22,7 +22,7 @@
 /// What the calls were and which of them fails; the calls themselves have no state of their own.
 struct Script {
   std::vector<std::string> calls;
-  std::string failing;   // the call that fails, as "write", "sync 2", ...
+  std::string failing;  // the call that fails, as "write", "sync 2", ...
   int error = EIO;
   std::size_t most = SIZE_MAX;  // bytes that one write takes
   std::map<std::string, int> counts;
@@ -76,8 +76,8 @@
 
 TEST(Disk, AsideIsSyncedBeforeTheNameAndTheFolderAfterIt) {
   CHECK(writeFile(kScripted, folder, "state.1", "content").ok());
-  std::vector<std::string> wanted{"open", "write", "sync", "close", "rename", "open-folder",
-                                  "sync", "close"};
+  std::vector<std::string> wanted{"open",   "write",       "sync", "close",
+                                  "rename", "open-folder", "sync", "close"};
   CHECK(script.calls == wanted);
   STRCMP_EQUAL("content", contentOf(folder + "/state.1").c_str());
 }
@@ -124,7 +124,8 @@
 
 TEST(Disk, PowerLostBetweenNameAndFolderLeavesOneOfTwoGoodStates) {
   // Whichever of both names the folder has after the power came back, a core starts from it.
-  std::string older = sealed(R"({"tag":1,"state":"x"})"), newer = sealed(R"({"tag":2,"state":"y"})");
+  std::string older = sealed(R"({"tag":1,"state":"x"})"),
+              newer = sealed(R"({"tag":2,"state":"y"})");
   CHECK(writeFile(systemCalls(), folder, "state.1", older).ok());
   script.failing = "open-folder";  // the power goes here
   CHECK_FALSE(writeFile(kScripted, folder, "state.2", newer).ok());
@@ -132,7 +133,8 @@
   CHECK(withName.ok() && opened(withName->at("state.2")).has_value());
   fs::rename(folder + "/state.2", folder + "/state.2.aside");  // the name did not last
   auto without = DiskTask::load(folder);
-  CHECK(without.ok() && !without->contains("state.2") && opened(without->at("state.1")).has_value());
+  CHECK(without.ok() && !without->contains("state.2") &&
+        opened(without->at("state.1")).has_value());
   CHECK_FALSE(fs::exists(folder + "/state.2.aside"));
 }
 
--- a/tests/engines_book_test.cc
+++ b/tests/engines_book_test.cc
@@ -33,15 +33,13 @@
     book.sent({id}, 100);
     book.ended({id}, how, 100, how == AttemptEnd::kGood, at(when));
   }
-  bool up(const std::string& id, double when) {
-    return book.usable(*book.find({id}), at(when));
-  }
+  bool up(const std::string& id, double when) { return book.usable(*book.find({id}), at(when)); }
   std::size_t upCount(double when) {
     return static_cast<std::size_t>(std::ranges::count_if(
         book.of({"s"}), [&](const EngineState* engine) { return book.usable(*engine, at(when)); }));
   }
-  Props props;
-  EngineBook book{props};
+  Options options;
+  EngineBook book{options};
 };
 
 /// Events at one engine, "e100" of six, and whether it is used at some time after them.
@@ -70,14 +68,18 @@
       {"and is back", {{kUnreachable, 1}, {kUnreachable, 1.4}}, 2.05, true},
       {"a good one clears", {{kUnreachable, 1}, {kGood, 1.4}, {kUnreachable, 1.5}}, 1.85, true},
       {"many at once are one",
-       {{kUnreachable, 1}, {kUnreachable, 1.01}, {kUnreachable, 1.02}}, 1.35, true},
+       {{kUnreachable, 1}, {kUnreachable, 1.01}, {kUnreachable, 1.02}},
+       1.35,
+       true},
       {"one broken", {{kBroken, 1}}, 1.01, true},
       {"two in a row", {{kBroken, 1}, {kGarbled, 1.5}}, 1.6, false},
       {"two in a row, back", {{kBroken, 1}, {kSilent, 1.5}}, 2.05, true},
       {"a good one between", {{kBroken, 1}, {kGood, 1.2}, {kBroken, 1.5}}, 1.6, true},
       {"too far apart", {{kBroken, 1}, {kBroken, 6.5}}, 6.6, true},
       {"back and broken again rests 1 s",
-       {{kBroken, 1}, {kBroken, 1.1}, {kBroken, 1.7}}, 2.6, false},
+       {{kBroken, 1}, {kBroken, 1.1}, {kBroken, 1.7}},
+       2.6,
+       false},
       {"and then is back", {{kBroken, 1}, {kBroken, 1.1}, {kBroken, 1.7}}, 2.75, true},
       {"full rests shortly", {{kFull, 1}}, 1.04, false},
       {"full is back soon", {{kFull, 1}}, 1.16, true},
@@ -116,8 +118,8 @@
   const EngineId id{"e100"};
   constexpr std::array<Turn, 4> kTurns{{
       {"under way", [](EngineBook&) {}, false},
-      {"first event",
-       [](EngineBook& book) { book.firstEvent({"e100"}, 10, milliseconds(50)); }, true},
+      {"first event", [](EngineBook& book) { book.firstEvent({"e100"}, 10, milliseconds(50)); },
+       true},
       {"whole",
        [](EngineBook& book) { book.ended({"e100"}, AttemptEnd::kGood, 10, true, at(1.6)); }, true},
       {"broken",
--- a/tests/engines_lister_test.cc
+++ b/tests/engines_lister_test.cc
@@ -24,9 +24,11 @@
 
 /// One daemon with its lister; a front also has a book.
 struct Daemon {
-  Daemon(const Props& props, MemberRecord record, std::uint64_t seed)
-      : random(seed), membership(props, std::move(record), {}, random), book(props),
-        lister(props, membership, random) {}
+  Daemon(const Options& options, MemberRecord record, std::uint64_t seed)
+      : random(seed),
+        membership(options, std::move(record), {}, random),
+        book(options),
+        lister(options, membership, random) {}
   Random random;
   Membership membership;
   EngineBook book;
@@ -38,14 +40,14 @@
 };
 
 struct Fleet {
-  Fleet(std::size_t cores, std::size_t fronts, Props with = {}) : props(with) {
+  Fleet(std::size_t cores, std::size_t fronts, Options with = {}) : options(with) {
     for (std::size_t index = 0; index < cores + fronts; ++index) {
       MemberRecord record;
       record.member = {index + 1};
       record.address = {"d" + std::to_string(index)};
       record.role = index < cores ? Role::kCore : Role::kFront;
       records.push_back(record);
-      daemons.push_back(std::make_unique<Daemon>(props, record, index + 1));
+      daemons.push_back(std::make_unique<Daemon>(options, record, index + 1));
     }
     for (auto& daemon : daemons)
       for (const auto& record : records) {
@@ -70,7 +72,7 @@
     mostInASecond = std::max(mostInASecond, recent.size());
     EnginesListed page{command.ticket, 200, {}, {}};
     if (daemons[caller]->cutFromPlatform || platformDown) page.status = 0;
-    else if (static_cast<double>(recent.size()) > props.listRate) page.status = 429;
+    else if (static_cast<double>(recent.size()) > options.listRate) page.status = 429;
     Duration wait = page.status == 0 ? command.timeout : milliseconds(10);
     if (page.status == 200) {
       std::size_t from = command.page.empty() ? 0 : std::stoul(command.page);
@@ -90,14 +92,14 @@
     if (random.fraction() < loss) return;
     Address sender = records[from].address;
     Duration delay = milliseconds(1 + static_cast<std::int64_t>(random.below(20)));
-    if (auto* news = std::get_if<RosterNews>(&send.message)) {
-      ++newsSent;
+    if (auto* news = std::get_if<DiscoveredEnginesUpdate>(&send.message)) {
+      ++stateUpdatesSent;
       bytes += news->list.size() + 30;
       later.push_back({now + delay, [this, to, sender, news = *news] {
                          daemons[to]->lister.hear(sender, news, now, daemons[to]->outbox);
                        }});
     }
-    if (auto* ask = std::get_if<RosterAsk>(&send.message))
+    if (auto* ask = std::get_if<DiscoveredEnginesRequest>(&send.message))
       later.push_back({now + delay, [this, to, sender, ask = *ask] {
                          daemons[to]->lister.hear(sender, ask, now, daemons[to]->outbox);
                        }});
@@ -137,17 +139,16 @@
     });
   }
   bool allHave(std::size_t count) const {
-    return std::ranges::all_of(daemons, [&](const auto& daemon) {
-      return daemon->lister.engines().size() == count;
-    });
+    return std::ranges::all_of(
+        daemons, [&](const auto& daemon) { return daemon->lister.engines().size() == count; });
   }
 
-  static Props fast() {
-    Props props;
-    props.listRate = 47;
-    return props;
+  static Options fast() {
+    Options options;
+    options.listRate = 47;
+    return options;
   }
-  Props props;
+  Options options;
   Random random{99};
   std::vector<MemberRecord> records;
   std::vector<std::unique_ptr<Daemon>> daemons;
@@ -155,7 +156,8 @@
   std::vector<std::pair<MonotonicTime, std::function<void()>>> later;
   std::vector<MonotonicTime> recent;
   MonotonicTime now = at(0);
-  std::size_t calls = 0, mostInASecond = 0, tooOften = 0, newsSent = 0, bytes = 0, pageSize = 4;
+  std::size_t calls = 0, mostInASecond = 0, tooOften = 0, stateUpdatesSent = 0, bytes = 0,
+              pageSize = 4;
   double loss = 0;
   bool platformDown = false;
 };
@@ -174,8 +176,7 @@
       {"calm", [](Fleet&) {}, 0.7},
       {"a fifth of the messages is lost", [](Fleet& fleet) { fleet.loss = 0.2; }, 2.2},
       {"lister gone", [](Fleet& fleet) { fleet.daemons[0]->cutOff = true; }, 2.7},
-      {"no lister",
-       [](Fleet& fleet) { fleet.daemons[0]->inCharge = false; }, 2.7},
+      {"no lister", [](Fleet& fleet) { fleet.daemons[0]->inCharge = false; }, 2.7},
       {"lister cut from the platform",
        [](Fleet& fleet) { fleet.daemons[0]->cutFromPlatform = true; }, 2.7},
       {"one front cut off", [](Fleet& fleet) { fleet.daemons[5]->cutOff = true; }, 2.7},
@@ -204,12 +205,16 @@
     double rate;
     bool lister;
   };
-  constexpr std::array<Row, 6> kRows{{{9, 50, 47, true}, {9, 2, 47, true}, {9, 1, 10, true},
-                                      {9, 50, 47, false}, {9, 50, 10, false}, {40, 2, 47, false}}};
+  constexpr std::array<Row, 6> kRows{{{9, 50, 47, true},
+                                      {9, 2, 47, true},
+                                      {9, 1, 10, true},
+                                      {9, 50, 47, false},
+                                      {9, 50, 10, false},
+                                      {40, 2, 47, false}}};
   for (const auto& row : kRows) {
-    Props props;
-    props.listRate = row.rate;
-    Fleet fleet(3, row.fronts, props);
+    Options options;
+    options.listRate = row.rate;
+    Fleet fleet(3, row.fronts, options);
     fleet.pageSize = row.pageSize;
     fleet.run(6);
     if (!row.lister) fleet.daemons[0]->inCharge = false;
@@ -223,16 +228,16 @@
 }
 
 TEST(EnginesLister, AnswersOfTooOftenSlowItDown) {
-  Props props;
-  props.listRate = 47;
-  Fleet fleet(3, 2, props);
+  Options options;
+  options.listRate = 47;
+  Fleet fleet(3, 2, options);
   fleet.run(2);
-  fleet.props.listRate = 0;  // the platform takes none
+  fleet.options.listRate = 0;  // the platform takes none
   std::size_t before = fleet.calls;
   fleet.daemons[1]->cutOff = fleet.daemons[2]->cutOff = true;
   fleet.run(22);
   CHECK(fleet.calls - before < 3 * 20 / 3);
-  fleet.props.listRate = 47;
+  fleet.options.listRate = 47;
   fleet.platform.pop_back();
   fleet.run(29);
   CHECK(fleet.daemons[3]->lister.engines().size() == 5);
@@ -242,12 +247,12 @@
   Fleet fleet(3, 9, Fleet::fast());
   fleet.run(5);
   ListVersion version = fleet.daemons[4]->lister.version();
-  std::size_t bytes = fleet.bytes, news = fleet.newsSent;
+  std::size_t bytes = fleet.bytes, news = fleet.stateUpdatesSent;
   fleet.platform[0].warmupLeft = milliseconds(0);
   fleet.run(15);
   CHECK(fleet.daemons[4]->lister.version() == version);
-  CHECK(fleet.bytes - bytes == (fleet.newsSent - news) * 30);  // no list in any
-  CHECK(fleet.newsSent - news <= 11 * 2 * 10 + 22);
+  CHECK(fleet.bytes - bytes == (fleet.stateUpdatesSent - news) * 30);  // no list in any
+  CHECK(fleet.stateUpdatesSent - news <= 11 * 2 * 10 + 22);
   CHECK(fleet.now - fleet.daemons[4]->lister.seen() < seconds(0.7));
 }
 
@@ -356,7 +361,7 @@
   // A list that was asked for before this front's own doesn't take the drain back.
   auto old = fleet.platform;
   old[0].draining = false;
-  RosterNews news{{2ULL << 32 | 256}, seconds(3), wholeText({old, {}})};
+  DiscoveredEnginesUpdate news{{2ULL << 32 | 256}, seconds(3), wholeText({old, {}})};
   CHECK(!front.lister.hear({"d0"}, news, fleet.now, front.outbox));
   CHECK(front.lister.engines()[0].draining);
   news.age = {};
@@ -380,7 +385,7 @@
   auto newer = fleet.platform;
   newer[0].draining = true;
   MonotonicTime later = fleet.now + milliseconds(100);
-  RosterNews news{{2ULL << 32 | 256}, {}, wholeText({newer, {}})};
+  DiscoveredEnginesUpdate news{{2ULL << 32 | 256}, {}, wholeText({newer, {}})};
   CHECK(front.lister.hear({"d0"}, news, later, front.outbox));
   CHECK(front.lister.listed({asked->ticket, 200, fleet.platform, {}}, later, front.outbox));
   CHECK(front.lister.engines()[0].draining);
--- a/tests/engines_rollout_test.cc
+++ b/tests/engines_rollout_test.cc
@@ -30,9 +30,9 @@
   struct Row {
     int engines;
     double load, within;
-    double slowing;             // 0: more at once slow nobody; 1: no more get through than by three
-    std::size_t least, most;    // at once
-    double end;                 // by when all are through
+    double slowing;           // 0: more at once slow nobody; 1: no more get through than by three
+    std::size_t least, most;  // at once
+    double end;               // by when all are through
   };
   constexpr std::array<Row, 6> kRows{{{18, 1.1, 12, 1, 3, 3, 9},
                                       {18, 1.8, 15, 1, 3, 4, 15},
@@ -46,8 +46,8 @@
                        std::to_string(row.within) + " s: ";
     world.loadTime = seconds(row.load);
     world.slowing = row.slowing;
-    world.props.weightsWithin = seconds(row.within);
-    world.rollout.reload(world.props);
+    world.options.weightsWithin = seconds(row.within);
+    world.rollout.reload(world.options);
     world.run(40);
     CHECK(world.all(2));
     name += std::to_string(world.mostAtOnce) + " at once, " +
@@ -75,11 +75,11 @@
 
 TEST(EnginesRollout, NeighboursInTheOrderAreOfOtherZones) {
   EnginesWorld world(16);
-  world.props.loadsAtOnce = 4;
-  world.rollout.reload(world.props);
+  world.options.loadsAtOnce = 4;
+  world.rollout.reload(world.options);
   while (world.now < at(10)) {
     world.step(world.lister, world.rollout);
-    std::map<District, int> zones;
+    std::map<Zone, int> zones;
     for (const auto& [id, engine] : world.engines)
       if (engine.coming.value != 0) ++zones[engine.listed.zone];
     for (const auto& [zone, count] : zones) CHECK(count <= 2);
@@ -125,25 +125,26 @@
   MonotonicTime lastWrite = kNever;
   for (const auto& [id, engine] : world.engines) lastWrite = std::max(lastWrite, engine.lastOrder);
   // The new primary heard the list with its loading engines as news.
-  Lister secondLister(world.props, world.membership, world.random);
-  Rollout second(world.props, secondLister);
-  secondLister.hear({"core:1"}, {world.lister.version(), {},
-                                 wholeText({world.lister.engines(), world.lister.loadingNow()})},
-                    world.now, world.outbox);
+  Lister secondLister(world.options, world.membership, world.random);
+  Rollout second(world.options, secondLister);
+  secondLister.hear(
+      {"core:1"},
+      {world.lister.version(), {}, wholeText({world.lister.engines(), world.lister.loadingNow()})},
+      world.now, world.outbox);
   CHECK(!secondLister.loadingNow().empty());
   world.epoch = {2};
   world.holder = "core-2";
   world.stopWhenDone = false;
   MonotonicTime began = world.now;
   while (world.orders == before && world.now < at(20)) world.step(secondLister, second);
-  CHECK(world.now - began >= world.props.leaseLength);
-  CHECK(world.now - began < world.props.leaseLength + seconds(0.4));
-  CHECK(world.now - lastWrite >= world.props.leaseLength);
+  CHECK(world.now - began >= world.options.orderLease);
+  CHECK(world.now - began < world.options.orderLease + seconds(0.4));
+  CHECK(world.now - lastWrite >= world.options.orderLease);
   world.stopWhenDone = true;
   world.run(25, secondLister, second);
   CHECK(world.all(2));
   CHECK(second.done());
-  CHECK(world.leastGap >= world.props.leaseLength);
+  CHECK(world.leastGap >= world.options.orderLease);
 }
 
 TEST(EnginesRollout, InheritedLoadsAreReleasedOnceThrough) {
--- a/tests/engines_world.h
+++ b/tests/engines_world.h
@@ -23,8 +23,8 @@
   MonotonicTime busyUntil = kNever, lastOrder = kNever;
   WeightsVersion coming;
   std::string lastHolder;
-  bool silent = false;      // its answers are lost; orders arrive
-  bool deaf = false;        // orders don't arrive either
+  bool silent = false;                         // its answers are lost; orders arrive
+  bool deaf = false;                           // orders don't arrive either
   OrderOutcome forced = OrderOutcome::kTaken;  // anything else is answered at once
   MonotonicTime runsUntil = kNever;            // its requests, that a load has to wait for
   std::vector<LoadMode> modes;
@@ -46,7 +46,7 @@
 /// A primary, its lister, and the engines. Example: `EnginesWorld world(18); world.run(9);`
 struct EnginesWorld {
   explicit EnginesWorld(int count, int zones = 4) {
-    for (int index = 0; index < count; ++index) 
+    for (int index = 0; index < count; ++index)
       add("e" + std::to_string(100 + index), index % zones);
   }
   void add(const std::string& id, int zone, std::uint64_t version = 1) {
@@ -92,8 +92,7 @@
     ++engine.calls;
     engine.coming = order.version;
     MonotonicTime from = order.mode == LoadMode::kWait ? std::max(now, engine.runsUntil) : now;
-    double slower =
-        std::pow(std::max(1.0, static_cast<double>(loadingNow()) / 3), slowing);
+    double slower = std::pow(std::max(1.0, static_cast<double>(loadingNow()) / 3), slowing);
     engine.busyUntil = from + loadTime * slower;
     return OrderOutcome::kTaken;
   }
@@ -126,8 +125,8 @@
     bool arrives = engine && !engine->deaf;
     OrderOutcome outcome = OrderOutcome::kUnknown;
     if (arrives)
-      outcome = engine->listed.id == order.engine ? take(*engine, order)
-                                                  : OrderOutcome::kOtherEngine;
+      outcome =
+          engine->listed.id == order.engine ? take(*engine, order) : OrderOutcome::kOtherEngine;
     bool lost = !arrives || engine->silent;
     if (!lost) answer.outcome = outcome;
     later.push_back({now + (lost ? order.timeout : milliseconds(5)), answer});
@@ -171,21 +170,20 @@
     }
   }
   bool all(std::uint64_t version) const {
-    return std::ranges::all_of(engines, [&](const auto& entry) {
-      return entry.second.version.value == version;
-    });
+    return std::ranges::all_of(
+        engines, [&](const auto& entry) { return entry.second.version.value == version; });
   }
 
-  Props props = quick();
-  static Props quick() {
-    Props props;
-    props.listRate = 47;
-    return props;
+  Options options = quick();
+  static Options quick() {
+    Options options;
+    options.listRate = 47;
+    return options;
   }
   Random random{7};
-  Membership membership{props, record(), {}, random};
-  Lister lister{props, membership, random};
-  Rollout rollout{props, lister};
+  Membership membership{options, record(), {}, random};
+  Lister lister{options, membership, random};
+  Rollout rollout{options, lister};
   Outbox outbox;
   std::map<EngineId, FakeEngine> engines;
   std::vector<Answer> later;
--- a/tests/fetch_plan_test.cc
+++ b/tests/fetch_plan_test.cc
@@ -1,6 +1,6 @@
 // The fetch plan against examples worked by hand, and its properties over many seeds.
-#include "core/fetch_desk.h"
 #include "core/fetch_plan.h"
+#include "core/fetch_desk.h"
 
 #include <algorithm>
 #include <cmath>
@@ -37,7 +37,7 @@
   // By hand: capacity 33 for two equal streams gives 16.5 each, worth 1 - 0.8 / sqrt(16.5)
   // = 0.80305; the highest rung worth no more is "most", worth 0.8.
   std::vector<PlanStream> streams{stream(1, {{"a"}}), stream(2, {{"a"}})};
-  Plan plan = settle(streams, kRungs, {{{"a"}, 33.0}}, Props{});
+  Plan plan = settle(streams, kRungs, {{{"a"}, 33.0}}, Options{});
   DOUBLES_EQUAL(0.80305, plan.groups[0].level, 1e-4);
   LONGS_EQUAL(2, plan.shares[{1}].rung);
   LONGS_EQUAL(2, plan.shares[{2}].rung);
@@ -46,14 +46,14 @@
 
 TEST(FetchPlan, RoomForAllTopsGivesAllTops) {
   std::vector<PlanStream> streams{stream(1, {{"a"}}), stream(2, {{"a"}})};
-  Plan plan = settle(streams, kRungs, {{{"a"}, 100.0}}, Props{});
+  Plan plan = settle(streams, kRungs, {{{"a"}, 100.0}}, Options{});
   LONGS_EQUAL(3, plan.shares[{1}].rung);
   CHECK(plan.groups[0].fits);
 }
 
 TEST(FetchPlan, WhereFloorsDontFitAllAreAtTheirFloors) {
   std::vector<PlanStream> streams{stream(1, {{"a"}}, 1), stream(2, {{"a"}}, 1)};
-  Plan plan = settle(streams, kRungs, {{{"a"}, 10.0}}, Props{});
+  Plan plan = settle(streams, kRungs, {{{"a"}, 10.0}}, Options{});
   LONGS_EQUAL(1, plan.shares[{1}].rung);
   CHECK_FALSE(plan.groups[0].fits);
 }
@@ -63,7 +63,7 @@
   // They leave 40 - 16 = 24 on link b for stream 3, which wants 32 and gets "most".
   std::vector<PlanStream> streams{stream(1, {{"a"}, {"b"}}), stream(2, {{"a"}, {"b"}}),
                                   stream(3, {{"b"}})};
-  Plan plan = settle(streams, kRungs, {{{"a"}, 17.0}, {{"b"}, 40.0}}, Props{});
+  Plan plan = settle(streams, kRungs, {{{"a"}, 17.0}, {{"b"}, 40.0}}, Options{});
   STRCMP_EQUAL("a", plan.groups[0].link.value.c_str());
   DOUBLES_EQUAL(64.0 / 17, plan.groups[0].ratio, 1e-9);
   LONGS_EQUAL(1, plan.shares[{1}].rung);
@@ -73,7 +73,7 @@
 
 TEST(FetchPlan, ALinkNamedTwiceIsCountedOnce) {
   std::vector<PlanStream> streams{stream(1, {{"a"}, {"b"}, {"b"}}), stream(2, {{"b"}})};
-  Plan plan = settle(streams, kRungs, {{{"a"}, 8.5}, {{"b"}, 48.0}}, Props{});
+  Plan plan = settle(streams, kRungs, {{{"a"}, 8.5}, {{"b"}, 48.0}}, Options{});
   LONGS_EQUAL(1, plan.shares[{1}].rung);
   DOUBLES_EQUAL(40, plan.groups[1].capacity, 1e-9);
 }
@@ -83,7 +83,7 @@
   // and the first has 18, worth 1 - 0.8 / sqrt(18) = 0.81144.
   TenantClass wide{-1.6, -0.5, 1, 0};
   std::vector<PlanStream> streams{stream(1, {{"a"}}), stream(2, {{"a"}}, 0, 3, wide)};
-  Plan plan = settle(streams, kRungs, {{{"a"}, 50.0}}, Props{});
+  Plan plan = settle(streams, kRungs, {{{"a"}, 50.0}}, Options{});
   DOUBLES_EQUAL(0.81144, plan.groups[0].level, 1e-4);
   LONGS_EQUAL(2, plan.shares[{1}].rung);
   LONGS_EQUAL(3, plan.shares[{2}].rung);
@@ -100,7 +100,7 @@
   DOUBLES_EQUAL(0.79, level, 1e-9);
   // A link that only fits worth 0.6 needs less; the start in the middle of the range gets there.
   std::vector<PlanStream> streams{stream(1, {{"a"}}), stream(2, {{"a"}})};
-  Plan plan = settle(streams, kRungs, {{{"a"}, 8.5}}, Props{});
+  Plan plan = settle(streams, kRungs, {{{"a"}, 8.5}}, Options{});
   CHECK(plan.groups[0].level < 0.79);
   CHECK(plan.groups[0].fits);
 }
@@ -116,11 +116,12 @@
       std::vector<LinkId> links{{"link" + std::to_string(random.below(5))}};
       if (random.below(2) == 0) links.push_back({"link" + std::to_string(random.below(5))});
       std::int64_t floor = static_cast<std::int64_t>(random.below(2));
-      std::int64_t top = floor + static_cast<std::int64_t>(random.below(4 - static_cast<std::uint64_t>(floor)));
+      std::int64_t top =
+          floor + static_cast<std::int64_t>(random.below(4 - static_cast<std::uint64_t>(floor)));
       TenantClass tenantClass{-0.5 - random.fraction(), -0.3 - 0.5 * random.fraction(), 1, floor};
       streams.push_back(stream(id, links, floor, top, tenantClass));
     }
-    Plan plan = settle(streams, kRungs, capacities, Props{});
+    Plan plan = settle(streams, kRungs, capacities, Options{});
     LONGS_EQUAL(streams.size(), plan.shares.size());
     std::map<LinkId, double> used, floors;
     for (const auto& one : streams) {
@@ -134,9 +135,8 @@
         floors[link] += rateOf(one.floorRung);
       }
     }
-    bool floorsFit = std::ranges::all_of(floors, [&](const auto& entry) {
-      return entry.second <= capacities.at(entry.first);
-    });
+    bool floorsFit = std::ranges::all_of(
+        floors, [&](const auto& entry) { return entry.second <= capacities.at(entry.first); });
     // A later group may still find its floors taken by an earlier one; each group on its own
     // fits whenever some level of it did.
     for (const auto& group : plan.groups) {
@@ -187,12 +187,12 @@
 TEST(FetchPlan, FrontsWithUnequalMixesAndEqualNotesStandAtEqualLevels) {
   Setup setup = smallSetup();
   EngineList list = smallList();
-  Props props;
+  Options options;
   Outbox outbox;
   std::vector<FetchDesk> fronts;
-  std::vector<UsageNote> notes;
+  std::vector<UsageNotification> notes;
   for (std::uint64_t front = 0; front < 3; ++front) {
-    FetchDesk& desk = fronts.emplace_back(props);
+    FetchDesk& desk = fronts.emplace_back(options);
     desk.links(list);
     // Each front has streams of other classes over other paths, and more of them.
     for (std::uint64_t index = 0; index <= front * 2; ++index)
@@ -213,7 +213,7 @@
     }
   }
   // One front with an older note of another stands elsewhere: the check can fail.
-  UsageNote older = notes[2];
+  UsageNotification older = notes[2];
   for (auto& mix : older.mixes) mix.count *= 0.2;
   fronts[1].hear(older, at(6.1));
   fronts[1].tick(setup, at(8.2), outbox);
--- a/tests/guards_test.cc
+++ b/tests/guards_test.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "core/props.h"
+#include "core/options.h"
 #include "sim/runner.h"
 #include "tests/testing.h"
 
@@ -16,8 +16,8 @@
 struct GuardRow {
   const char* scenario;
   const char* guard;
-  const char* never;  // what must be seen to go wrong
-  std::uint64_t seed; // the first seed under which it does
+  const char* never;   // what must be seen to go wrong
+  std::uint64_t seed;  // the first seed under which it does
 };
 constexpr std::array<GuardRow, 22> kRows{{
     {"08-front-cut-off-with-withdrawn-key", "freshness", "withdrawn-key-served", 1},
@@ -69,14 +69,14 @@
   std::vector<std::future<bool>> broken;
   for (const auto& row : kRows) broken.push_back(std::async(std::launch::async, breaks, row));
   for (std::size_t index = 0; index < kRows.size(); ++index)
-    CHECK_TEXT(broken[index].get(), (std::string(kRows[index].scenario) + " without " +
-                                     kRows[index].guard).c_str());
+    CHECK_TEXT(broken[index].get(),
+               (std::string(kRows[index].scenario) + " without " + kRows[index].guard).c_str());
 }
 
 TEST(Guards, OneBackupIsTooFewWhereTwoDisksAreLost) {
   auto scenario = loadScenario(SOURCE_FOLDER "/scenarios/56-two-disks-lost-of-five.txt");
   CHECK(scenario.ok());
-  scenario->props = {{"backups", "1"}};
+  scenario->options = {{"backups", "1"}};
   // Both copies are gone, so nobody may lead: what was acknowledged can't be read any more.
   CHECK(seen(runScenario(*scenario, 1), "no primary"));
 }
--- a/tests/hollow_test.cc
+++ b/tests/hollow_test.cc
@@ -28,11 +28,13 @@
 
 TEST(Hollow, EachKindOfMessageHasItsName) {
   STRCMP_EQUAL("Shuffle", std::string(messageKindName(Message{Shuffle{}}.index())).c_str());
-  STRCMP_EQUAL("UsageNote", std::string(messageKindName(Message{UsageNote{}}.index())).c_str());
+  STRCMP_EQUAL("UsageNote",
+               std::string(messageKindName(Message{UsageNotification{}}.index())).c_str());
   STRCMP_EQUAL("CaretakerNote",
-               std::string(messageKindName(Message{CaretakerNote{}}.index())).c_str());
+               std::string(messageKindName(Message{ReadLeaderNotification{}}.index())).c_str());
   STRCMP_EQUAL("EngineUse", std::string(messageKindName(Message{EngineUse{}}.index())).c_str());
-  STRCMP_EQUAL("PartAsk", std::string(messageKindName(Message{PartAsk{}}.index())).c_str());
+  STRCMP_EQUAL("PartAsk",
+               std::string(messageKindName(Message{PrefixBlockRequest{}}.index())).c_str());
 }
 
 TEST(Hollow, AFleetFoundsItselfAndKnowsAllMembers) {
@@ -70,7 +72,8 @@
 }
 
 TEST(Hollow, OneSeedGivesOneRunButForTimeAndMemory) {
-  Json one = measureFleet(smallShape(), shortPlan()), other = measureFleet(smallShape(), shortPlan());
+  Json one = measureFleet(smallShape(), shortPlan()),
+       other = measureFleet(smallShape(), shortPlan());
   CHECK(one["stops"] == other["stops"]);
   CHECK(one["changes"]["inForce"] == other["changes"]["inForce"]);
   CHECK(one["roles"]["front"]["bytesOut"] == other["roles"]["front"]["bytesOut"]);
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -142,8 +142,9 @@
 TEST(HttpClients, ReadsChunksHeadsBeforeTheFinalOneAndSplitBytes) {
   open();
   CHECK(asked(0, "question"));
-  const std::string text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 Fine Too\r\nX-Test-Id: t1\r\n"
-                           "Transfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n5;x\r\nfives\r\n0\r\n\r\n";
+  const std::string text =
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 Fine Too\r\nX-Test-Id: t1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n5;x\r\nfives\r\n0\r\n\r\n";
   for (char byte : text) {
     engine.peers[0]->send({&byte, 1});
     loop.turn();
@@ -348,7 +349,8 @@
   warmUp();
   call();
   CHECK(asked(0, "GET /report HTTP/1.1\r\nHost: 127.0.0.1:"));
-  engine.peers[0]->send("HTTP/1.1 429 Later\r\nX-One: a\r\nx-one: b\r\nContent-Length: 2\r\n\r\n{}");
+  engine.peers[0]->send(
+      "HTTP/1.1 429 Later\r\nX-One: a\r\nx-one: b\r\nContent-Length: 2\r\n\r\n{}");
   CHECK(loop.until([&] { return answers.size() == 1; }));
   CHECK_EQUAL(429, answers[0].status);
   CHECK(answers[0].written);
--- a/tests/http_door_test.cc
+++ b/tests/http_door_test.cc
@@ -50,8 +50,9 @@
 
 TEST(HttpDoors, PassesTheRequestOnAsSentAndKeepsTheConnection) {
   TestPeer client(loop, address);
-  client.send("POST /a/b?c=d HTTP/1.1\r\nHost: one.example\r\nX-Test-Id: t1\r\nX-Odd:  kept  \r\n"
-              "Content-Length: 5\r\n\r\nhello");
+  client.send(
+      "POST /a/b?c=d HTTP/1.1\r\nHost: one.example\r\nX-Test-Id: t1\r\nX-Odd:  kept  \r\n"
+      "Content-Length: 5\r\n\r\nhello");
   CHECK(arrives(1));
   CHECK_EQUAL(std::string("POST"), arrived[0].wire->method);
   CHECK_EQUAL(std::string("/a/b?c=d"), arrived[0].wire->target);
@@ -89,8 +90,9 @@
 
 TEST(HttpDoors, TakesChunkedBodiesApartAndAnswersInChunks) {
   TestPeer client(loop, address);
-  client.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
-              "3;x=y\r\nabc\r\n");
+  client.send(
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3;x=y\r\nabc\r\n");
   loop.turn();
   client.send("A\r\n0123456789\r\n0\r\nTrailer: x\r\n\r\n");
   CHECK(arrives(1));
@@ -106,8 +108,9 @@
 
 TEST(HttpDoors, AnswersPipelinedRequestsInOrder) {
   TestPeer client(loop, address);
-  client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nPOST /2 HTTP/1.1\r\nHost: a\r\n"
-              "Content-Length: 2\r\n\r\nab\r\nGET /3 HTTP/1.1\r\nHost: a\r\n\r\nGET /4 HT");
+  client.send(
+      "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nPOST /2 HTTP/1.1\r\nHost: a\r\n"
+      "Content-Length: 2\r\n\r\nab\r\nGET /3 HTTP/1.1\r\nHost: a\r\n\r\nGET /4 HT");
   CHECK(arrives(1));
   loop.turn();
   CHECK_EQUAL(1U, arrived.size());
@@ -144,18 +147,25 @@
        {lead + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         lead + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
         lead + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
-        lead + "Content-Length: +3\r\n\r\nabc", lead + "Content-Length: 3, 3\r\n\r\nabc",
-        lead + "Content-Length : 3\r\n\r\nabc", lead + "Content-Length:\r\n 3\r\n\r\nabc",
-        lead + "X: a\r\n folded\r\n\r\n", lead + "X: a\rb\r\n\r\n", lead + "X: a\n\r\n",
+        lead + "Content-Length: +3\r\n\r\nabc",
+        lead + "Content-Length: 3, 3\r\n\r\nabc",
+        lead + "Content-Length : 3\r\n\r\nabc",
+        lead + "Content-Length:\r\n 3\r\n\r\nabc",
+        lead + "X: a\r\n folded\r\n\r\n",
+        lead + "X: a\rb\r\n\r\n",
+        lead + "X: a\n\r\n",
         lead + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         lead + "Transfer-Encoding: chunked\r\n\r\n3\rXabc\r\n0\r\n\r\n",
         lead + "Transfer-Encoding: chunked\r\n\r\n3 \r\nabc\r\n0\r\n\r\n",
         lead + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcde\r\n0\r\n\r\n",
         lead + "Transfer-Encoding: chunked\r\n\r\n3\nabc\r\n0\r\n\r\n",
         lead + "Transfer-Encoding: chunked\r\n\r\n-3\r\nabc\r\n0\r\n\r\n",
-        lead + "Transfer-Encoding: chunked\r\n\r\n1000000000000000f\r\nabc", lead + "Host: b\r\n\r\n",
-        std::string("GET / HTTP/1.1\nHost: a\n\n"), std::string("GET / HTTP/1.1\r\n\r\n"),
-        std::string("GET  / HTTP/1.1\r\nHost: a\r\n\r\n"), std::string("\x16\x03\x01\r\n\r\n"),
+        lead + "Transfer-Encoding: chunked\r\n\r\n1000000000000000f\r\nabc",
+        lead + "Host: b\r\n\r\n",
+        std::string("GET / HTTP/1.1\nHost: a\n\n"),
+        std::string("GET / HTTP/1.1\r\n\r\n"),
+        std::string("GET  / HTTP/1.1\r\nHost: a\r\n\r\n"),
+        std::string("\x16\x03\x01\r\n\r\n"),
         std::string("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
         lead + std::string("X: a\0b\r\n\r\n", 10)}) {
     std::string got = exchange(text);
--- a/tests/http_testing.h
+++ b/tests/http_testing.h
@@ -33,8 +33,8 @@
   }
   std::string attemptText(const OpenAttempt& attempt) const override {
     const auto& wire = *attempt.wire;
-    std::string text = wire.method + " " + wire.target + " HTTP/1.1\r\nHost: engine\r\nX-Test-Id: " +
-                       attempt.clientId + "\r\n";
+    std::string text = wire.method + " " + wire.target +
+                       " HTTP/1.1\r\nHost: engine\r\nX-Test-Id: " + attempt.clientId + "\r\n";
     if (!wire.body.empty()) text += "Content-Length: " + std::to_string(wire.body.size()) + "\r\n";
     return text + "\r\n" + wire.body;
   }
--- a/tests/platform_calls_test.cc
+++ b/tests/platform_calls_test.cc
@@ -83,17 +83,19 @@
   CHECK(engine.models.at({"m1"}) == WeightsVersion{4});
   CHECK(listed.engines.at(1).draining);
   CHECK(listed.engines.at(1).models.empty());
-  CHECK(dialect.readList(ticket, answerOf("{\"stations\":[],\"next_token\":null}")).nextPage.empty());
+  CHECK(
+      dialect.readList(ticket, answerOf("{\"stations\":[],\"next_token\":null}")).nextPage.empty());
 }
 
 TEST(PlatformCalls, AListPageThatCannotBeReadIsNoPage) {
-  hostile(kPage, [this](const HttpAnswer& answer) { return dialect.readList(ticket, answer).status; });
-  for (auto [what, by] : {std::pair{"\"id\":\"i-1\"", "\"id\":3"}, std::pair{"\"id\":\"i-1\"", "\"x\":3"},
-                          std::pair{"\"id\":\"i-1\"", "\"id\":\"\""},
-                          std::pair{"\"address\":\"10.9.2.10:80\"", "\"address\":null"},
-                          std::pair{"\"edition\":4", "\"edition\":\"4\""},
-                          std::pair{"\"next_token\"", "\"next\""},
-                          std::pair{"\"models\":[", "\"models\":[7,"}}) {
+  hostile(kPage,
+          [this](const HttpAnswer& answer) { return dialect.readList(ticket, answer).status; });
+  for (auto [what, by] :
+       {std::pair{"\"id\":\"i-1\"", "\"id\":3"}, std::pair{"\"id\":\"i-1\"", "\"x\":3"},
+        std::pair{"\"id\":\"i-1\"", "\"id\":\"\""},
+        std::pair{"\"address\":\"10.9.2.10:80\"", "\"address\":null"},
+        std::pair{"\"edition\":4", "\"edition\":\"4\""}, std::pair{"\"next_token\"", "\"next\""},
+        std::pair{"\"models\":[", "\"models\":[7,"}}) {
     auto listed = dialect.readList(ticket, answerOf(replaced(kPage, what, by)));
     CHECK_EQUAL_TEXT(kUnreadable, listed.status, by);
     CHECK_TEXT(listed.engines.empty(), by);
@@ -162,7 +164,8 @@
 }
 
 TEST(PlatformCalls, ChangesOfKeptPartsArePolled) {
-  HttpCall call = dialect.call(PollParts{ticket, {"10.9.2.9:80"}, 118, milliseconds(800), seconds(2)});
+  HttpCall call =
+      dialect.call(PollParts{ticket, {"10.9.2.9:80"}, 118, milliseconds(800), seconds(2)});
   STRCMP_EQUAL("/peppergate/kv-events?since=118", call.path.c_str());
   STRCMP_EQUAL("800", call.headers.at("Wait-Ms").c_str());
   call = dialect.call(PollParts{ticket, {"10.9.2.9:80"}, 0, seconds(5), seconds(6)});
@@ -180,11 +183,12 @@
   STRCMP_EQUAL("", polled.changes.at(1).salt.c_str());
   CHECK_EQUAL(128, polled.changes.at(1).tokens);
   STRCMP_EQUAL("m1", polled.changes.at(1).model.value.c_str());
-  hostile(kPoll, [this](const HttpAnswer& answer) { return dialect.readPoll(ticket, answer).status; });
-  for (auto [what, by] : {std::pair{"[119", "[-1"}, std::pair{"\"+\"", "\"*\""},
-                          std::pair{"800", "\"800\""}, std::pair{"800", "-800"},
-                          std::pair{"\"5c\"", "5"}, std::pair{"\"5c\",", ""},
-                          std::pair{"true", "1"}, std::pair{"77", "7.5"}}) {
+  hostile(kPoll,
+          [this](const HttpAnswer& answer) { return dialect.readPoll(ticket, answer).status; });
+  for (auto [what, by] :
+       {std::pair{"[119", "[-1"}, std::pair{"\"+\"", "\"*\""}, std::pair{"800", "\"800\""},
+        std::pair{"800", "-800"}, std::pair{"\"5c\"", "5"}, std::pair{"\"5c\",", ""},
+        std::pair{"true", "1"}, std::pair{"77", "7.5"}}) {
     auto wrong = dialect.readPoll(ticket, answerOf(replaced(kPoll, what, by)));
     CHECK_EQUAL_TEXT(kUnreadable, wrong.status, by);
     CHECK_TEXT(wrong.changes.empty(), by);
@@ -198,5 +202,6 @@
   CHECK_EQUAL(2, listed.held.size());
   CHECK_EQUAL(16, listed.held.at(1).tokens);
   CHECK(listed.held.at(1).kept);
-  hostile(kHeld, [this](const HttpAnswer& answer) { return dialect.readParts(ticket, answer).status; });
+  hostile(kHeld,
+          [this](const HttpAnswer& answer) { return dialect.readParts(ticket, answer).status; });
 }
--- a/tests/platform_operators_test.cc
+++ b/tests/platform_operators_test.cc
@@ -25,7 +25,9 @@
 
 const Headers kOnFive{{"x-based-on", "5"}};
 
-AnswerWeb answerOf(int status, std::string body) { return {TicketId{1}, status, {}, std::move(body)}; }
+AnswerWeb answerOf(int status, std::string body) {
+  return {TicketId{1}, status, {}, std::move(body)};
+}
 
 }  // namespace
 
@@ -50,17 +52,19 @@
 }
 
 TEST(PlatformConfigs, AFieldThatLooksLikeOneOfOursReadsBackAsItWas) {
-  for (auto text : {R"({"version":1,"edition":2,"~version":3,"~~version":4,"services":"x"})",
-                    R"({"routes":[{"kind":"stream"},{"kind":"~stream"},{"kind":7},{"kind":null}]})",
-                    R"({"routes":[{"prefix":1,"path_prefix":2,"open":3,"timeoutMs":4,"service":5}]})",
-                    R"({"routes":{"a":1},"service_lines":[1,null,[{"berths":2}]],"limits":[]})",
-                    R"({"service_lines":[{"engine":[{"berths":1}]},{"engine":{"slots":1}}]})",
-                    R"({"senders":[{"keys":[],"access_keys":[1]}],"":{"":[]}})", R"({})"}) {
+  for (auto text :
+       {R"({"version":1,"edition":2,"~version":3,"~~version":4,"services":"x"})",
+        R"({"routes":[{"kind":"stream"},{"kind":"~stream"},{"kind":7},{"kind":null}]})",
+        R"({"routes":[{"prefix":1,"path_prefix":2,"open":3,"timeoutMs":4,"service":5}]})",
+        R"({"routes":{"a":1},"service_lines":[1,null,[{"berths":2}]],"limits":[]})",
+        R"({"service_lines":[{"engine":[{"berths":1}]},{"engine":{"slots":1}}]})",
+        R"({"senders":[{"keys":[],"access_keys":[1]}],"":{"":[]}})", R"({})"}) {
     Json sent = Json::parse(text);
     CHECK_TEXT(renameConfig(renameConfig(sent, Way::kToOwn), Way::kToPlatform) == sent, text);
     Json amendment{{"edition", 3}, {"upsert", sent}, {"remove", sent}, {"version", 1}};
-    CHECK_TEXT(renameAmendment(renameAmendment(amendment, Way::kToOwn), Way::kToPlatform) ==
-                   amendment, text);
+    CHECK_TEXT(
+        renameAmendment(renameAmendment(amendment, Way::kToOwn), Way::kToPlatform) == amendment,
+        text);
   }
 }
 
@@ -154,9 +158,9 @@
   CHECK(change["kind"] == "model-version");
   CHECK(change["model"] == "m1");
   CHECK_EQUAL(2, change["version"].get<int>());
-  for (auto body : {"{}", R"({"model":"m1"})", R"({"model":1,"edition":2})",
-                    R"({"model":"m1","edition":"2"})", R"({"model":"m1","edition":-2})",
-                    R"({"model":"","edition":2})", "[]", ""})
+  for (auto body :
+       {"{}", R"({"model":"m1"})", R"({"model":1,"edition":2})", R"({"model":"m1","edition":"2"})",
+        R"({"model":"m1","edition":-2})", R"({"model":"","edition":2})", "[]", ""})
     CHECK_EQUAL_TEXT(400, refused("version-put", body, {}), body);
 }
 
@@ -181,13 +185,13 @@
 TEST(PlatformOperators, OutcomesAreToldAsStatuses) {
   int kind = ask("Config.Replace", kConfig)->kind;
   for (auto [outcome, own, status] :
-       {std::tuple{"done", 200, 200}, std::tuple{"stale", 409, 412}, std::tuple{"invalid", 400, 400},
-        std::tuple{"too-large", 413, 413}, std::tuple{"not-primary", 503, 503},
-        std::tuple{"no-primary", 503, 503}, std::tuple{"lost", 504, 503},
-        std::tuple{"busy", 503, 503}, std::tuple{"caretaker", 503, 503},
-        std::tuple{"unsynced", 503, 503}, std::tuple{"would", 200, 503}}) {
-    auto answer = dialect.operatorAnswer(
-        kind, answerOf(own, Json{{"outcome", outcome}}.dump()));
+       {std::tuple{"done", 200, 200}, std::tuple{"stale", 409, 412},
+        std::tuple{"invalid", 400, 400}, std::tuple{"too-large", 413, 413},
+        std::tuple{"not-primary", 503, 503}, std::tuple{"no-primary", 503, 503},
+        std::tuple{"lost", 504, 503}, std::tuple{"busy", 503, 503},
+        std::tuple{"caretaker", 503, 503}, std::tuple{"unsynced", 503, 503},
+        std::tuple{"would", 200, 503}}) {
+    auto answer = dialect.operatorAnswer(kind, answerOf(own, Json{{"outcome", outcome}}.dump()));
     CHECK_EQUAL_TEXT(status, answer.status, outcome);
     CHECK_EQUAL_TEXT(status == 503, answer.headers.contains("Retry-After"), outcome);
   }
@@ -203,8 +207,8 @@
   STRCMP_EQUAL("GET", call->asked.method.c_str());
   STRCMP_EQUAL("/config", call->asked.path.c_str());
   Json own = renameConfig(Json::parse(kConfig), Way::kToOwn);
-  auto answer = dialect.operatorAnswer(
-      call->kind, answerOf(200, Json{{"config", own}, {"version", 7}}.dump()));
+  auto answer = dialect.operatorAnswer(call->kind,
+                                       answerOf(200, Json{{"config", own}, {"version", 7}}.dump()));
   CHECK_EQUAL(200, answer.status);
   CHECK(answer.ticket == ticket);
   CHECK(Json::parse(answer.body) == Json::parse(kConfig));
--- a/tests/platform_requests_test.cc
+++ b/tests/platform_requests_test.cc
@@ -63,16 +63,18 @@
 
 }  // namespace
 
-TEST_GROUP(PlatformRequests) {
-  PlatformDialect dialect;
-};
+TEST_GROUP(PlatformRequests) { PlatformDialect dialect; };
 
 TEST(PlatformRequests, ReadsAWholeRequest) {
   RequestArrived event;
-  auto wire = wireWith({{"X-Model", " m1 "}, {"X-Token-Count", "1460, 80"},
-                        {"X-Prompt-Prefix", "5c:800, 91:410"}, {"x-prompt-prefix", "e4:250"},
-                        {"X-Time-Left-Ms", "8000"}, {"Last-Event-Id", "12"},
-                        {"Authorization", "token  k-1 "}, {"X-Strange", "kept"}});
+  auto wire = wireWith({{"X-Model", " m1 "},
+                        {"X-Token-Count", "1460, 80"},
+                        {"X-Prompt-Prefix", "5c:800, 91:410"},
+                        {"x-prompt-prefix", "e4:250"},
+                        {"X-Time-Left-Ms", "8000"},
+                        {"Last-Event-Id", "12"},
+                        {"Authorization", "token  k-1 "},
+                        {"X-Strange", "kept"}});
   CHECK_EQUAL(0, dialect.readRequest(wire, event));
   STRCMP_EQUAL("Desk.example", event.host.c_str());
   STRCMP_EQUAL("/a/b", event.path.c_str());
@@ -91,8 +93,11 @@
 
 TEST(PlatformRequests, WhatIsNotThereIsNotTold) {
   RequestArrived event;
-  CHECK_EQUAL(0, dialect.readRequest(wireWith({{"Last-Event-Id", ""}, {"Authorization", "Basic x"},
-                                               {"X-Prompt-Prefix", ""}}), event));
+  CHECK_EQUAL(
+      0,
+      dialect.readRequest(
+          wireWith({{"Last-Event-Id", ""}, {"Authorization", "Basic x"}, {"X-Prompt-Prefix", ""}}),
+          event));
   CHECK(event.key.empty());
   CHECK(event.parts.empty());
   CHECK_FALSE(event.timeLeft.has_value());
@@ -100,18 +105,17 @@
 }
 
 TEST(PlatformRequests, MalformedNumbersAreRefused) {
-  for (auto [name, value] : {std::pair{"X-Token-Count", "1460"}, std::pair{"X-Token-Count", "1,2,3"},
-                             std::pair{"X-Token-Count", "-1,2"}, std::pair{"X-Token-Count", ""},
-                             std::pair{"X-Token-Count", "99999999999999999999,1"},
-                             std::pair{"X-Time-Left-Ms", "soon"}, std::pair{"X-Time-Left-Ms", "-5"},
-                             std::pair{"X-Time-Left-Ms", "1e3"}, std::pair{"X-Time-Left-Ms", "inf"},
-                             std::pair{"Last-Event-Id", "12a"}, std::pair{"Last-Event-Id", "-1"},
-                             std::pair{"X-Prompt-Prefix", "5c"}, std::pair{"X-Prompt-Prefix", ":8"},
-                             std::pair{"X-Prompt-Prefix", "5c:8,"},
-                             std::pair{"X-Prompt-Prefix", "5c:8,,91:4"},
-                             std::pair{"X-Prompt-Prefix", "5 c:8"},
-                             std::pair{"X-Prompt-Prefix", "5c:99999999999999999999"},
-                             std::pair{"X-Attempt-Id", "a2"}, std::pair{"Host", "other"}})
+  for (auto [name, value] :
+       {std::pair{"X-Token-Count", "1460"}, std::pair{"X-Token-Count", "1,2,3"},
+        std::pair{"X-Token-Count", "-1,2"}, std::pair{"X-Token-Count", ""},
+        std::pair{"X-Token-Count", "99999999999999999999,1"}, std::pair{"X-Time-Left-Ms", "soon"},
+        std::pair{"X-Time-Left-Ms", "-5"}, std::pair{"X-Time-Left-Ms", "1e3"},
+        std::pair{"X-Time-Left-Ms", "inf"}, std::pair{"Last-Event-Id", "12a"},
+        std::pair{"Last-Event-Id", "-1"}, std::pair{"X-Prompt-Prefix", "5c"},
+        std::pair{"X-Prompt-Prefix", ":8"}, std::pair{"X-Prompt-Prefix", "5c:8,"},
+        std::pair{"X-Prompt-Prefix", "5c:8,,91:4"}, std::pair{"X-Prompt-Prefix", "5 c:8"},
+        std::pair{"X-Prompt-Prefix", "5c:99999999999999999999"}, std::pair{"X-Attempt-Id", "a2"},
+        std::pair{"Host", "other"}})
     CHECK_EQUAL_TEXT(400, readStatus({{name, value}}), value);
 }
 
@@ -134,8 +138,11 @@
 }
 
 TEST(PlatformRequests, AnEngineGetsTheSameRequest) {
-  auto wire = wireWith({{"Accept", "text/event-stream"}, {"Content-Length", "7"},
-                        {"X-Prompt-Prefix", "5c:800"}, {"Cookie", "a=b"}}, "{\"a\":1}");
+  auto wire = wireWith({{"Accept", "text/event-stream"},
+                        {"Content-Length", "7"},
+                        {"X-Prompt-Prefix", "5c:800"},
+                        {"Cookie", "a=b"}},
+                       "{\"a\":1}");
   std::string text = dialect.attemptText(attemptOf(wire));
   CHECK(text.starts_with("POST /a/b?q=1 HTTP/1.1\r\nHost: Desk.example\r\n"));
   CHECK(text.ends_with("\r\n\r\n{\"a\":1}"));
@@ -149,11 +156,17 @@
 }
 
 TEST(PlatformRequests, WhatTheClientSaysOfOurHeadersIsNotPassedOn) {
-  auto wire = wireWith({{"authorization", "Token k-1"}, {"X-Tenant", "other"},
-                        {"x-tenant", "third"}, {"X-Cache-Salt", "s"}, {"X-Urgency", "0"},
-                        {"X-Collect-From", "10.0.0.1:1"}, {"X-Deposit-At", "10.0.0.1:2"},
-                        {"X-Expect-Version", "9"}, {"X-Deliver-To", "i-9"},
-                        {"X-Time-Left-Ms", "1"}, {"Last-Event-Id", "4"}});
+  auto wire = wireWith({{"authorization", "Token k-1"},
+                        {"X-Tenant", "other"},
+                        {"x-tenant", "third"},
+                        {"X-Cache-Salt", "s"},
+                        {"X-Urgency", "0"},
+                        {"X-Collect-From", "10.0.0.1:1"},
+                        {"X-Deposit-At", "10.0.0.1:2"},
+                        {"X-Expect-Version", "9"},
+                        {"X-Deliver-To", "i-9"},
+                        {"X-Time-Left-Ms", "1"},
+                        {"Last-Event-Id", "4"}});
   OpenAttempt attempt = attemptOf(wire);
   std::string text = dialect.attemptText(attempt);
   for (auto part : {"k-1", "uthorization", "enant", "Salt", "Collect", "Deposit", "Expect", "i-9",
@@ -168,19 +181,26 @@
   attempt.depositAt = Address{"10.0.0.8:80"};
   attempt.resumeAfter = 17;
   text = dialect.attemptText(attempt);
-  for (auto line : {"X-Tenant: kaje", "X-Cache-Salt: w.3", "X-Urgency: 2", "X-Expect-Version: 3",
-                    "X-Collect-From: 10.0.0.7:80", "X-Deposit-At: 10.0.0.8:80",
-                    "Last-Event-Id: 17"})
+  for (auto line :
+       {"X-Tenant: kaje", "X-Cache-Salt: w.3", "X-Urgency: 2", "X-Expect-Version: 3",
+        "X-Collect-From: 10.0.0.7:80", "X-Deposit-At: 10.0.0.8:80", "Last-Event-Id: 17"})
     CHECK_EQUAL_TEXT(1, lines(text, line), line);
   CHECK_FALSE(has(text, "third"));
 }
 
 TEST(PlatformRequests, ConnectionHeadersEndHere) {
-  auto wire = wireWith({{"Connection", "keep-alive, X-Hop,Host, x-attempt-id"}, {"X-Hop", "1"},
-                        {"Keep-Alive", "timeout=3"}, {"TE", "trailers"}, {"Trailer", "X-A"},
-                        {"Transfer-Encoding", "chunked"}, {"Upgrade", "h2c"},
-                        {"Proxy-Authorization", "x"}, {"proxy-connection", "close"},
-                        {"Expect", "100-continue"}, {"Content-Length", "99"}}, "abc");
+  auto wire = wireWith({{"Connection", "keep-alive, X-Hop,Host, x-attempt-id"},
+                        {"X-Hop", "1"},
+                        {"Keep-Alive", "timeout=3"},
+                        {"TE", "trailers"},
+                        {"Trailer", "X-A"},
+                        {"Transfer-Encoding", "chunked"},
+                        {"Upgrade", "h2c"},
+                        {"Proxy-Authorization", "x"},
+                        {"proxy-connection", "close"},
+                        {"Expect", "100-continue"},
+                        {"Content-Length", "99"}},
+                       "abc");
   std::string text = dialect.attemptText(attemptOf(wire));
   for (auto part : {"onnection", "X-Hop", "Keep-Alive", "TE:", "Trailer", "chunked", "h2c", "roxy",
                     "100-continue", "99"})
@@ -199,10 +219,13 @@
 }
 
 TEST(PlatformRequests, NothingIsSmuggledInAHeader) {
-  auto wire = wireWith({{"X-One", "1\r\nX-Tenant: other"}, {"X-Two: c\r\nX-Tenant", "x"},
-                        {"X Three", "y"}, {"X-Four", std::string("a\0b", 3)}});
+  auto wire = wireWith({{"X-One", "1\r\nX-Tenant: other"},
+                        {"X-Two: c\r\nX-Tenant", "x"},
+                        {"X Three", "y"},
+                        {"X-Four", std::string("a\0b", 3)}});
   std::string text = dialect.attemptText(attemptOf(wire));
-  for (auto part : {"enant", "X-One", "X-Two", "Three", "X-Four"}) CHECK_FALSE_TEXT(has(text, part), part);
+  for (auto part : {"enant", "X-One", "X-Two", "Three", "X-Four"})
+    CHECK_FALSE_TEXT(has(text, part), part);
   RequestArrived event;
   auto target = wireWith({});
   target->target = "/a HTTP/1.1\r\nX-Tenant: other";
@@ -223,16 +246,14 @@
   STRCMP_EQUAL("Retry-After: 0\r\nX-Attempt-Id: a1\r\n", told(Duration{-5}).c_str());
 }
 
-TEST_GROUP(PlatformAnswers) {
-  PlatformDialect dialect;
-};
+TEST_GROUP(PlatformAnswers) { PlatformDialect dialect; };
 
 TEST(PlatformAnswers, AnotherRequestsAnswerIsNotTaken) {
   AttemptTurned turned;
   auto attempt = attemptOf(wireWith({}));
-  for (HeaderList headers : {HeaderList{}, HeaderList{{"X-Attempt-Id", "a2"}},
-                             HeaderList{{"X-Attempt-Id", ""}},
-                             HeaderList{{"X-Attempt-Id", "A1"}}}) {
+  for (HeaderList headers :
+       {HeaderList{}, HeaderList{{"X-Attempt-Id", "a2"}}, HeaderList{{"X-Attempt-Id", ""}},
+        HeaderList{{"X-Attempt-Id", "A1"}}}) {
     headers.push_back({"X-Postmark", "p"});
     CHECK_FALSE(dialect.readHead(headOf(200, headers), attempt, turned));
   }
@@ -258,8 +279,10 @@
 }
 
 TEST(PlatformAnswers, LoadVersionsAndTimesAreReadIfTheyCanBe) {
-  auto turned = turnedBy(503, {{"X-Engine-Load", "3, 0,8"}, {"Retry-After", "0.25"},
-                               {"Connection", "Close"}, {"X-Weight-Versions", "4"}});
+  auto turned = turnedBy(503, {{"X-Engine-Load", "3, 0,8"},
+                               {"Retry-After", "0.25"},
+                               {"Connection", "Close"},
+                               {"X-Weight-Versions", "4"}});
   CHECK(turned.load.has_value());
   CHECK_EQUAL(3, turned.load->running);
   CHECK_EQUAL(8, turned.load->slots);
@@ -293,11 +316,14 @@
 
 TEST(PlatformAnswers, AClientGetsTheEnginesHeadersWithoutThoseOfTheConnection) {
   STRCMP_EQUAL("Content-Type: text/event-stream\r\nX-Postmark: p\r\nX-Attempt-Id: a1\r\n",
-               dialect.answerHeaders(headOf(200, {{"Content-Type", "text/event-stream"},
-                                                  {"Connection", "X-Hop"}, {"X-Hop", "1"},
-                                                  {"Content-Length", "3"}, {"X-Postmark", "p"},
-                                                  {"Transfer-Encoding", "chunked"},
-                                                  {"Keep-Alive", "timeout=1"},
-                                                  {"X-Attempt-Id", "a1"}}))
+               dialect
+                   .answerHeaders(headOf(200, {{"Content-Type", "text/event-stream"},
+                                               {"Connection", "X-Hop"},
+                                               {"X-Hop", "1"},
+                                               {"Content-Length", "3"},
+                                               {"X-Postmark", "p"},
+                                               {"Transfer-Encoding", "chunked"},
+                                               {"Keep-Alive", "timeout=1"},
+                                               {"X-Attempt-Id", "a1"}}))
                    .c_str());
 }
--- a/tests/platform_settings_test.cc
+++ b/tests/platform_settings_test.cc
@@ -1,4 +1,4 @@
-// A settings file read, and the props that follow from it.
+// A settings file read, and the options that follow from it.
 #include <cstdlib>
 #include <fstream>
 
@@ -112,23 +112,23 @@
 }
 
 TEST(PlatformSettings, NamesTheWrongField) {
-  for (auto [name, value, field] : {std::tuple{"ip_addr", "\"10.9.0\"", "ip_addr"},
-                                    std::tuple{"ip_addr", "4", "ip_addr"},
-                                    std::tuple{"inner_ports", "[7000]", "inner_ports"},
-                                    std::tuple{"inner_ports", "[7015,7000]", "inner_ports"},
-                                    std::tuple{"inner_ports", "[\"a\",\"b\"]", "inner_ports"},
-                                    std::tuple{"inner_ports", "7000", "inner_ports"},
-                                    std::tuple{"seed_nodes", "[\"10.9.0.7\"]", "seed_nodes"},
-                                    std::tuple{"seed_nodes", "[7]", "seed_nodes"},
-                                    std::tuple{"serves", "\"counter\"", "serves"},
-                                    std::tuple{"first_start", "1", "first_start"},
-                                    std::tuple{"front_desk", "\"10.9.0.4:0\"", "listen.front_desk"},
-                                    std::tuple{"front_desk", "\"host:80\"", "listen.front_desk"},
-                                    std::tuple{"grace_s", "-1", "bounds.grace_s"},
-                                    std::tuple{"grace_s", "nan", "bounds.grace_s"},
-                                    std::tuple{"grace_s", "\"8\"", "bounds.grace_s"},
-                                    std::tuple{"revocation_closed", "1", "bounds.revocation_closed"},
-                                    std::tuple{"rate_per_s", "true", "cloud_api.rate_per_s"}})
+  for (auto [name, value, field] :
+       {std::tuple{"ip_addr", "\"10.9.0\"", "ip_addr"}, std::tuple{"ip_addr", "4", "ip_addr"},
+        std::tuple{"inner_ports", "[7000]", "inner_ports"},
+        std::tuple{"inner_ports", "[7015,7000]", "inner_ports"},
+        std::tuple{"inner_ports", "[\"a\",\"b\"]", "inner_ports"},
+        std::tuple{"inner_ports", "7000", "inner_ports"},
+        std::tuple{"seed_nodes", "[\"10.9.0.7\"]", "seed_nodes"},
+        std::tuple{"seed_nodes", "[7]", "seed_nodes"},
+        std::tuple{"serves", "\"counter\"", "serves"},
+        std::tuple{"first_start", "1", "first_start"},
+        std::tuple{"front_desk", "\"10.9.0.4:0\"", "listen.front_desk"},
+        std::tuple{"front_desk", "\"host:80\"", "listen.front_desk"},
+        std::tuple{"grace_s", "-1", "bounds.grace_s"},
+        std::tuple{"grace_s", "nan", "bounds.grace_s"},
+        std::tuple{"grace_s", "\"8\"", "bounds.grace_s"},
+        std::tuple{"revocation_closed", "1", "bounds.revocation_closed"},
+        std::tuple{"rate_per_s", "true", "cloud_api.rate_per_s"}})
     CHECK_TEXT(namesField(readSettings(with(name, value)).status(), field), value);
 }
 
@@ -165,60 +165,60 @@
   CHECK_EQUAL(1, addresses.seeds.size());
 }
 
-TEST_GROUP(PlatformProps){};
+TEST_GROUP(PlatformOptions){};
 
-TEST(PlatformProps, KeepTheBounds) {
+TEST(PlatformOptions, KeepTheBounds) {
   NodeSettings settings = frontSettings();
-  auto props = propsFrom(settings);
-  CHECK_TEXT(props.ok(), messageOf(props.status()).c_str());
-  CHECK(props->proofLimit - props->yesWait < settings.bounds.configApplies);
-  CHECK(props->liveLimit < settings.bounds.withdrawal);
-  DOUBLES_EQUAL(0.15, props->budgetShare, 1e-9);
-  CHECK(props->budgetSlack < 40);
-  CHECK(props->seatAfter < settings.bounds.catchUp);
-  CHECK(props->drainLimit < settings.bounds.grace);
-  CHECK_EQUAL(1, props->backups);
-  CHECK(checkProps(*props).ok());
+  auto options = optionsFrom(settings);
+  CHECK_TEXT(options.ok(), messageOf(options.status()).c_str());
+  CHECK(options->proofLimit - options->acknowledgementWait < settings.bounds.configApplies);
+  CHECK(options->liveLimit < settings.bounds.withdrawal);
+  DOUBLES_EQUAL(0.15, options->budgetShare, 1e-9);
+  CHECK(options->budgetSlack < 40);
+  CHECK(options->replaceVoterAfter < settings.bounds.catchUp);
+  CHECK(options->drainLimit < settings.bounds.grace);
+  CHECK_EQUAL(1, options->backups);
+  CHECK(checkOptions(*options).ok());
 }
 
-TEST(PlatformProps, MoreLossesToBearTakeMoreCopiesAndSeats) {
+TEST(PlatformOptions, MoreLossesToBearTakeMoreCopiesAndSeats) {
   NodeSettings settings = frontSettings();
   settings.tolerance.machines = 6;
-  auto props = propsFrom(settings);
-  CHECK(props.ok());
-  CHECK_EQUAL(6, props->backups);
-  CHECK(props->voterSeats >= 13);
+  auto options = optionsFrom(settings);
+  CHECK(options.ok());
+  CHECK_EQUAL(6, options->backups);
+  CHECK(options->voterSlots >= 13);
 }
 
-TEST(PlatformProps, AShortApplyTimeMakesTheYesLater) {
+TEST(PlatformOptions, AShortApplyTimeMakesTheYesLater) {
   NodeSettings settings = frontSettings();
   settings.bounds.configApplies = seconds(0.9);
-  auto props = propsFrom(settings);
-  CHECK_TEXT(props.ok(), messageOf(props.status()).c_str());
-  CHECK(props->yesWait > Props{}.yesWait);
-  CHECK(props->proofLimit <= props->yesWait + seconds(0.9));
+  auto options = optionsFrom(settings);
+  CHECK_TEXT(options.ok(), messageOf(options.status()).c_str());
+  CHECK(options->acknowledgementWait > Options{}.acknowledgementWait);
+  CHECK(options->proofLimit <= options->acknowledgementWait + seconds(0.9));
 }
 
-TEST(PlatformProps, WhereWithdrawalsNeedNotReachACutOffPartItServesLonger) {
+TEST(PlatformOptions, WhereWithdrawalsNeedNotReachACutOffPartItServesLonger) {
   NodeSettings settings = frontSettings();
   settings.bounds.withdrawalsClosed = false;
-  auto props = propsFrom(settings);
-  CHECK(props.ok());
-  CHECK(props->proofLimit > Props{}.proofLimit);
+  auto options = optionsFrom(settings);
+  CHECK(options.ok());
+  CHECK(options->proofLimit > Options{}.proofLimit);
 }
 
-TEST(PlatformProps, ASetThatCannotHoldNamesBothFields) {
+TEST(PlatformOptions, ASetThatCannotHoldNamesBothFields) {
   auto says = [](const NodeSettings& settings, std::string_view bound, std::string_view prop) {
-    auto props = propsFrom(settings);
-    std::string message = messageOf(props.status());
+    auto options = optionsFrom(settings);
+    std::string message = messageOf(options.status());
     return message.find(bound) != std::string::npos && message.find(prop) != std::string::npos;
   };
   NodeSettings settings = frontSettings();
   settings.bounds.configApplies = seconds(0.5);
-  CHECK(says(settings, "edition_apply_ms", "newsWait"));
+  CHECK(says(settings, "edition_apply_ms", "stateRequestWait"));
   settings = frontSettings();
   settings.bounds.changeAnswer = seconds(2);
-  CHECK(says(settings, "receipt_ms", "yesWait"));
+  CHECK(says(settings, "receipt_ms", "acknowledgementWait"));
   settings = frontSettings();
   settings.bounds.drain = seconds(0.9);
   CHECK(says(settings, "drain_ms", "listEvery"));
--- a/tests/platform_words_test.cc
+++ b/tests/platform_words_test.cc
@@ -19,9 +19,7 @@
   return copy;
 }
 
-bool wordLetter(char c) {
-  return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '_';
-}
+bool wordLetter(char c) { return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '_'; }
 
 /// Whether a word stands by itself in a text, both in lower case.
 bool standsIn(const std::string& text, const std::string& word) {
--- a/tests/prompts_index_test.cc
+++ b/tests/prompts_index_test.cc
@@ -18,9 +18,9 @@
   std::int64_t tokens = 0;
 };
 
-PartNews news(const EngineId& engine, std::uint64_t epoch, std::uint64_t from, std::uint64_t next,
-              std::vector<Told> told, bool whole = false) {
-  PartNews made{engine, epoch, from, next, whole, {}, {}, {}};
+PrefixBlockUpdate news(const EngineId& engine, std::uint64_t epoch, std::uint64_t from,
+                       std::uint64_t next, std::vector<Told> told, bool whole = false) {
+  PrefixBlockUpdate made{engine, epoch, from, next, whole, {}, {}, {}};
   for (const auto& one : told) {
     made.salts.push_back(made.salts.empty() ? kSalt : "");
     made.parts.push_back(one.part);
@@ -108,7 +108,8 @@
       continue;
     }
     std::string part = "p" + std::to_string(random.below(40));
-    std::int64_t tokens = random.below(3) == 0 ? 0 : static_cast<std::int64_t>(1 + random.below(900));
+    std::int64_t tokens =
+        random.below(3) == 0 ? 0 : static_cast<std::int64_t>(1 + random.below(900));
     CHECK(index.hear(news(id, 1, next[engine], next[engine] + 1, {{part, tokens}})));
     ++next[engine];
     if (tokens == 0) plain.erase({engine, part});
@@ -126,14 +127,16 @@
 namespace {
 
 struct Front {
-  Props props;
+  Options options;
   Random random;
   Membership membership;
   PartIndex index;
   PartWatch watch;
   Outbox outbox;
   explicit Front(std::uint64_t id)
-      : random(id), membership(props, record(id), {}, random), watch(props, membership, index) {}
+      : random(id),
+        membership(options, record(id), {}, random),
+        watch(options, membership, index) {}
   static MemberRecord record(std::uint64_t id) {
     MemberRecord made;
     made.member = {id};
@@ -148,9 +151,8 @@
   }
 };
 
-const std::vector<std::pair<EngineId, Address>> kKeepers{{kOne, {"10.1.0.1:80"}},
-                                                         {kTwo, {"10.1.0.2:80"}},
-                                                         {storeId(), {"10.1.0.3:80"}}};
+const std::vector<std::pair<EngineId, Address>> kKeepers{
+    {kOne, {"10.1.0.1:80"}}, {kTwo, {"10.1.0.2:80"}}, {storeId(), {"10.1.0.3:80"}}};
 
 PartsPolled answerTo(const PollParts& poll, std::uint64_t epoch, std::uint64_t next,
                      std::vector<PartChange> changes, bool lost = false) {
@@ -174,7 +176,8 @@
   std::size_t polls = 0;
   for (Front* front : {&one, &two}) {
     front->outbox.take();
-    for (int turn = 0; turn < 20; ++turn) front->watch.tick(kKeepers, at(1 + 0.05 * turn), front->outbox);
+    for (int turn = 0; turn < 20; ++turn)
+      front->watch.tick(kKeepers, at(1 + 0.05 * turn), front->outbox);
     polls += taken<PollParts>(front->outbox.take()).size();
   }
   LONGS_EQUAL(3, polls);
@@ -190,17 +193,18 @@
   for (double time : {1.0, 1.5}) one.watch.tick(kKeepers, at(time), one.outbox);
   auto polls = taken<PollParts>(one.outbox.take());
   CHECK(!polls.empty());
-  EngineId engine = polls[0].address.value == "10.1.0.1:80" ? kOne
-                    : polls[0].address.value == "10.1.0.2:80" ? kTwo : storeId();
-  CHECK(one.watch.polled(answerTo(polls[0], 7, 2, {{1, true, kSalt, "a", 800, {}},
-                                                   {2, true, kSalt, "b", 400, {}}}),
-                         at(1.6), one.outbox));
+  EngineId engine = polls[0].address.value == "10.1.0.1:80"   ? kOne
+                    : polls[0].address.value == "10.1.0.2:80" ? kTwo
+                                                              : storeId();
+  CHECK(one.watch.polled(
+      answerTo(polls[0], 7, 2, {{1, true, kSalt, "a", 800, {}}, {2, true, kSalt, "b", 400, {}}}),
+      at(1.6), one.outbox));
   CHECK_FALSE(one.watch.polled(answerTo(polls[0], 7, 2, {}), at(1.6), one.outbox));
   one.watch.tick(kKeepers, at(1.65), one.outbox);
-  LONGS_EQUAL(0, messages<PartNews>(one.outbox.take()).size());
+  LONGS_EQUAL(0, messages<PrefixBlockUpdate>(one.outbox.take()).size());
   one.watch.tick(kKeepers, at(1.71), one.outbox);
   auto commands = one.outbox.take();
-  auto told = messages<PartNews>(commands);
+  auto told = messages<PrefixBlockUpdate>(commands);
   LONGS_EQUAL(1, told.size());
   two.watch.hear({"10.0.0.1:1"}, told[0], at(1.72), two.outbox);
   LONGS_EQUAL(1200, two.index.keptTokens(engine, kSalt, kPrompt));
@@ -211,13 +215,14 @@
   CHECK_EQUAL(2, next->since);
   two.outbox.take();
   two.watch.hear({"10.0.0.1:1"}, news(engine, 7, 4, 5, {{"c", 300}}), at(2), two.outbox);
-  auto asks = messages<PartAsk>(two.outbox.take());
+  auto asks = messages<PrefixBlockRequest>(two.outbox.take());
   LONGS_EQUAL(1, asks.size());
   one.outbox.take();
-  one.watch.polled(answerTo(*next, 7, 5, {{3, false, kSalt, "b", 0, {}}, {5, true, kSalt, "c", 300, {}}}),
-                   at(2), one.outbox);
+  one.watch.polled(
+      answerTo(*next, 7, 5, {{3, false, kSalt, "b", 0, {}}, {5, true, kSalt, "c", 300, {}}}), at(2),
+      one.outbox);
   one.watch.hear({"10.0.0.2:1"}, asks[0], at(2.1), one.outbox);
-  auto whole = messages<PartNews>(one.outbox.take());
+  auto whole = messages<PrefixBlockUpdate>(one.outbox.take());
   LONGS_EQUAL(1, whole.size());
   CHECK(whole[0].whole);
   two.watch.hear({"10.0.0.1:1"}, whole[0], at(2.2), two.outbox);
@@ -236,12 +241,14 @@
   one.watch.tick(only, at(1.15), one.outbox);
   auto lists = taken<ListParts>(one.outbox.take());
   LONGS_EQUAL(1, lists.size());
-  one.watch.listed({lists[0].ticket, 200, 7, 95, {{0, true, kSalt, "b", 400, {}}}}, at(1.2), one.outbox);
+  one.watch.listed({lists[0].ticket, 200, 7, 95, {{0, true, kSalt, "b", 400, {}}}}, at(1.2),
+                   one.outbox);
   LONGS_EQUAL(1, one.index.size());
   one.watch.tick(only, at(1.25), one.outbox);
   polls = taken<PollParts>(one.outbox.take());
   CHECK_EQUAL(95, polls[0].since);
-  one.watch.polled(answerTo(polls[0], 7, 200, {{200, true, kSalt, "c", 300, {}}}, true), at(3), one.outbox);
+  one.watch.polled(answerTo(polls[0], 7, 200, {{200, true, kSalt, "c", 300, {}}}, true), at(3),
+                   one.outbox);
   for (double time : {3.0, 3.1, 3.2}) one.watch.tick(only, at(time), one.outbox);
   auto commands = one.outbox.take();
   LONGS_EQUAL(0, taken<ListParts>(commands).size());  // the gap is borne
@@ -261,8 +268,9 @@
   one.watch.tick(only, at(1.4), one.outbox);
   poll = taken<PollParts>(one.outbox.take())[0];
   CHECK_EQUAL(0, poll.since);
-  one.watch.polled(answerTo(poll, 8, 12, {{11, true, kSalt, "a", 800, {}}, {12, true, kSalt, "b", 400, {}}}),
-                   at(1.5), one.outbox);
+  one.watch.polled(
+      answerTo(poll, 8, 12, {{11, true, kSalt, "a", 800, {}}, {12, true, kSalt, "b", 400, {}}}),
+      at(1.5), one.outbox);
   LONGS_EQUAL(1200, one.index.keptTokens(kOne, kSalt, kPrompt));
 }
 
@@ -286,6 +294,7 @@
   auto back = taken<PollParts>(one.outbox.take());
   LONGS_EQUAL(1, back.size());
   CHECK_EQUAL(0, back[0].since);
-  one.watch.polled(answerTo(back[0], 7, 9, {{9, true, kSalt, "a", 800, {}}}), at(time + 1), one.outbox);
+  one.watch.polled(answerTo(back[0], 7, 9, {{9, true, kSalt, "a", 800, {}}}), at(time + 1),
+                   one.outbox);
   LONGS_EQUAL(800, one.index.keptTokens(storeId(), kSalt, kPrompt));
 }
--- a/tests/prompts_placement_test.cc
+++ b/tests/prompts_placement_test.cc
@@ -17,7 +17,7 @@
 const ModelName kModel{"llm"};
 const std::vector<PartSize> kPrompt{{"rules", 8000}, {"own", 2000}};
 constexpr double kNamedAt = 2;
-constexpr double kOldServe = 11;   // seconds: a bound of 12, less one in which a request begins
+constexpr double kOldServe = 11;  // seconds: a bound of 12, less one in which a request begins
 constexpr double kMoment = 0.001;
 
 FleetConfig makeConfig(bool withStore, double linkMbps = 80000) {
@@ -54,11 +54,11 @@
 
 /// One front with its own book, index and moves.
 struct Front {
-  Props props;
+  Options options;
   Random random;
-  EngineBook book{props};
+  EngineBook book{options};
   PartIndex index;
-  FetchDesk fetches{props};
+  FetchDesk fetches{options};
   Placement placement;
   FleetConfig config;
   Weights weights;
@@ -68,8 +68,10 @@
   std::uint64_t last = 0;
 
   explicit Front(std::uint64_t seed, int engines = 4, bool withStore = false,
-                 const Props& its = {})
-      : props(its), random(seed), placement(props, book, index, fetches, random),
+                 const Options& its = {})
+      : options(its),
+        random(seed),
+        placement(options, book, index, fetches, random),
         config(makeConfig(withStore)) {
     route.target = milliseconds(400);
     std::vector<Engine> list;
@@ -290,7 +292,8 @@
     front.keeps({"e" + std::to_string(number)}, std::vector<PartSize>{{"all", 9000}});
   engines.clear();
   for (int turn = 0; turn < 20; ++turn)
-    engines.insert(front.place(std::vector<PartSize>{{"all", 9000}, {"rules", 3000}, {"own", 900}}).engine);
+    engines.insert(
+        front.place(std::vector<PartSize>{{"all", 9000}, {"rules", 3000}, {"own", 900}}).engine);
   LONGS_EQUAL(1, engines.size());
 }
 
@@ -317,7 +320,8 @@
   front.keeps({"e1"}, kPrompt);
   front.place(kPrompt);  // the weights of the start were seen
   std::vector<Engine> list;
-  for (int number = 1; number <= 4; ++number) list.push_back(makeEngine(number, number == 1 ? 1 : 2));
+  for (int number = 1; number <= 4; ++number)
+    list.push_back(makeEngine(number, number == 1 ? 1 : 2));
   front.book.take(list, {2}, at(kNamedAt));
   front.weights.models[kModel] = {2};
   Placed soon = front.place(kPrompt, kNamedAt);
@@ -355,9 +359,9 @@
 }
 
 TEST(Placement, TheTimeOfOldWeightsFollowsTheConfiguredBound) {
-  Props props;
-  props.weightsWithin = seconds(7);
-  Front front(1, 4, false, props);
+  Options options;
+  options.weightsWithin = seconds(7);
+  Front front(1, 4, false, options);
   front.place(kPrompt);
   front.weights.models[kModel] = {2};
   front.place(kPrompt, kNamedAt);
@@ -433,7 +437,7 @@
 }
 
 TEST(PlacementRungs, MovesBetweenZonesCountTwiceAndBetweenRegionsTenTimes) {
-  FetchDesk desk{Props{}};
+  FetchDesk desk{Options{}};
   desk.regions({{{"north"}, "west"}, {{"south"}, "west"}, {{"far"}, "east"}});
   LONGS_EQUAL(1, desk.crossing({"north"}, {"north"}));
   LONGS_EQUAL(2, desk.crossing({"north"}, {"south"}));
@@ -455,7 +459,8 @@
     if (turn % 2 == 0) two.place(kPrompt, 1 + 0.01 * turn);
   }
   for (int turn = 0; turn <= 40; ++turn)
-    for (Front* front : fronts) front->placement.tick(front->config, at(1.1 + 0.05 * turn), front->outbox);
+    for (Front* front : fronts)
+      front->placement.tick(front->config, at(1.1 + 0.05 * turn), front->outbox);
   CHECK(one.fetches.live() > 0);
   auto first = one.placement.note({1}, at(3.2)), second = two.placement.note({2}, at(3.2));
   one.placement.hear(second, at(3.25));
@@ -479,8 +484,7 @@
   auto rung = one.fetches.join(fetch, one.placement.plan(), at(6), one.outbox);
   auto other = two.fetches.join(fetch, two.placement.plan(), at(6), two.outbox);
   CHECK(rung == other);
-  if (rung)
-    CHECK_EQUAL(rungUnder(one.placement.plan().rungs, fetch.want, groups[0].level), *rung);
+  if (rung) CHECK_EQUAL(rungUnder(one.placement.plan().rungs, fetch.want, groups[0].level), *rung);
 }
 
 TEST(PlacementRungs, MovesAreBookedUntilNotEvenTheLowestRungFits) {
@@ -510,7 +514,7 @@
   for (double others : {0.0, 8000.0}) {
     Front front(1, 4, true);
     front.keeps(storeId(), std::span(kPrompt).first(1));
-    UsageNote note{{9}, {}, {}};
+    UsageNotification note{{9}, {}, {}};
     LinkUsage usage;
     usage.link = FetchDesk::linkOf(storeId());
     usage.rate = others;
@@ -522,6 +526,7 @@
     CHECK_EQUAL(others == 0, placed.collectFrom.has_value());
     LONGS_EQUAL(others == 0 ? 2000 : 10000, placed.toRead);
     LONGS_EQUAL(others == 0 ? 1 : 0, front.fetches.live());
-    CHECK_EQUAL(others == 0, front.outbox.counters().find("fetch.noRoom") == front.outbox.counters().end());
+    CHECK_EQUAL(others == 0,
+                front.outbox.counters().find("fetch.noRoom") == front.outbox.counters().end());
   }
 }
