--- a/tests/requests_budget_test.cc
+++ b/tests/requests_budget_test.cc
@@ -10,10 +10,8 @@
 
 /// How many of the times lie in a window that ends there.
 std::size_t within(const std::vector<MonotonicTime>& times, MonotonicTime end) {
-  return static_cast<std::size_t>(
-      std::ranges::count_if(times, [&](MonotonicTime time) {
-        return time <= end && end - time < kTerms.window;
-      }));
+  return static_cast<std::size_t>(std::ranges::count_if(
+      times, [&](MonotonicTime time) { return time <= end && end - time < kTerms.window; }));
 }
 
 }  // namespace
@@ -81,7 +79,7 @@
 
 TEST(RequestBudget, OnlyWhatFollowsAnArrivalIsPaidFor) {
   FakeFront front;
-  front.props.budgetShare = 0.5;
+  front.options.budgetShare = 0.5;
   // Two first attempts pay for one further one.
   AttemptId first = only<OpenAttempt>(front.ask("unsafe", 1)).attempt;
   AttemptId other = only<OpenAttempt>(front.ask("unsafe", 2)).attempt;
@@ -96,7 +94,7 @@
 
 TEST(RequestBudget, EachServiceHasItsOwn) {
   FakeFront front;
-  front.props.budgetShare = 1;
+  front.options.budgetShare = 1;
   front.facts.byHost["safe"].services = {{ServiceName{"other"}, 1}};
   AttemptId unsafe = only<OpenAttempt>(front.ask("unsafe", 1)).attempt;
   AttemptId safe = only<OpenAttempt>(front.ask("safe", 2)).attempt;
--- a/tests/requests_fakes.h
+++ b/tests/requests_fakes.h
@@ -25,7 +25,7 @@
   const Route* route(std::string_view host, std::string_view path) const override {
     auto found = byHost.find(std::string(host));
     return found != byHost.end() && path.starts_with(found->second.prefix) ? &found->second
-                                                                          : nullptr;
+                                                                           : nullptr;
   }
   const TenantConfig* tenantOfKey(std::string_view key) const override {
     auto found = byKey.find(key);
@@ -116,7 +116,7 @@
 
 /// A front's requests with fakes round them. Example: `front.ask("safe", 1); front.head(200);`
 struct FakeFront {
-  Props props;
+  Options options;
   FakeFacts facts;
   FakePlacer placer;
   FakeLedger ledger;
@@ -124,7 +124,7 @@
   Random random{7};
   Outbox outbox;
   MonotonicTime now = at(100);
-  Requests requests{{props, facts, ledger, kept, placer, random}};
+  Requests requests{{options, facts, ledger, kept, placer, random}};
 
   FakeFront() {
     facts.byHost["safe"] = routeOf(RouteKind::kSafe);
@@ -135,7 +135,7 @@
     facts.fleet.tenants[{"red"}] = TenantConfig{{"red"}, 1, false};
     for (const auto& [host, route] : facts.byHost) facts.fleet.routes.push_back(route);
     facts.byKey["key"] = facts.fleet.tenants[{"red"}];
-    props.budgetShare = 10;  // enough for any test that is not about it
+    options.budgetShare = 10;  // enough for any test that is not about it
   }
   static RequestArrived arrived(std::string_view host, std::uint64_t id) {
     RequestArrived asked;
--- a/tests/requests_order_test.cc
+++ b/tests/requests_order_test.cc
@@ -7,10 +7,32 @@
 namespace {
 
 enum class Step : std::uint8_t {
-  kWritten, kGoodHead, kNotRunHead, kOtherEngineHead, kFailedHead, kFullHead, kTimeoutHead,
-  kNoStampHead, kBadRequestHead, kNotRunGoodHead, kNextEvent, kTwoEvents, kKnownEvent, kMixedEvents,
-  kGapEvent, kNoIdBody, kEnded, kBroken, kNotWritten, kSilence, kRevoke, kStale, kEngineless, kLate,
-  kGone, kCount,
+  kWritten,
+  kGoodHead,
+  kNotRunHead,
+  kOtherEngineHead,
+  kFailedHead,
+  kFullHead,
+  kTimeoutHead,
+  kNoStampHead,
+  kBadRequestHead,
+  kNotRunGoodHead,
+  kNextEvent,
+  kTwoEvents,
+  kKnownEvent,
+  kMixedEvents,
+  kGapEvent,
+  kNoIdBody,
+  kEnded,
+  kBroken,
+  kNotWritten,
+  kSilence,
+  kRevoke,
+  kStale,
+  kEngineless,
+  kLate,
+  kGone,
+  kCount,
 };
 
 struct Setting {
@@ -41,9 +63,8 @@
         repeatable_(setting.host == "safe" || setting.host == "resumed"),
         start_(setting.resumeAfter.value_or(0) + 1),
         next_(start_) {
-    if (!setting.budget) front_.props.budgetShare = 0;
-    if (setting.guardOff)
-      front_.props.guardsOff = 1U << static_cast<unsigned>(*setting.guardOff);
+    if (!setting.budget) front_.options.budgetShare = 0;
+    if (setting.guardOff) front_.options.guardsOff = 1U << static_cast<unsigned>(*setting.guardOff);
     auto asked = FakeFront::arrived(setting.host, 1);
     asked.resumeAfter = setting.resumeAfter;
     check(front_.ask(std::move(asked)));
@@ -70,8 +91,7 @@
   Truth& last() { return attempts_.back(); }
   const Truth& last() const { return attempts_.back(); }
   void check(const std::vector<Command>& commands) {
-    for (const auto& command : commands)
-      std::visit([this](const auto& one) { see(one); }, command);
+    for (const auto& command : commands) std::visit([this](const auto& one) { see(one); }, command);
   }
   void see(const OpenAttempt& open) {
     if (over()) fail("sent after the end");
@@ -131,9 +151,8 @@
       if (std::ranges::any_of(attempts_, [](const Truth& one) { return one.possible(); }))
         fail("promised, but one is under way");
     }
-    if (refuse.status == 503 &&
-        (!refuse.retryAfter || refuse.retryAfter->microseconds <= 0 ||
-         *refuse.retryAfter > seconds(3)))
+    if (refuse.status == 503 && (!refuse.retryAfter || refuse.retryAfter->microseconds <= 0 ||
+                                 *refuse.retryAfter > seconds(3)))
       fail("no good time to come back");
   }
   template <class T>
@@ -168,8 +187,10 @@
   if (over() || attempts_.empty()) return false;
   const Truth& one = last();
   switch (step) {
-    case Step::kWritten: return !one.written;
-    case Step::kNotWritten: return !one.headed;  // also, wrongly, after a write
+    case Step::kWritten:
+      return !one.written;
+    case Step::kNotWritten:
+      return !one.headed;  // also, wrongly, after a write
     case Step::kGoodHead:
     case Step::kNotRunHead:
     case Step::kOtherEngineHead:
@@ -178,21 +199,33 @@
     case Step::kTimeoutHead:
     case Step::kNoStampHead:
     case Step::kBadRequestHead:
-    case Step::kNotRunGoodHead: return one.written && !one.headed;
-    case Step::kNextEvent: return one.written;
-    case Step::kNoIdBody: return one.headed;
-    case Step::kTwoEvents: return one.headed && stream_;
-    case Step::kKnownEvent: return one.headed && stream_ && next_ > 1;
-    case Step::kMixedEvents: return one.headed && stream_ && next_ > 1 && one.next == next_;
+    case Step::kNotRunGoodHead:
+      return one.written && !one.headed;
+    case Step::kNextEvent:
+      return one.written;
+    case Step::kNoIdBody:
+      return one.headed;
+    case Step::kTwoEvents:
+      return one.headed && stream_;
+    case Step::kKnownEvent:
+      return one.headed && stream_ && next_ > 1;
+    case Step::kMixedEvents:
+      return one.headed && stream_ && next_ > 1 && one.next == next_;
     case Step::kGapEvent:  // where two runs join; within one run the engine's ids are believed
       return one.headed && stream_ && next_ > start_ && one.resumeAfter &&
              one.next == *one.resumeAfter + 1;
-    case Step::kEnded: return one.written;
-    case Step::kSilence: return repeatable_;
-    case Step::kRevoke: return !revoked_;
-    case Step::kStale: return !stale_;
-    case Step::kEngineless: return true;
-    default: return true;
+    case Step::kEnded:
+      return one.written;
+    case Step::kSilence:
+      return repeatable_;
+    case Step::kRevoke:
+      return !revoked_;
+    case Step::kStale:
+      return !stale_;
+    case Step::kEngineless:
+      return true;
+    default:
+      return true;
   }
 }
 
@@ -200,15 +233,25 @@
   AttemptId id = last().id;
   auto turn = [this, id](AttemptTurn turn) { check(front_.turn(id, turn)); };
   switch (step) {
-    case Step::kWritten: last().written = true; return turn(AttemptTurn::kWritten);
-    case Step::kGoodHead: return head(200, false);
-    case Step::kNotRunHead: return head(503, true);
-    case Step::kOtherEngineHead: return head(421, false);
-    case Step::kFailedHead: return head(500, false);
-    case Step::kFullHead: return head(503, false);
-    case Step::kTimeoutHead: return head(408, false);
-    case Step::kBadRequestHead: return head(400, false);
-    case Step::kNotRunGoodHead: return head(200, true);
+    case Step::kWritten:
+      last().written = true;
+      return turn(AttemptTurn::kWritten);
+    case Step::kGoodHead:
+      return head(200, false);
+    case Step::kNotRunHead:
+      return head(503, true);
+    case Step::kOtherEngineHead:
+      return head(421, false);
+    case Step::kFailedHead:
+      return head(500, false);
+    case Step::kFullHead:
+      return head(503, false);
+    case Step::kTimeoutHead:
+      return head(408, false);
+    case Step::kBadRequestHead:
+      return head(400, false);
+    case Step::kNotRunGoodHead:
+      return head(200, true);
     case Step::kNoStampHead: {
       last().headed = true;
       last().status = 200;
@@ -216,12 +259,18 @@
       turned.success = false;
       return check(front_.turn(turned));
     }
-    case Step::kNextEvent: return events(last().next, last().next);
-    case Step::kTwoEvents: return events(last().next, last().next + 1);
-    case Step::kKnownEvent: return events(next_ - 1, next_ - 1);
-    case Step::kMixedEvents: return events(next_ - 1, next_);
-    case Step::kGapEvent: return events(last().next + 1, last().next + 1);
-    case Step::kNoIdBody: return check(front_.body(id, "x"));
+    case Step::kNextEvent:
+      return events(last().next, last().next);
+    case Step::kTwoEvents:
+      return events(last().next, last().next + 1);
+    case Step::kKnownEvent:
+      return events(next_ - 1, next_ - 1);
+    case Step::kMixedEvents:
+      return events(next_ - 1, next_);
+    case Step::kGapEvent:
+      return events(last().next + 1, last().next + 1);
+    case Step::kNoIdBody:
+      return check(front_.body(id, "x"));
     case Step::kEnded:
       ended_ = last().headed;
       last().over = true;
@@ -235,20 +284,28 @@
       last().over = true;
       last().unsent = !last().written;
       return turn(AttemptTurn::kNotWritten);
-    case Step::kSilence: return check(front_.pass(seconds(2.1)));
+    case Step::kSilence:
+      return check(front_.pass(seconds(2.1)));
     case Step::kRevoke:
       revoked_ = true;
       front_.facts.byKey.clear();
       ++front_.facts.change;
       return;
-    case Step::kStale: stale_ = true; front_.facts.proofEnd = front_.now; return;
-    case Step::kEngineless: front_.placer.engines = 0; return;
-    case Step::kLate: return check(front_.pass(seconds(9)));
+    case Step::kStale:
+      stale_ = true;
+      front_.facts.proofEnd = front_.now;
+      return;
+    case Step::kEngineless:
+      front_.placer.engines = 0;
+      return;
+    case Step::kLate:
+      return check(front_.pass(seconds(9)));
     case Step::kGone:
       gone_ = true;
       front_.requests.gone({1}, front_.now, front_.outbox);
       return check(front_.outbox.take());
-    case Step::kCount: return;
+    case Step::kCount:
+      return;
   }
 }
 
@@ -305,9 +362,7 @@
 TEST_GROUP(RequestOrders){};
 
 TEST(RequestOrders, UnsafeRunsAtMostOnceAndIsToldTheTruth) { walkAll({"unsafe", true, {}}, 5); }
-TEST(RequestOrders, PlainStreamsRunAtMostOnceAndKeepTheirOrder) {
-  walkAll({"plain", true, {}}, 5);
-}
+TEST(RequestOrders, PlainStreamsRunAtMostOnceAndKeepTheirOrder) { walkAll({"plain", true, {}}, 5); }
 TEST(RequestOrders, SafeRequestsGetOneAnswer) { walkAll({"safe", true, {}}, 5); }
 TEST(RequestOrders, ResumedStreamsLoseAndRepeatNothing) { walkAll({"resumed", true, {}}, 5); }
 TEST(RequestOrders, ClientsThatResumeGetWhatIsBehindTheirEvent) {
@@ -326,7 +381,7 @@
 TEST(RequestOrders, TheWalkSeesALostGuard) {
   CHECK(tells(faultWithout(Guard::kNoRepeat, "unsafe"), "may run twice"));
   CHECK(tells(faultWithout(Guard::kNoRepeat, "plain"), "may run twice"));
-  CHECK(tells(faultWithout(Guard::kHonestNo, "resumed"), "promised, but it may have run"));
+  CHECK(tells(faultWithout(Guard::kHonestRejection, "resumed"), "promised, but it may have run"));
   CHECK(tells(faultWithout(Guard::kPieceOrder, "resumed",
                            {Step::kWritten, Step::kGoodHead, Step::kNextEvent, Step::kBroken}),
               "an event lost, doubled or out of order"));
--- a/tests/requests_turns_test.cc
+++ b/tests/requests_turns_test.cc
@@ -365,11 +365,10 @@
     std::optional<WeightsVersion> tells;
     AttemptEnd how;
   };
-  for (const Row& row : {Row{503, true, {}, AttemptEnd::kFull},
-                         Row{421, true, {}, AttemptEnd::kOtherEngine},
-                         Row{421, true, WeightsVersion{2}, AttemptEnd::kGood},
-                         Row{500, false, {}, AttemptEnd::kBroken},
-                         Row{200, false, {}, AttemptEnd::kGarbled}}) {
+  for (const Row& row :
+       {Row{503, true, {}, AttemptEnd::kFull}, Row{421, true, {}, AttemptEnd::kOtherEngine},
+        Row{421, true, WeightsVersion{2}, AttemptEnd::kGood},
+        Row{500, false, {}, AttemptEnd::kBroken}, Row{200, false, {}, AttemptEnd::kGarbled}}) {
     FakeFront front;
     auto turned = FakeFront::headOf(first(front, "safe"), row.status, row.notRun);
     turned.success = false;
--- a/tests/router_scenarios_test.cc
+++ b/tests/router_scenarios_test.cc
@@ -6,7 +6,7 @@
 #include <sstream>
 #include <string>
 
-#include "core/props.h"
+#include "core/options.h"
 #include "sim/router_scenario.h"
 #include "sim/runner.h"
 #include "tests/testing.h"
--- a/tests/scenarios_test.cc
+++ b/tests/scenarios_test.cc
@@ -19,17 +19,18 @@
          "expect led-within 1 from 0s\n";
 }
 
-/// The founding takes place within this time; faults come at each step of it.
+/// The bootstrap takes place within this time; faults come at each step of it.
 constexpr double kFoundingFrom = 0.04, kFoundingTo = 0.13, kFoundingStep = 0.003;
 
-void checkFounding(const std::string& fault) {
+void checkBootstrap(const std::string& fault) {
   std::uint64_t seed = 0;
   for (double after = kFoundingFrom; after < kFoundingTo; after += kFoundingStep) {
     auto scenario = parseScenario(foundingText(after, fault));
     CHECK_TEXT(scenario.ok(), std::string(scenario.status().message()).c_str());
     RunReport report = runScenario(*scenario, ++seed);
     std::string first = report.failures.empty() ? "" : report.failures.front();
-    CHECK_TEXT(report.failures.empty(), (fault + " seed " + std::to_string(seed) + ": " + first).c_str());
+    CHECK_TEXT(report.failures.empty(),
+               (fault + " seed " + std::to_string(seed) + ": " + first).c_str());
   }
 }
 
@@ -37,17 +38,17 @@
 
 TEST_GROUP(ScenarioFiles){};
 
-TEST(ScenarioFiles, AFounderThatIsLostLeavesOneFleet) { checkFounding("kill core 1"); }
+TEST(ScenarioFiles, AFounderThatIsLostLeavesOneFleet) { checkBootstrap("kill core 1"); }
 
 TEST(ScenarioFiles, AFounderThatComesBackFindsOneFleet) {
-  checkFounding("kill core 1\nat -8s start core 1");
+  checkBootstrap("kill core 1\nat -8s start core 1");
 }
 
 TEST(ScenarioFiles, AFounderThatComesBackEmptyFoundsNothing) {
-  checkFounding("wipe core 1\nat -8s start core 1");
+  checkBootstrap("wipe core 1\nat -8s start core 1");
 }
 
-TEST(ScenarioFiles, ASecondFounderThatIsLostLeavesOneFleet) { checkFounding("wipe core 2"); }
+TEST(ScenarioFiles, ASecondFounderThatIsLostLeavesOneFleet) { checkBootstrap("wipe core 2"); }
 
 TEST(ScenarioFiles, AllParseAndNamesAreUnique) {
   std::set<std::string> names;
--- a/tests/testing.h
+++ b/tests/testing.h
@@ -19,7 +19,7 @@
   return found;
 }
 
-/// The messages of one kind among sends. Example: `messages<PromiseAnswer>(outbox.take())`.
+/// The messages of one kind among sends. Example: `messages<PrepareReply>(outbox.take())`.
 template <class T>
 std::vector<T> messages(const std::vector<Command>& commands) {
   std::vector<T> found;
--- a/tests/units_test.cc
+++ b/tests/units_test.cc
@@ -1,4 +1,4 @@
-// Small machines one by one: props, budget, ring, digest, gate, control state, scenarios.
+// Small machines one by one: options, budget, ring, digest, gate, control state, scenarios.
 #include "core/budget.h"
 #include "core/control_state.h"
 #include "core/digest.h"
@@ -15,24 +15,24 @@
 TEST_GROUP(Units){};
 
 TEST(Units, DefaultPropsKeepTheInequalities) {
-  CHECK(checkProps(Props{}).ok());
-  Props props;
-  CHECK(setProp(props, "holdStop", "1.3").ok());
-  CHECK_FALSE(checkProps(props).ok());
-  CHECK_FALSE(setProp(props, "holdstop", "1").ok());
-  CHECK_FALSE(setProp(props, "holdStop", "1x").ok());
-  CHECK_FALSE(setProp(props, "holdStop", "-1").ok());
-  CHECK(setProp(props, "secondShotShare", "0.2").ok());
-  CHECK_FALSE(checkProps(props).ok());
+  CHECK(checkOptions(Options{}).ok());
+  Options options;
+  CHECK(setOption(options, "leaseStop", "1.3").ok());
+  CHECK_FALSE(checkOptions(options).ok());
+  CHECK_FALSE(setOption(options, "holdstop", "1").ok());
+  CHECK_FALSE(setOption(options, "leaseStop", "1x").ok());
+  CHECK_FALSE(setOption(options, "leaseStop", "-1").ok());
+  CHECK(setOption(options, "secondShotShare", "0.2").ok());
+  CHECK_FALSE(checkOptions(options).ok());
 }
 
 TEST(Units, AReloadChangesOnlyWhatMayChange) {
-  Props reread;
-  reread.hold = seconds(9);
+  Options reread;
+  reread.lease = seconds(9);
   reread.probeEvery = seconds(2);
-  Props props = mayReloadOnly(Props{}, reread);
-  CHECK(props.hold == Props{}.hold);
-  CHECK(props.probeEvery == seconds(2));
+  Options options = mayReloadOnly(Options{}, reread);
+  CHECK(options.lease == Options{}.lease);
+  CHECK(options.probeEvery == seconds(2));
 }
 
 TEST(Units, SecondShotsHaveNoFreeStartAndNoBurst) {
@@ -43,7 +43,7 @@
   budget.first(at(0.3));
   CHECK(budget.takeSecond(at(0.4)));
   CHECK_FALSE(budget.takeSecond(at(0.5)));
-  CHECK_FALSE(budget.takeSecond(at(30)));   // what was saved up is forgotten
+  CHECK_FALSE(budget.takeSecond(at(30)));  // what was saved up is forgotten
 }
 
 TEST(Units, BudgetShareHoldsOverAnySpan) {
@@ -92,7 +92,7 @@
 }
 
 TEST(Units, TheGateShedsLowRanksFirstAndIsFairWithinARank) {
-  Gate gate{Props{}};
+  Gate gate{Options{}};
   Tenant high, low;
   high.rank = 0;
   low.rank = 3;
@@ -131,8 +131,8 @@
 
 TEST_GROUP(ControlStates) {
   ControlState state = ControlState::founded({1});
-  ChangeAnswer apply(const std::string& change, const std::string& id) {
-    return state.apply(change, id, {2}, Props{});
+  ChangeReply apply(const std::string& change, const std::string& id) {
+    return state.apply(change, id, {2}, Options{});
   }
   void setup() { apply(firstSetupBody("hutline", "1.1"), "first"); }
 };
@@ -168,11 +168,13 @@
       {R"({"kind":"stamp","basedOn":"2.2","template":"plain","tenant":"t","parameters":{"rank":1}})",
        "[tenants][t][parameters][wall]"},
       {R"({"kind":"stamp","basedOn":"2.2","template":"plain","tenant":"t",
-           "parameters":{"rank":1,"wall":"w","weights":9}})", "[tenants][t][parameters][weights]"},
+           "parameters":{"rank":1,"wall":"w","weights":9}})",
+       "[tenants][t][parameters][weights]"},
       {R"({"kind":"stamp","basedOn":"2.2","template":"plain","tenant":"t",
-           "parameters":{"rank":7,"wall":"w"}})", "<root>[parameters][rank]"},
+           "parameters":{"rank":7,"wall":"w"}})",
+       "<root>[parameters][rank]"},
   }};
-  SetupVersion before = state.version();
+  SectionVersion before = state.version();
   for (const auto& row : kRows) {
     auto answer = apply(row.change, row.change);
     CHECK(answer.outcome == ChangeOutcome::kInvalid);
@@ -192,7 +194,7 @@
 }
 
 TEST(ControlStates, TooLargeIsDeclinedAndTextRoundTrips) {
-  Props small;
+  Options small;
   small.largestSetup = 100;
   auto answer = state.apply(firstSetupBody("hutline", "2.2"), "big", {2}, small);
   CHECK(answer.outcome == ChangeOutcome::kTooLarge);
@@ -234,11 +236,11 @@
 }
 
 TEST(ControlStates, OneTemplateOneParameterAndTheWayBack) {
-  Props props;
+  Options options;
   ControlState state = ControlState::founded({1});
   auto ask = [&](Json change, const std::string& id) {
     change["basedOn"] = versionText(state.sections().setup);
-    return state.apply(change.dump(), id, {1}, props);
+    return state.apply(change.dump(), id, {1}, options);
   };
   Json first = Json::parse(firstSetupBody("hutline", "1.1"));
   CHECK(ask(first, "1").outcome == ChangeOutcome::kDone);
@@ -247,7 +249,7 @@
   // What a change would do is told and not done; keys stay untold.
   Json change{{"kind", "parameters"}, {"tenant", "rescue"}, {"parameters", {{"rank", 2}}}};
   change["dryRun"] = true;
-  ChangeAnswer would = ask(change, "2");
+  ChangeReply would = ask(change, "2");
   CHECK(would.outcome == ChangeOutcome::kWould);
   CHECK(would.detail.find("/tenants/rescue/parameters/rank") != std::string::npos);
   CHECK(state.setupText() == before);
@@ -261,14 +263,16 @@
   STRCMP_EQUAL("[templates][steady][class]", ask(made, "4").field.c_str());
   made["made"] = {{"class", "trail"}};
   CHECK(ask(made, "5").outcome == ChangeOutcome::kDone);
-  STRCMP_EQUAL("[tenant]", ask({{"kind", "parameters"}, {"tenant", "nobody"},
-                                {"parameters", Json::object()}}, "6").field.c_str());
+  STRCMP_EQUAL(
+      "[tenant]",
+      ask({{"kind", "parameters"}, {"tenant", "nobody"}, {"parameters", Json::object()}}, "6")
+          .field.c_str());
   // Back to the first: the same content under a new version, withdrawn keys stay withdrawn.
   std::string digest = keyDigest(exampleKey("rescue")).value;
-  CHECK(state.apply(Json{{"kind", "key-withdraw"}, {"digest", digest}}.dump(), "7", {1}, props)
+  CHECK(state.apply(Json{{"kind", "key-withdraw"}, {"digest", digest}}.dump(), "7", {1}, options)
             .outcome == ChangeOutcome::kDone);
   STRCMP_EQUAL("[to]", ask({{"kind", "revert"}, {"to", "9.9"}}, "8").field.c_str());
-  SetupVersion latest = state.sections().setup;
+  SectionVersion latest = state.sections().setup;
   CHECK(ask({{"kind", "revert"}, {"to", version}}, "9").outcome == ChangeOutcome::kDone);
   CHECK(state.setupText() == before);
   CHECK(state.sections().setup > latest);
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -10,7 +10,7 @@
 TEST_GROUP(Wire){};
 
 TEST(Wire, EveryFieldSurvivesTheRoundTrip) {
-  NewsAnswer answer;
+  StateReply answer;
   answer.sentAt = at(12.5);
   answer.proof = true;
   answer.age = seconds(0.25);
@@ -22,12 +22,12 @@
   CHECK(head.fault == FrameFault::kNone);
   auto message = decodeBody(head.kind, std::span<const char>(frame).subspan(kFrameHeadSize));
   CHECK(message.ok());
-  auto& back = std::get<NewsAnswer>(*message);
+  auto& back = std::get<StateReply>(*message);
   CHECK(toJson(back).dump(-1, ' ', true) == toJson(answer).dump(-1, ' ', true));
 }
 
 TEST(Wire, WrongHeadsAreTyped) {
-  std::string good = encodeFrame(5, Message{NewsAsk{}});
+  std::string good = encodeFrame(5, Message{StateRequest{}});
   CHECK(readFrameHead(6, good).fault == FrameFault::kOtherFleet);
   std::string bad = good;
   bad[0] = 'x';
@@ -44,7 +44,7 @@
 }
 
 TEST(Wire, ADamagedBodyIsSeenBeforeItIsRead) {
-  std::string frame = encodeFrame(5, Message{ChangeAsk{{1}, "id", "{}"}});
+  std::string frame = encodeFrame(5, Message{ChangeRequest{{1}, "id", "{}"}});
   FrameHead head = readFrameHead(5, frame);
   std::string body = frame.substr(kFrameHeadSize);
   CHECK(bodyIsWhole(head, body));
@@ -58,7 +58,8 @@
 
 TEST(Wire, BadBodiesNeverCrash) {
   Random random(9);
-  std::string good = encodeFrame(5, Message{Shuffle{{}, {MemberRecord{}, MemberRecord{}}, {}, {}, true}});
+  std::string good =
+      encodeFrame(5, Message{Shuffle{{}, {MemberRecord{}, MemberRecord{}}, {}, {}, true}});
   int taken = 0, declined = 0;
   for (int turn = 0; turn < 3000; ++turn) {
     std::string body = good.substr(kFrameHeadSize);
