--- a/tests/scripts_judge_test.py
+++ b/tests/scripts_judge_test.py
@@ -57,7 +57,7 @@
     def failing_run(self):
         self.run_of.collect("units", "units", UNITS, 1)
         self.run_of.collect("runs", "scenarios", RUNS, 3)
-        self.run_of.collect("whole", "door-check", "40 passed, 0 failed\n", 0)
+        self.run_of.collect("whole", "door-check", "door-check: 40 passed, 0 failed\n", 0)
         return self.run_of
 
     def test_all_good_without_a_list(self):
