The retry budget holds over all routers in every window, by construction

Cause: each router kept its further attempts below its share of its own first attempts in the window that ended at that moment.

Now a router keeps, at every moment until its newest further attempt has left the window, also if no first attempt follows: further attempts of one window <= share / 2 * first attempts of two windows. Summed over routers that is the share times a mean of the fleet's last two windows, which is never above the largest of the windows that the rule looks at. The time of a new connection between count and arrival is in it.

Replaced: the test of one router's own window asked for a bound by that window alone, which this rule (and the platform's) doesn't name; instead 1, 2, 3 and 9 routers without slack are played and every window of the fleet is looked at, with the worst burst behind a window and the steady share. The two tests with a budget of exactly one attempt have their numbers changed to the new bound. Tests: RequestBudget (8), PlatformOptions.

--- a/src/requests/attempt_budget.cc
+++ b/src/requests/attempt_budget.cc
@@ -4,6 +4,20 @@
 namespace {
 constexpr Duration kBucket = milliseconds(100);
 constexpr Duration kFrontMemory = seconds(60);
+/// Between the count here and the arrival at an engine, at most: a new connection takes so long.
+constexpr Duration kArrivesWithin = milliseconds(600);
+constexpr double kRounding = 1e-9;
+
+/// For so many buckets a further attempt counts: the window, the way to the engine, and the bucket
+/// that the window only touches.
+std::int64_t furtherSpan(const BudgetTerms& terms) {
+  return (terms.window + kArrivesWithin).microseconds / kBucket.microseconds + 1;
+}
+
+/// For so many buckets a first attempt pays: two windows without their edges.
+std::int64_t firstSpan(const BudgetTerms& terms) {
+  return (terms.window * 2 - kArrivesWithin).microseconds / kBucket.microseconds - 1;
+}
 }  // namespace
 
 std::int64_t AttemptBudget::bucketOf(MonotonicTime time) {
@@ -33,17 +47,34 @@
 }
 
 void AttemptBudget::forget(const BudgetTerms& terms, MonotonicTime now) {
-  // Whole buckets: first attempts are forgotten up to one early, further ones up to one late. So
-  // no first attempt pays twice, and the share holds over any span as long as the window.
-  firsts_.forget(bucketOf(now - terms.window) + 1);
-  furthers_.forget(bucketOf(now - terms.window));
+  firsts_.forget(bucketOf(now) - firstSpan(terms) + 1);
+  furthers_.forget(bucketOf(now) - furtherSpan(terms) + 1);
 }
 
 bool AttemptBudget::allows(const BudgetTerms& terms, MonotonicTime now) {
   forget(terms, now);
-  double allowed =
-      terms.share * static_cast<double>(firsts_.sum) + static_cast<double>(terms.slack);
-  return static_cast<double>(furthers_.sum + 1) <= allowed + 1e-9;
+  const std::int64_t current = bucketOf(now);
+  std::int64_t firsts = firsts_.sum;
+  std::int64_t furthers = furthers_.sum + 1;
+  auto fits = [&] {
+    double allowed =
+        0.5 * terms.share * static_cast<double>(firsts) + static_cast<double>(terms.slack);
+    return static_cast<double>(furthers) <= allowed + kRounding;
+  };
+  if (!fits()) return false;
+  // Later no first attempt may come any more, while those that pay now leave their two windows one
+  // by one: it has to hold at each such moment until this attempt has left its own window.
+  auto oldest = furthers_.buckets.begin();
+  for (const Bucket& paying : firsts_.buckets) {
+    std::int64_t leaves = paying.number + firstSpan(terms);
+    if (leaves >= current + furtherSpan(terms)) break;
+    for (; oldest != furthers_.buckets.end() && oldest->number + furtherSpan(terms) <= leaves;
+         ++oldest)
+      furthers -= oldest->count;
+    firsts -= paying.count;
+    if (!fits()) return false;
+  }
+  return true;
 }
 
 void FrontCount::see(std::size_t fronts, MonotonicTime now) {
--- a/src/requests/attempt_budget.h
+++ b/src/requests/attempt_budget.h
@@ -1,34 +1,45 @@
 #pragma once
-// Attempts beyond a request's first are paid out of the first ones that this front sent.
+// The retry budget: attempts beyond a request's first are paid for by first attempts that this
+// router sent.
+//
+// The bound binds the sum over all routers, within any span of one window: further attempts may be
+// at most `share` times the requests of that span, of the one before it or of the one half a window
+// before it, whichever holds the most. The largest of the three is at least the mean of the first
+// two, and a mean can be added up over routers. So each router by itself keeps
+//
+//     further attempts of one window <= share / 2 * first attempts of two windows + its slack
+//
+// at every moment until its newest further attempt has left the window, also if it sends no first
+// attempt any more. No router has to know of another for the sum to hold.
 #include <algorithm>
+#include <cstdint>
 #include <deque>
 
 #include "core/types.h"
 
 namespace peppergate {
 
-/// What the budget allows now: a share of the window's first attempts, and this front's part of
-/// the fleet's slack.
+/// What the budget allows now.
 struct BudgetTerms {
-  double share = 0.15;
+  double share = 0.15;  // of the first attempts
   Duration window = seconds(10);
-  std::int64_t slack = 0;
+  std::int64_t slack = 0;  // this router's part, in attempts
 };
 
-/// Counts in buckets of 100 ms, so that an hour's traffic needs no more room than a second's.
-/// Example: `budget.first(terms, now); if (budget.allows(terms, now)) budget.take(now);`
+/// One service's budget at one router. Counts in buckets of 100 ms, so that an hour's traffic needs
+/// no more room than a second's.
 class AttemptBudget {
  public:
-  /// Counts a request's first attempt. Example: see the class.
+  /// Counts a request's first attempt.
   void first(const BudgetTerms& terms, MonotonicTime now) {
     forget(terms, now);
     firsts_.add(bucketOf(now));
   }
-  /// Whether one further attempt is paid for now. Example: see the class.
+  /// Whether one further attempt is paid for now.
   bool allows(const BudgetTerms& terms, MonotonicTime now);
-  /// Counts a further attempt. Example: see the class.
+  /// Counts a further attempt.
   void take(MonotonicTime now) { furthers_.add(bucketOf(now)); }
-  /// A further attempt, taken then, never reached an engine. Example: on kNotWritten.
+  /// A further attempt, taken at `taken`, never reached an engine.
   void giveBack(MonotonicTime taken) { furthers_.remove(bucketOf(taken)); }
 
  private:
@@ -36,7 +47,7 @@
     std::int64_t number = 0, count = 0;
   };
   struct Counts {
-    std::deque<Bucket> buckets;
+    std::deque<Bucket> buckets;  // oldest first
     std::int64_t sum = 0;
     void add(std::int64_t number);
     void remove(std::int64_t number);
@@ -47,11 +58,9 @@
   Counts firsts_, furthers_;
 };
 
-/// The largest number of fronts seen within the last one to two minutes.
-/// Example: `fronts.see(9, now); fronts.most() == 9`.
+/// The largest number of routers seen within the last one to two minutes.
 class FrontCount {
  public:
-  /// Example: see the class.
   void see(std::size_t fronts, MonotonicTime now);
   std::size_t most() const { return std::max<std::size_t>({1, former_, current_}); }
 
@@ -60,8 +69,8 @@
   MonotonicTime since_ = kNever;
 };
 
-/// A front's part of the slack: half of it is never used, for fronts that don't know each other.
-/// Example: `slackPart(20, 9) == 1`.
+/// A router's part of the slack, in attempts. Half of the slack is never used: it is there for
+/// routers that don't know of each other yet.
 inline std::int64_t slackPart(double slack, std::size_t fronts) {
   double shared = static_cast<double>(std::max<std::size_t>(1, fronts));
   return static_cast<std::int64_t>(0.5 * slack / shared);
