Streams under way are suspended instead of cut; a leaving router refuses late requests

Now it is refused with 503 and a time to come back from 2.8 s on, and what has no answer 0.85 s before the end gets one. - A stream whose first run was cut and whose next engine declined it was closed, since the declining engine counted against the route's two attempts. Once events were passed on only engines count that it may have run on; and where no engine is to be had (none, full, over the budget, no proof, unreachable), the stream stays open and looks again every 50 to 250 ms until its deadline. A stream whose route is removed goes on under the route that it came on. A fifth of the budget's share is left to streams under way, which can't be refused any more.

Ruled out: a higher bound of attempts before the head (a declined request may come back, at no loss).

--- a/src/requests/request_rules.cc
+++ b/src/requests/request_rules.cc
@@ -9,7 +9,7 @@
 namespace peppergate {
 namespace {
 
-constexpr std::array<HurdleRow, 14> kHurdles{{
+constexpr std::array<HurdleRow, 15> kHurdles{{
     {503, "not_installed", "requests.refused.not_installed"},
     {503, "stale", "requests.refused.stale"},
     {404, "no_route", "requests.refused.no_route"},
@@ -24,6 +24,7 @@
     {502, "unclear", "requests.refused.unclear"},
     {504, "deadline", "requests.refused.deadline"},
     {502, "not_resumable", "requests.refused.not_resumable"},
+    {503, "leaving", "requests.refused.leaving"},
 }};
 
 /// Statuses by which an answer says that the request has not run and never will.
--- a/src/requests/request_rules.h
+++ b/src/requests/request_rules.h
@@ -24,6 +24,7 @@
   kUnclear,
   kDeadline,
   kNotResumable,
+  kLeaving,
 };
 /// How a request that nothing ran for is refused over a hurdle, and its counters.
 struct HurdleRow {
--- a/src/requests/request_state.h
+++ b/src/requests/request_state.h
@@ -39,6 +39,7 @@
   std::optional<LiveAttempt> attempt;
   std::vector<EngineId> tried;
   int sent = 0;               // attempts that are over and may have reached their engine
+  int runs = 0;               // those of them that may have run
   int unwritten = 0;          // attempts that never left
   bool counted = false;       // its first attempt was counted for the budget
   bool mayHaveRun = false;    // some attempt that is over may have run
@@ -49,6 +50,7 @@
   std::optional<std::uint64_t> lastEvent;  // passed to the client
   std::uint64_t largestStep = 0;           // between ids of events, as seen
   std::optional<Duration> retryAfter;      // as an engine told it
+  MonotonicTime resumeAt = kForever;       // suspended: when an engine is looked for again
 
   bool stream() const { return route->kind == RouteKind::kStream; }
 };
@@ -78,8 +80,12 @@
   void send(LiveRequest& request, AttemptPlan plan, MonotonicTime now, Outbox& outbox);
   void giveUp(LiveRequest& request, AttemptFault fault, MonotonicTime now, Outbox& outbox);
   void cut(LiveRequest& request, Outbox& outbox);
+  const Route* routeOf(const LiveRequest& request) const;
+  bool attemptsLeft(const LiveRequest& request, const Route& route) const;
+  bool budgetAllows(const LiveRequest& request, const ServiceName& service, MonotonicTime now);
   void finish(LiveRequest& request);
   void release(LiveRequest& request, AttemptEnd how, MonotonicTime now);
+  void dropAttempt(LiveRequest& request, MonotonicTime now, Outbox& outbox);
   void gone(RequestId id, MonotonicTime now, Outbox& outbox);
 
   // request_turns.cc
@@ -99,8 +105,17 @@
   void again(LiveRequest& request, std::string_view counter, AttemptFault otherwise,
              MonotonicTime now, Outbox& outbox);
 
+  // request_resume.cc
+  bool maySuspend(const LiveRequest& request, Hurdle hurdle) const;
+  void suspend(LiveRequest& request, std::optional<Duration> wait, MonotonicTime now,
+               Outbox& outbox);
+  void resume(LiveRequest& request, MonotonicTime now, Outbox& outbox);
+
   // request_times.cc
+  void leave(MonotonicTime now);
+  void answerBeforeEnd(MonotonicTime now, Outbox& outbox);
   void arm(LiveRequest& request);
+  MonotonicTime dueAt(const LiveRequest& request) const;
   std::optional<MonotonicTime> silentAt(const LiveRequest& request) const;
   void slow(const ClientSlow& slow, MonotonicTime now, Outbox& outbox);
   void tick(MonotonicTime now, Outbox& outbox);
@@ -123,6 +138,8 @@
   std::map<EngineId, MonotonicTime> heardOf;  // when an engine last answered anything here
   FrontCount fronts;
   MonotonicTime frontsSeen = kNever;
+  MonotonicTime leavingSince = kForever;  // since the daemon was told to leave
+  bool lastAnswersGiven = false;          // shortly before its end
   // Read out of the configuration that is in force:
   std::uint64_t changes = 0;
   bool cached = false;
--- a/src/requests/request_times.cc
+++ b/src/requests/request_times.cc
@@ -8,6 +8,8 @@
 /// How soon a silent attempt is looked at again when no other engine could be had.
 constexpr Duration kLookAgain = milliseconds(250);
 constexpr Duration kFrontsEvery = seconds(1);
+/// So long before the end of the grace time the last answers are given.
+constexpr Duration kLastAnswers = milliseconds(850);
 /// An engine that answered anything within this is taken for a living one.
 constexpr Duration kAnswersOthers = seconds(1);
 }  // namespace
@@ -18,7 +20,7 @@
 std::optional<MonotonicTime> Requests::State::silentAt(const LiveRequest& request) const {
   if (!request.attempt || request.slow || !repeatable(*request.route)) return std::nullopt;
   const LiveAttempt& attempt = *request.attempt;
-  if (attempt.failure || request.sent + 1 >= request.route->attempts) return std::nullopt;
+  if (attempt.failure || !attemptsLeft(request, *request.route)) return std::nullopt;
   if (!attempt.first) return request.heard + firstSilence(*request.route);
   bool joinable =
       request.stream() && !request.lengthPassed && (request.lastEvent || !request.bytesPassed);
@@ -26,11 +28,16 @@
   return request.heard + eventSilence(*request.route);
 }
 
+/// When the request has to be looked at next: at its deadline at the latest.
+MonotonicTime Requests::State::dueAt(const LiveRequest& request) const {
+  auto silent = silentAt(request);
+  return std::min({request.deadline, request.resumeAt, silent.value_or(kForever)});
+}
+
 /// Notes when the request has to be looked at next. What comes meanwhile only moves that back, so
 /// events of a stream don't touch the order; it is found out when the time has come.
 void Requests::State::arm(LiveRequest& request) {
-  auto silent = silentAt(request);
-  MonotonicTime due = silent ? std::min(*silent, request.deadline) : request.deadline;
+  MonotonicTime due = dueAt(request);
   std::uint64_t id = request.asked.request.value;
   if (due == request.due) return;
   dues.erase({request.due, id});
@@ -54,6 +61,7 @@
     fronts.see(parts.facts.liveFronts(), now);
     std::erase_if(heardOf, [&](const auto& entry) { return now - entry.second > seconds(10); });
   }
+  if (leavingSince != kForever) answerBeforeEnd(now, outbox);
   while (!dues.empty() && dues.begin()->first <= now) {
     LiveRequest& request = requests.at(dues.begin()->second);
     dues.erase(dues.begin());
@@ -62,8 +70,27 @@
   }
 }
 
+void Requests::State::leave(MonotonicTime now) { leavingSince = std::min(leavingSince, now); }
+
+/// A client that has nothing yet is answered rather than left with a closed connection.
+void Requests::State::answerBeforeEnd(MonotonicTime now, Outbox& outbox) {
+  if (lastAnswersGiven || now - leavingSince < parts.options.graceTime - kLastAnswers) return;
+  lastAnswersGiven = true;
+  std::vector<std::uint64_t> waiting;
+  for (const auto& [id, request] : requests)
+    if (!request.answering) waiting.push_back(id);
+  std::ranges::sort(waiting);
+  for (std::uint64_t id : waiting) {
+    LiveRequest& request = requests.at(id);
+    outbox.count("requests.last_answers");
+    dropAttempt(request, now, outbox);
+    giveUp(request, {Hurdle::kLeaving}, now, outbox);
+  }
+}
+
 void Requests::State::due(LiveRequest& request, MonotonicTime now, Outbox& outbox) {
   if (now >= request.deadline) return overdue(request, now, outbox);
+  if (request.resumeAt <= now) return resume(request, now, outbox);
   auto at = silentAt(request);
   if (at && *at <= now) return silent(request, now, outbox);
   arm(request);
@@ -91,6 +118,7 @@
     attempts.erase(attempt.id.value);
     request.attempt.reset();
     ++request.sent;
+    ++request.runs;
     request.mayHaveRun = true;
     return send(request, std::move(*next), now, outbox);
   }
--- a/src/requests/request_turns.cc
+++ b/src/requests/request_turns.cc
@@ -93,6 +93,10 @@
   if (request.slow) outbox.push(PauseAttempt{request.attempt->id, false});
   release(request, how, now);
   ++request.sent;
+  // A stream under way waits a moment once as many engines declined as it may run on.
+  if (request.sent - request.runs >= request.route->attempts &&
+      maySuspend(request, Hurdle::kDeclined))
+    return suspend(request, turned.retryAfter, now, outbox);
   again(request, "attempts.again.declined", {Hurdle::kDeclined}, now, outbox);
 }
 
@@ -113,7 +117,10 @@
       attempts.erase(attempt.id.value);
       request.attempt.reset();
       ++request.sent;
+      ++request.runs;
       request.mayHaveRun = true;
+      if (!next && maySuspend(request, std::get<AttemptFault>(planned).hurdle))
+        return suspend(request, std::get<AttemptFault>(planned).comeBack, now, outbox);
       if (!next) return giveUp(request, {Hurdle::kUnclear}, now, outbox);
       outbox.count("attempts.again.failed");
       return send(request, std::move(*next), now, outbox);
@@ -219,6 +226,7 @@
   bool failure = request.attempt->failure;
   release(request, how, now);
   ++request.sent;
+  ++request.runs;
   request.mayHaveRun = true;
   if (failure) return cut(request, outbox);
   if (!repeatable(*request.route)) return giveUp(request, {Hurdle::kBroken}, now, outbox);
@@ -251,6 +259,7 @@
   }
   AttemptFault fault = std::get<AttemptFault>(planned);
   if (fault.hurdle == Hurdle::kOverBudget) outbox.count("attempts.over_budget");
+  if (maySuspend(request, fault.hurdle)) return suspend(request, fault.comeBack, now, outbox);
   bool spent = fault.hurdle == Hurdle::kOverBudget || fault.hurdle == Hurdle::kNoAttemptsLeft;
   giveUp(request, spent ? otherwise : fault, now, outbox);
 }
--- a/src/requests/requests.cc
+++ b/src/requests/requests.cc
@@ -8,6 +8,10 @@
 namespace {
 /// Attempts that never left cost their engine nothing, but a connection each is tried.
 constexpr int kLargestUnwritten = 6;
+/// For so long after the word to leave, requests are still taken: later ones might not end in time.
+constexpr Duration kTakenWhileLeaving = seconds(2.8);
+/// How much of the budget further attempts may use that come before the answer's head.
+constexpr double kShareBeforeAnswer = 0.8;
 /// Where a route tells no time at all.
 constexpr Duration kNoTimeout = seconds(60);
 
@@ -36,6 +40,7 @@
 void Requests::slow(const ClientSlow& slow, MonotonicTime now, Outbox& outbox) {
   state_->slow(slow, now, outbox);
 }
+void Requests::leave(MonotonicTime now) { state_->leave(now); }
 void Requests::tick(MonotonicTime now, Outbox& outbox) { state_->tick(now, outbox); }
 std::size_t Requests::live() const { return state_->requests.size(); }
 
@@ -44,6 +49,8 @@
   outbox.count("requests.asked");
   LiveRequest request;
   request.asked = std::move(arrived);
+  if (leavingSince != kForever && now - leavingSince > kTakenWhileLeaving)
+    return giveUp(request, {Hurdle::kLeaving}, now, outbox);
   auto planned = plan(request, now, outbox);
   if (auto* fault = std::get_if<AttemptFault>(&planned))
     return giveUp(request, *fault, now, outbox);
@@ -62,7 +69,7 @@
   if (freshUntil <= now) return AttemptFault{Hurdle::kStale};
   refreshCaches();
   const FleetConfig& config = parts.facts.config();
-  const Route* route = parts.facts.route(request.asked.host, request.asked.path);
+  const Route* route = routeOf(request);
   if (!route) return AttemptFault{Hurdle::kNoRoute};
   const TenantConfig* tenant = nullptr;
   if (!route->open && !config.tenants.empty()) {
@@ -84,16 +91,14 @@
       return AttemptFault{Hurdle::kUnknownKey};
   }
   if (request.deadline - now < leastTime(*route)) return AttemptFault{Hurdle::kTooLate};
-  int sent = request.sent + (request.attempt ? 1 : 0);
-  if (sent >= std::max(1, std::min(route->attempts, request.route->attempts)) ||
-      request.unwritten >= kLargestUnwritten)
-    return AttemptFault{Hurdle::kNoAttemptsLeft};
+  if (!attemptsLeft(request, *route)) return AttemptFault{Hurdle::kNoAttemptsLeft};
+  if (request.unwritten >= kLargestUnwritten)
+    return AttemptFault{request.answering ? Hurdle::kNoEngine : Hurdle::kNoAttemptsLeft};
   const ServiceShare* share = shareOf(*route, request.service);
   if (!share) share = chooseService(*route, request.asked.clientId);
   if (!share) return AttemptFault{Hurdle::kNoRoute};
-  plan.paid = sent > 0;
-  if (plan.paid && parts.options.guards(Guard::kBudget) &&
-      !budgets[share->service].allows(budgetTerms(), now))
+  plan.paid = request.sent > 0 || request.attempt;
+  if (plan.paid && !budgetAllows(request, share->service, now))
     return AttemptFault{Hurdle::kOverBudget};
 
   PlacementAsk ask;
@@ -116,10 +121,35 @@
   plan.service = share->service;
   plan.urgency = urgencies.of(tenant ? tenant->urgency : UrgencyTable::kNoTenant, route->urgency);
   plan.writeBefore = std::min(freshUntil, request.deadline);
-  plan.route = keepRoute(route);
+  plan.route = route == request.route.get() ? request.route : keepRoute(route);
   return plan;
 }
 
+/// The route in force. A stream under way whose route is gone goes on under the one that it came
+/// on: it was sent while that was in force.
+const Route* Requests::State::routeOf(const LiveRequest& request) const {
+  const Route* route = parts.facts.route(request.asked.host, request.asked.path);
+  return route == nullptr && request.answering ? request.route.get() : route;
+}
+
+/// Whether one more engine may be asked. Before the answer's head each engine that it was sent to
+/// counts. A stream under way can't be refused any more: of its engines those count that it may
+/// have run on, not those that declined it.
+bool Requests::State::attemptsLeft(const LiveRequest& request, const Route& route) const {
+  int over = request.answering ? request.runs : request.sent;
+  int used = over + (request.attempt ? 1 : 0);
+  return used < std::max(1, std::min(route.attempts, request.route->attempts));
+}
+
+/// A part of the budget is left to streams under way: these can't be refused any more.
+bool Requests::State::budgetAllows(const LiveRequest& request, const ServiceName& service,
+                                   MonotonicTime now) {
+  if (!parts.options.guards(Guard::kBudget)) return true;
+  BudgetTerms terms = budgetTerms();
+  if (!request.answering) terms.share *= kShareBeforeAnswer;
+  return budgets[service].allows(terms, now);
+}
+
 void Requests::State::send(LiveRequest& request, AttemptPlan plan, MonotonicTime now,
                            Outbox& outbox) {
   LiveAttempt attempt;
@@ -136,6 +166,7 @@
   request.tenant = std::move(plan.tenant);
   request.route = std::move(plan.route);
   request.heard = now;
+  request.resumeAt = kForever;
   request.tried.push_back(attempt.engine);
   if (!request.counted) budgets[request.service].first(budgetTerms(), now);
   if (plan.paid) budgets[request.service].take(now);
@@ -220,13 +251,20 @@
   if (found == requests.end()) return;
   outbox.count("requests.gone");
   LiveRequest& request = found->second;
-  if (request.attempt) {
-    outbox.push(CancelAttempt{request.attempt->id});
-    release(request, AttemptEnd::kClientGone, now);
-  }
+  dropAttempt(request, now, outbox);
   finish(request);
 }
 
+/// Ends the attempt under way, which the engine drops then.
+void Requests::State::dropAttempt(LiveRequest& request, MonotonicTime now, Outbox& outbox) {
+  if (!request.attempt) return;
+  outbox.push(CancelAttempt{request.attempt->id});
+  release(request, AttemptEnd::kClientGone, now);
+  ++request.sent;
+  ++request.runs;
+  request.mayHaveRun = true;
+}
+
 void Requests::State::refreshCaches() {
   if (cached && changes == parts.facts.changes()) return;
   cached = true;
--- a/src/requests/requests.h
+++ b/src/requests/requests.h
@@ -33,6 +33,9 @@
   void gone(RequestId request, MonotonicTime now, Outbox& outbox);
   /// The client reads slowly: its own attempt is read no further. Example: on ClientSlow.
   void slow(const ClientSlow& slow, MonotonicTime now, Outbox& outbox);
+  /// The daemon was told to leave: what is under way goes on; new requests are refused after a
+  /// while, and what has no answer shortly before the end of the grace time gets one then.
+  void leave(MonotonicTime now);
   /// Ends what is over its time; nothing here looks at every request. Example: each tick.
   void tick(MonotonicTime now, Outbox& outbox);
   std::size_t live() const;
--- a/src/requests/router_node.cc
+++ b/src/requests/router_node.cc
@@ -41,6 +41,7 @@
   else if (auto* page = std::get_if<OperatorRequest>(&event)) operatorAsked(*page, now);
   else if (std::holds_alternative<DrainRequest>(event)) {
     if (drainSince_ == kForever) drainSince_ = now;
+    requests_->leave(now);
     membership_->leave(outbox_);
   } else if (!answered(event, now)) {
     outbox_.count("events.unexpected");
--- a/src/sim/router_world.h
+++ b/src/sim/router_world.h
@@ -24,8 +24,10 @@
   std::unique_ptr<Node> node;
   bool alive = false, frozen = false;
   bool stopping = false;  // it was told to leave
-  Duration clock;         // where its boot clock stood when the simulated time was 0
-  double rate = 1;        // how fast its boot clock goes
+  MonotonicTime stoppedAt = kForever;
+  MonotonicTime reloadedAt = kNever;  // it was last told to read its settings again
+  Duration clock;                     // where its boot clock stood when the simulated time was 0
+  double rate = 1;                    // how fast its boot clock goes
   std::uint64_t life = 0;
   std::map<std::string, std::string> disk;
   std::vector<std::function<void()>> held;  // what arrives while it is frozen
@@ -101,6 +103,8 @@
   void deliver(RouterProcess& process, const Event& event);
   /// Whether two hosts hear each other. Example: `reachable("core1", "router2")`.
   bool reachable(const std::string& one, const std::string& other) const;
+  /// Whether a router that was told to leave takes no new connections any more.
+  bool closed(const RouterProcess& process) const;
   RouterProcess* leader();
   Duration latency();
   /// The fleet's first configuration. Example: the operators' base.
@@ -120,6 +124,7 @@
   void crash(RouterEngine& engine, Duration until);
   void release(RouterEngine& engine);
   void stop(RouterProcess& process);
+  void reload(RouterProcess& process);
 
  private:
   struct Item {
