--- a/src/app/daemon_command.cc
+++ b/src/app/daemon_command.cc
@@ -20,9 +20,9 @@
       "member", po::value<std::string>()->default_value(""), "IP:PORT for frames between members")(
       "pages", po::value<std::string>()->default_value(""), "IP:PORT of the operators' pages")(
       "callers", po::value<std::string>()->default_value(""),
-      "IP:PORT of the callers' door (front)")("platform",
-                                              po::value<std::string>()->default_value(""),
-                                              "IP:PORT of the platform's engine list (front)")(
+      "IP:PORT of the callers' listener (front)")("platform",
+                                                  po::value<std::string>()->default_value(""),
+                                                  "IP:PORT of the platform's engine list (front)")(
       "district", po::value<std::string>()->default_value(""), "the district of this machine")(
       "seed", po::value<std::vector<std::string>>()->composing(),
       "IP:PORT of another process; up to three")(
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -23,7 +23,7 @@
 };
 constexpr std::array kCommands{
     CommandRow{"node", &nodeCommand, "run a daemon by the platform's settings file"},
-    CommandRow{"front", &frontCommand, "run a front: the callers' door, one of many"},
+    CommandRow{"front", &frontCommand, "run a front: the callers' listener, one of many"},
     CommandRow{"core", &coreCommand, "run a core machine: control state, votes and holds"},
     CommandRow{"setup", &setupCommand,
                "apply, change, show or stamp the setup; name weights; keys"},
--- a/src/app/setup_command.cc
+++ b/src/app/setup_command.cc
@@ -35,11 +35,12 @@
 }
 
 /// Sends a change until it is answered clearly; the id keeps repeats one change.
-int sendChange(const std::vector<std::string>& doors, Json change, const std::string& changeId) {
+int sendChange(const std::vector<std::string>& addresses, Json change,
+               const std::string& changeId) {
   change["changeId"] = changeId;
   WebResult result;
   for (std::size_t attempt = 0; attempt < 10; ++attempt) {
-    result = httpOnce({doors[attempt % doors.size()]}, "POST", "/change", change.dump());
+    result = httpOnce({addresses[attempt % addresses.size()]}, "POST", "/change", change.dump());
     if (result.status != 0 && result.status != 503 && result.status != 504) break;
     std::this_thread::sleep_for(std::chrono::milliseconds(500));
   }
@@ -51,7 +52,7 @@
 
 struct Asked {
   po::variables_map values;
-  std::vector<std::string> doors;
+  std::vector<std::string> addresses;
   mutable bool unreachable = false;  // no daemon could say what is newest
   std::string text(const char* name) const {
     return values.count(name) > 0 ? values[name].as<std::string>() : std::string();
@@ -60,8 +61,8 @@
 
 std::string currentBase(const Asked& asked, const char* section) {
   if (!asked.text("based-on").empty()) return asked.text("based-on");
-  for (const auto& door : asked.doors) {
-    WebResult result = httpOnce({door}, "GET", "/setup", "");
+  for (const auto& address : asked.addresses) {
+    WebResult result = httpOnce({address}, "GET", "/setup", "");
     Json body = Json::parse(result.body, nullptr, false);
     if (result.status == 200 && body.is_object()) return body["sections"][section];
   }
@@ -203,8 +204,8 @@
     std::fprintf(stderr, "--at is needed\n");
     return kExitUsage;
   }
-  asked.doors = asked.values["at"].as<std::vector<std::string>>();
-  if (verb == "show") return printResult(httpOnce({asked.doors[0]}, "GET", "/setup", ""));
+  asked.addresses = asked.values["at"].as<std::vector<std::string>>();
+  if (verb == "show") return printResult(httpOnce({asked.addresses[0]}, "GET", "/setup", ""));
   for (const auto& row : kVerbs) {
     if (row.name != verb) continue;
     Json change = row.make(asked);
@@ -215,7 +216,7 @@
     }
     if (asked.values["dry-run"].as<bool>()) change["dryRun"] = true;
     std::string changeId = asked.text("change-id");
-    return sendChange(asked.doors, change, changeId.empty() ? freshChangeId() : changeId);
+    return sendChange(asked.addresses, change, changeId.empty() ? freshChangeId() : changeId);
   }
   std::fprintf(stderr, "unknown verb '%s'\n", verb.c_str());
   return kExitUsage;
--- a/src/app/standin_command.cc
+++ b/src/app/standin_command.cc
@@ -96,7 +96,7 @@
       "seconds", po::value<double>()->default_value(10), "requester: how long")(
       "seed", po::value<std::uint64_t>()->default_value(1), "requester: its random seed")(
       "front", po::value<std::vector<std::string>>()->composing(),
-      "requester: a front's callers' door");
+      "requester: a front's callers' listener");
   po::variables_map values;
   if (int code = parseWords(words, options, values, {"kind"}); code >= 0) return code;
   std::string kind = values["kind"].as<std::string>();
--- a/src/core/front_node.h
+++ b/src/core/front_node.h
@@ -1,5 +1,5 @@
 #pragma once
-// A data-plane machine: member, follower, watcher of its engines, and the callers' door.
+// A data-plane machine: member, follower, watcher of its engines, and the callers' listener.
 #include <memory>
 
 #include "core/core_node.h"
--- a/src/io/daemon.cc
+++ b/src/io/daemon.cc
@@ -87,14 +87,14 @@
   void operator()(const AnswerWeb& command) const {
     auto owned = daemon.operators_.extract(command.ticket);
     if (owned.empty()) return;
-    AnswerWeb answer = daemon.doors_ ? daemon.doors_->operatorAnswer(command) : command;
+    AnswerWeb answer = daemon.endpoints_ ? daemon.endpoints_->operatorAnswer(command) : command;
     owned.mapped()->answer(answer.status, answer.headers, answer.body);
   }
   void operator()(const NoteState& command) const { LOG(INFO) << command.text; }
   /// What only daemons of another dialect do.
   template <class Other>
   void operator()(const Other& command) const {
-    if (daemon.doors_) daemon.doors_->carryOut(command);
+    if (daemon.endpoints_) daemon.endpoints_->carryOut(command);
   }
 };
 
@@ -117,10 +117,10 @@
   pages_ = std::make_unique<WebServer>(
       loop_, [this](std::shared_ptr<WebRequest> request) { operatorAsked(std::move(request)); });
   if (setup_.dialect)
-    doors_ = std::make_unique<DialectDoors>(loop_, *setup_.dialect,
-                                            [this](const Event& event) { step(event); });
+    endpoints_ = std::make_unique<DialectEndpoints>(loop_, *setup_.dialect,
+                                                    [this](const Event& event) { step(event); });
   absl::Status opened = role_ == Role::kCore ? openCore(self)
-                        : doors_             ? openRouter(self)
+                        : endpoints_         ? openRouter(self)
                                              : openFront(self);
   if (!opened.ok()) return opened;
   if (!setup_.pages.value.empty())
@@ -140,7 +140,7 @@
   }
   node_ = std::make_unique<CoreNode>(setup_.options, self, setup_.seeds, found, freshNumber(),
                                      bootNow(), setup_.bootstrap);
-  if (doors_) static_cast<CoreNode&>(*node_).takeEngineDuties();
+  if (endpoints_) static_cast<CoreNode&>(*node_).takeEngineDuties();
   disk_ = std::make_unique<DiskTask>(setup_.dataFolder, [this](const FileWritten& written) {
     loop_.post([this, written] { step(written); });
   });
@@ -159,7 +159,7 @@
 absl::Status Daemon::openRouter(const MemberRecord& self) {
   node_ = std::make_unique<RouterNode>(setup_.options, self, setup_.seeds, setup_.regions,
                                        freshNumber());
-  return doors_->listen(setup_.callers);
+  return endpoints_->listen(setup_.callers);
 }
 
 void Daemon::step(const Event& event) {
@@ -202,9 +202,9 @@
   TicketId ticket{++lastTicket_};
   operators_[ticket] = request;
   request->onGone = [this, ticket] { operators_.erase(ticket); };
-  if (doors_) {
-    auto call = doors_->operatorCall(ticket, request->method, request->path, request->headers,
-                                     request->body);
+  if (endpoints_) {
+    auto call = endpoints_->operatorCall(ticket, request->method, request->path, request->headers,
+                                         request->body);
     if (call && std::holds_alternative<AnswerWeb>(*call)) {
       const AnswerWeb& refusal = std::get<AnswerWeb>(*call);
       operators_.erase(ticket);
@@ -216,7 +216,7 @@
 }
 
 bool Daemon::answerReady(const std::shared_ptr<WebRequest>& request) {
-  if (!doors_ || role_ != Role::kFront || request->path != doors_->dialect().readyPath())
+  if (!endpoints_ || role_ != Role::kFront || request->path != endpoints_->dialect().readyPath())
     return false;
   bool ready = static_cast<RouterNode&>(*node_).ready(bootNow());
   request->answer(ready ? 200 : 503, {}, "");
@@ -225,11 +225,11 @@
 
 void Daemon::leaveWhenDone() {
   auto stop = [this] { loop_.stop(); };
-  if (!doors_ || role_ == Role::kCore) return loop_.after(milliseconds(100), stop);
+  if (!endpoints_ || role_ == Role::kCore) return loop_.after(milliseconds(100), stop);
   // A connection that is open may bring a request at any moment: the process goes after the last.
-  doors_->door().close();
+  endpoints_->listener().close();
   bool over = bootNow() - leaving_ > setup_.options.graceTime - seconds(0.6);
-  if (over || doors_->door().connections() == 0) loop_.soon(stop);
+  if (over || endpoints_->listener().connections() == 0) loop_.soon(stop);
 }
 
 void Daemon::logCounters() {
@@ -240,11 +240,11 @@
 }
 
 void Daemon::noteConfig() {
-  if (!doors_ || role_ != Role::kFront) return;
+  if (!endpoints_ || role_ != Role::kFront) return;
   const Follower& follower = static_cast<RouterNode&>(*node_).follower();
   if (follower.changesSeen() == changesSeen_) return;
   changesSeen_ = follower.changesSeen();
-  doors_->door().limits(follower.setup().fleet.limits);
+  endpoints_->listener().limits(follower.setup().fleet.limits);
 }
 
 void Daemon::rehearse(std::shared_ptr<WebRequest> request) {
@@ -271,7 +271,7 @@
 }
 
 void Daemon::watchSlowCallers() {
-  if (doors_) return;  // the door of another dialect tells of them itself
+  if (endpoints_) return;  // the listener of another dialect tells of them itself
   // A caller that reads slowly slows its own stream only: its shot is read no further.
   for (auto& [stream, answering] : answering_) {
     auto shot = role_ == Role::kFront ? static_cast<FrontNode&>(*node_).shotOf(stream)
@@ -302,7 +302,7 @@
   auto drain = [this] {
     LOG(INFO) << "draining";
     leaving_ = std::min(leaving_, bootNow());
-    if (doors_ && role_ == Role::kFront) doors_->door().leave();
+    if (endpoints_ && role_ == Role::kFront) endpoints_->listener().leave();
     step(DrainRequest{});
   };
   loop_.onSignal(SIGTERM, drain);
--- a/src/io/daemon.h
+++ b/src/io/daemon.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "core/core_node.h"
-#include "io/dialect_doors.h"
+#include "io/dialect_endpoints.h"
 #include "io/disk_task.h"
 #include "io/member_hub.h"
 #include "io/web_client.h"
@@ -29,7 +29,7 @@
   Bootstrap bootstrap;     // of a core
   Duration countersEvery;  // 0: counters are written to the log at the end only
   bool rehearsal = false;  // faults may be asked for at the pages
-  // A daemon of another dialect than the product's own: its clients' door is at `callers`, the
+  // A daemon of another dialect than the product's own: its clients' listener is at `callers`, the
   // operators' calls come to `pages`, readiness is asked at `pages` too.
   std::shared_ptr<const Dialect> dialect;
   std::map<Zone, std::string> regions;  // of a router: each zone's
@@ -78,7 +78,7 @@
   std::unique_ptr<DiskTask> disk_;
   std::unique_ptr<WebClient> client_;
   std::unique_ptr<WebServer> pages_, callers_;
-  std::unique_ptr<DialectDoors> doors_;  // of a daemon of another dialect
+  std::unique_ptr<DialectEndpoints> endpoints_;  // of a daemon of another dialect
   std::uint64_t changesSeen_ = 0;
   MonotonicTime leaving_ = kForever;  // since the word to leave
   std::map<StreamId, Answering> answering_;
--- a/src/io/dialect.h
+++ b/src/io/dialect.h
@@ -51,8 +51,8 @@
   /// The headers of the engine's answer that a client gets, each line with its CRLF, without those
   /// of one connection or of framing and without the empty line. Example: "Retry-After: 1\r\n".
   virtual std::string answerHeaders(const WireHead& head) const = 0;
-  /// The headers of an answer of the system's own, each line with its CRLF; the door adds framing,
-  /// the empty line and the refusal's kind as the text. Example: "Retry-After: 0.2\r\n".
+  /// The headers of an answer of the system's own, each line with its CRLF; the listener adds
+  /// framing, the empty line and the refusal's kind as the text. Example: "Retry-After: 0.2\r\n".
   virtual std::string refusalHeaders(const RefuseRequest& refusal,
                                      const std::string& clientId) const = 0;
 
--- a/src/io/dialect_doors.h
+++ b/src/io/dialect_endpoints.h
@@ -1,22 +1,23 @@
 #pragma once
-// The sockets of a daemon that speaks a dialect: clients' door, engines' calls, operators' calls.
+// The sockets of a daemon that speaks a dialect: clients' listener, engines' calls, operators'
+// calls.
 #include <functional>
 #include <map>
 #include <memory>
 
 #include "io/dialect.h"
 #include "io/http_client.h"
-#include "io/http_door.h"
+#include "io/http_listener.h"
 
 namespace peppergate {
 
-/// Example: `DialectDoors doors(loop, dialect, step); doors.listen(address);
-/// doors.carryOut(command);`
-class DialectDoors {
+/// Example: `DialectEndpoints endpoints(loop, dialect, step); endpoints.listen(address);
+/// endpoints.carryOut(command);`
+class DialectEndpoints {
  public:
   using Step = std::function<void(const Event&)>;
-  DialectDoors(Loop& loop, const Dialect& dialect, Step step);
-  /// Opens the clients' door. Example: see the class.
+  DialectEndpoints(Loop& loop, const Dialect& dialect, Step step);
+  /// Opens the clients' listener. Example: see the class.
   absl::Status listen(const Address& address);
   /// Carries out one command of the requests' or engines' kinds. Example: see the class.
   template <class Other>
@@ -26,10 +27,10 @@
   void carryOut(const OpenAttempt& command);
   void carryOut(const CancelAttempt& command) { client_.cancel(command.attempt); }
   void carryOut(const PauseAttempt& command) { client_.pause(command.attempt, command.paused); }
-  void carryOut(const AnswerHead& command) { door_.answer(command); }
-  void carryOut(const AnswerBody& command) { door_.answer(command); }
-  void carryOut(const AnswerDone& command) { door_.answer(command); }
-  void carryOut(const RefuseRequest& command) { door_.answer(command); }
+  void carryOut(const AnswerHead& command) { listener_.answer(command); }
+  void carryOut(const AnswerBody& command) { listener_.answer(command); }
+  void carryOut(const AnswerDone& command) { listener_.answer(command); }
+  void carryOut(const RefuseRequest& command) { listener_.answer(command); }
   void carryOut(const ListEngines& command);
   void carryOut(const AskReport& command);
   void carryOut(const OrderWeights& command);
@@ -44,7 +45,7 @@
                                                                        const std::string& body);
   /// The product's answer, in the dialect's words where the call was. Example: before it is sent.
   AnswerWeb operatorAnswer(const AnswerWeb& answer);
-  HttpDoor& door() { return door_; }
+  HttpListener& listener() { return listener_; }
   const HttpClient& client() const { return client_; }
   const Dialect& dialect() const { return dialect_; }
 
@@ -54,7 +55,7 @@
 
   const Dialect& dialect_;
   Step step_;
-  HttpDoor door_;
+  HttpListener listener_;
   HttpClient client_;
   std::map<TicketId, int> operatorKinds_;
   std::uint64_t unknown_ = 0;
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -42,7 +42,7 @@
 }  // namespace
 
 struct HttpClient::State {
-  State(Loop& loop, const Dialect& dialect) : room(loop, dialect) {}
+  State(Loop& loop, const Dialect& dialect) : pool(loop, dialect) {}
   ~State() {
     for (auto& [id, exchange] : std::exchange(attempts, {})) end(*exchange);
     for (auto& [key, exchange] : std::exchange(calls, {})) end(*exchange);
@@ -52,7 +52,7 @@
     exchange.stopTimer();
     if (auto used = std::exchange(exchange.connection, nullptr)) used->close();
   }
-  ClientRoom room;
+  ConnectionPool pool;
   std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>> attempts;
   std::unordered_map<Exchange*, std::shared_ptr<Exchange>> calls;
 };
@@ -63,9 +63,9 @@
 class AttemptExchange final : public Exchange {
  public:
   using Table = std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>>;
-  AttemptExchange(ClientRoom& room, Table& table, OpenAttempt command,
+  AttemptExchange(ConnectionPool& pool, Table& table, OpenAttempt command,
                   HttpClient::AttemptTaker taker)
-      : Exchange(room, command.wire && command.wire->method == "HEAD"),
+      : Exchange(pool, command.wire && command.wire->method == "HEAD"),
         table_(table),
         command_(std::move(command)),
         taker_(std::move(taker)) {}
@@ -84,7 +84,7 @@
     if (read.length && read.framing != BodyFraming::kChunked)
       head->length = static_cast<std::size_t>(*read.length);
     AttemptTurned turned;
-    if (!room.dialect.readHead(*head, command_, turned)) return false;
+    if (!pool.dialect.readHead(*head, command_, turned)) return false;
     events_ = command_.stream && read.status < 300;
     turned.attempt = command_.attempt;
     turned.turn = AttemptTurn::kHead;
@@ -99,7 +99,7 @@
     turned.turn = AttemptTurn::kBody;
     if (events_) {
       EventSplitter::Marks marks;
-      bytes = splitter_.take(std::move(bytes), room.dialect, marks);
+      bytes = splitter_.take(std::move(bytes), pool.dialect, marks);
       turned.firstEvent = marks.firstEvent;
       turned.lastEvent = marks.lastEvent;
       turned.newVersion = marks.newVersion;
@@ -138,8 +138,8 @@
 class CallExchange final : public Exchange {
  public:
   using Table = std::unordered_map<Exchange*, std::shared_ptr<Exchange>>;
-  CallExchange(ClientRoom& room, Table& table, bool toHead, HttpClient::CallTaker taker)
-      : Exchange(room, toHead), table_(table), taker_(std::move(taker)) {}
+  CallExchange(ConnectionPool& pool, Table& table, bool toHead, HttpClient::CallTaker taker)
+      : Exchange(pool, toHead), table_(table), taker_(std::move(taker)) {}
 
   void tellWritten() override {}
   void failed() override {
@@ -181,13 +181,13 @@
 
 void HttpClient::attempt(const OpenAttempt& command, AttemptTaker taker) {
   auto exchange =
-      std::make_shared<AttemptExchange>(state_->room, state_->attempts, command, std::move(taker));
+      std::make_shared<AttemptExchange>(state_->pool, state_->attempts, command, std::move(taker));
   exchange->address = command.address;
-  exchange->text = state_->room.dialect.attemptText(command);
+  exchange->text = state_->pool.dialect.attemptText(command);
   exchange->writeBefore = command.writeBefore;
   exchange->connectTimeout = command.connectTimeout;
   state_->attempts[command.attempt.value] = exchange;
-  state_->room.start(exchange);
+  state_->pool.start(exchange);
 }
 
 void HttpClient::cancel(AttemptId attempt) {
@@ -207,7 +207,7 @@
 }
 
 void HttpClient::call(const HttpCall& call, CallTaker taker) {
-  auto exchange = std::make_shared<CallExchange>(state_->room, state_->calls, call.method == "HEAD",
+  auto exchange = std::make_shared<CallExchange>(state_->pool, state_->calls, call.method == "HEAD",
                                                  std::move(taker));
   exchange->address = call.address;
   exchange->text = callText(call);
@@ -215,10 +215,10 @@
   exchange->bounded = true;
   exchange->startTimer(call.timeout);
   state_->calls[exchange.get()] = exchange;
-  state_->room.start(exchange);
+  state_->pool.start(exchange);
 }
 
-std::uint64_t HttpClient::opened() const { return state_->room.opened; }
-std::size_t HttpClient::kept() const { return state_->room.keptCount; }
+std::uint64_t HttpClient::opened() const { return state_->pool.opened; }
+std::size_t HttpClient::kept() const { return state_->pool.keptCount; }
 
 }  // namespace peppergate
--- a/src/io/http_client_connection.cc
+++ b/src/io/http_client_connection.cc
@@ -28,7 +28,7 @@
     keep->fail();
   };
   stopTimer();
-  event_assign(&timer_, room.loop.base(), -1, 0, kDue, this);
+  event_assign(&timer_, pool.loop.base(), -1, 0, kDue, this);
   timeval value = toTimeval(std::max(time, Duration{}));
   event_add(&timer_, &value);
   timed = true;
@@ -68,8 +68,8 @@
 
 // ---- a connection ----
 
-ClientConnection::ClientConnection(ClientRoom& room, Address address, int descriptor)
-    : room_(room), address_(std::move(address)), socket_(room.loop.base(), descriptor, *this) {}
+ClientConnection::ClientConnection(ConnectionPool& pool, Address address, int descriptor)
+    : pool_(pool), address_(std::move(address)), socket_(pool.loop.base(), descriptor, *this) {}
 
 void ClientConnection::connectFor(std::shared_ptr<Exchange> exchange) {
   exchange_ = std::move(exchange);
@@ -84,8 +84,8 @@
   if (bootNow() >= exchange->writeBefore) {
     exchange->doomed = true;
     exchange->connection.reset();
-    room_.keep(shared_from_this(), kKeptUnused);
-    room_.tellSoon(std::move(exchange));
+    pool_.keep(shared_from_this(), kKeptUnused);
+    pool_.tellSoon(std::move(exchange));
     return true;
   }
   auto before = socket_.handed();
@@ -101,7 +101,7 @@
   exchange->connection = shared_from_this();
   exchange_ = exchange;
   socket_.watchRead(!exchange->paused);
-  room_.tellSoon(std::move(exchange));
+  pool_.tellSoon(std::move(exchange));
   return true;
 }
 
@@ -112,9 +112,9 @@
 void ClientConnection::close() {
   auto keep = shared_from_this();
   exchange_.reset();
-  room_.unkeep(*this);
+  pool_.unkeep(*this);
   socket_.close();
-  room_.connections.erase(this);
+  pool_.connections.erase(this);
 }
 
 // Ends the connection and what is under way on it.
@@ -140,7 +140,7 @@
   connecting_ = false;
   socket_.watchWrite(false);
   if (socket_.takeError() != 0) return fail();
-  ++room_.opened;
+  ++pool_.opened;
   auto exchange = std::move(exchange_);
   if (!exchange || exchange->done) return close();
   if (!exchange->bounded) exchange->stopTimer();
@@ -149,11 +149,11 @@
 
 void ClientConnection::readable() {
   auto keep = shared_from_this();
-  auto result = socket_.read(room_.buffer);
+  auto result = socket_.read(pool_.buffer);
   if (result.outcome == HttpSocket::ReadOutcome::kNothing) return;
   // Whatever an unused connection shows, its end or bytes that nobody asked for, it is done with.
   if (result.outcome != HttpSocket::ReadOutcome::kBytes || !exchange_) return fail();
-  take({room_.buffer.data(), result.size});
+  take({pool_.buffer.data(), result.size});
 }
 
 void ClientConnection::take(std::string_view bytes) {
@@ -185,7 +185,7 @@
   exchange->connection.reset();
   Duration time = exchange->reader.keepTime();
   bool clean = !surplus && !writeBroken_ && socket_.waiting() == 0 && time > Duration{};
-  if (clean) room_.keep(shared_from_this(), time);
+  if (clean) pool_.keep(shared_from_this(), time);
   else close();
   exchange->lastCame();
   exchange->finish();
@@ -193,29 +193,29 @@
 
 // ---- the pool ----
 
-ClientRoom::ClientRoom(Loop& loop, const Dialect& dialect)
+ConnectionPool::ConnectionPool(Loop& loop, const Dialect& dialect)
     : loop(loop), dialect(dialect), buffer(64U << 10) {
-  event_assign(&stateUpdateEvent_, loop.base(), -1, 0, &ClientRoom::onNews, this);
-  event_assign(&tickEvent_, loop.base(), -1, EV_PERSIST, &ClientRoom::onTick, this);
+  event_assign(&stateUpdateEvent_, loop.base(), -1, 0, &ConnectionPool::onNews, this);
+  event_assign(&tickEvent_, loop.base(), -1, EV_PERSIST, &ConnectionPool::onTick, this);
 }
 
-ClientRoom::~ClientRoom() {
+ConnectionPool::~ConnectionPool() {
   event_del(&stateUpdateEvent_);
   event_del(&tickEvent_);
   for (auto& [key, connection] : std::exchange(connections, {})) connection->close();
 }
 
-void ClientRoom::onNews(evutil_socket_t, short, void* room) {
-  auto news = std::exchange(static_cast<ClientRoom*>(room)->news_, {});
+void ConnectionPool::onNews(evutil_socket_t, short, void* pool) {
+  auto news = std::exchange(static_cast<ConnectionPool*>(pool)->news_, {});
   for (auto& exchange : news) exchange->sendStateUpdate();
 }
 
-void ClientRoom::tellSoon(std::shared_ptr<Exchange> exchange) {
+void ConnectionPool::tellSoon(std::shared_ptr<Exchange> exchange) {
   news_.push_back(std::move(exchange));
   event_active(&stateUpdateEvent_, EV_TIMEOUT, 0);
 }
 
-void ClientRoom::start(const std::shared_ptr<Exchange>& exchange) {
+void ConnectionPool::start(const std::shared_ptr<Exchange>& exchange) {
   while (auto connection = takeKept(exchange->address))
     if (connection->write(exchange)) return;
   int descriptor = HttpSocket::connectTo(exchange->address);
@@ -232,7 +232,7 @@
   connection->connectFor(exchange);
 }
 
-void ClientRoom::keep(const std::shared_ptr<ClientConnection>& connection, Duration time) {
+void ConnectionPool::keep(const std::shared_ptr<ClientConnection>& connection, Duration time) {
   auto& same = kept[connection->address().value];
   if (same.size() >= kMostKeptPerAddress) return connection->close();
   if (keptCount >= kMostKept) dropOldest();
@@ -246,7 +246,7 @@
   event_add(&tickEvent_, &pace);
 }
 
-void ClientRoom::unkeep(ClientConnection& connection) {
+void ConnectionPool::unkeep(ClientConnection& connection) {
   if (!connection.is_linked()) return;
   connection.unlink();
   --keptCount;
@@ -256,7 +256,7 @@
   if (found->second.empty()) kept.erase(found);
 }
 
-std::shared_ptr<ClientConnection> ClientRoom::takeKept(const Address& address) {
+std::shared_ptr<ClientConnection> ConnectionPool::takeKept(const Address& address) {
   while (true) {
     auto found = kept.find(address.value);
     if (found == kept.end() || found->second.empty()) return nullptr;
@@ -267,20 +267,20 @@
   }
 }
 
-void ClientRoom::dropOldest() {
+void ConnectionPool::dropOldest() {
   if (!keptInOrder.empty()) static_cast<ClientConnection&>(keptInOrder.front()).close();
 }
 
-void ClientRoom::onTick(evutil_socket_t, short, void* argument) {
-  auto& room = *static_cast<ClientRoom*>(argument);
+void ConnectionPool::onTick(evutil_socket_t, short, void* argument) {
+  auto& pool = *static_cast<ConnectionPool*>(argument);
   MonotonicTime now = bootNow();
-  for (auto next = room.keptInOrder.begin(); next != room.keptInOrder.end();) {
+  for (auto next = pool.keptInOrder.begin(); next != pool.keptInOrder.end();) {
     auto& connection = static_cast<ClientConnection&>(*next++);
     if (connection.keptUntil <= now) connection.close();
   }
-  if (room.keptCount > 0) return;
-  event_del(&room.tickEvent_);
-  room.ticking_ = false;
+  if (pool.keptCount > 0) return;
+  event_del(&pool.tickEvent_);
+  pool.ticking_ = false;
 }
 
 }  // namespace peppergate
--- a/src/io/http_client_connection.h
+++ b/src/io/http_client_connection.h
@@ -12,12 +12,12 @@
 namespace peppergate {
 
 class ClientConnection;
-struct ClientRoom;
+struct ConnectionPool;
 
 /// One request under way and what becomes of its answer.
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
-  Exchange(ClientRoom& room, bool toHead) : room(room), reader(toHead) {}
+  Exchange(ConnectionPool& pool, bool toHead) : pool(pool), reader(toHead) {}
   virtual ~Exchange();
   /// The head came; false: the answer is not this request's. Example: another id.
   virtual bool headCame() = 0;
@@ -36,13 +36,13 @@
   void fail();
   /// Ends it with its answer whole.
   void finish();
-  /// Tells what could not be told at once. Called by the room only.
+  /// Tells what could not be told at once. Called by the pool only.
   void sendStateUpdate();
   /// Calls `fail` when the time is up. Example: a call's time limit.
   void startTimer(Duration time);
   void stopTimer();
 
-  ClientRoom& room;
+  ConnectionPool& pool;
   Address address;
   std::string text;  // the whole request
   MonotonicTime writeBefore = kForever;
@@ -67,7 +67,7 @@
                                public KeptHook,
                                public std::enable_shared_from_this<ClientConnection> {
  public:
-  ClientConnection(ClientRoom& room, Address address, int descriptor);
+  ClientConnection(ConnectionPool& pool, Address address, int descriptor);
   /// Waits for the connection to come up, then writes.
   void connectFor(std::shared_ptr<Exchange> exchange);
   /// Writes at once; false: nothing was handed over and the connection is closed.
@@ -84,7 +84,7 @@
   void fail();
   void answerWhole(bool surplus);
 
-  ClientRoom& room_;
+  ConnectionPool& pool_;
   Address address_;
   HttpSocket socket_;
   std::shared_ptr<Exchange> exchange_;
@@ -92,9 +92,9 @@
 };
 
 /// What the connections of one client share; the pool of kept ones.
-struct ClientRoom {
-  ClientRoom(Loop& loop, const Dialect& dialect);
-  ~ClientRoom();
+struct ConnectionPool {
+  ConnectionPool(Loop& loop, const Dialect& dialect);
+  ~ConnectionPool();
   /// Sends on a kept connection or a new one; its end is told later, never from inside.
   void start(const std::shared_ptr<Exchange>& exchange);
   void keep(const std::shared_ptr<ClientConnection>& connection, Duration time);
@@ -112,8 +112,8 @@
   std::uint64_t opened = 0;
 
  private:
-  static void onNews(evutil_socket_t, short, void* room);
-  static void onTick(evutil_socket_t, short, void* room);
+  static void onNews(evutil_socket_t, short, void* pool);
+  static void onTick(evutil_socket_t, short, void* pool);
   std::shared_ptr<ClientConnection> takeKept(const Address& address);
   void dropOldest();
 
--- a/src/io/http_door.cc
+++ b/src/io/http_listener.cc
@@ -1,11 +1,11 @@
-#include "io/http_door.h"
+#include "io/http_listener.h"
 
 #include <errno.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <string.h>
 
-#include "io/http_door_connection.h"
+#include "io/http_listener_connection.h"
 #include "io/member_hub.h"
 
 namespace peppergate {
@@ -19,16 +19,17 @@
 
 }  // namespace
 
-struct HttpDoor::State {
-  State(Loop& loop, const Dialect& dialect, Hooks hooks) : room(loop, dialect, std::move(hooks)) {}
-  DoorRoom room;
+struct HttpListener::State {
+  State(Loop& loop, const Dialect& dialect, Hooks hooks)
+      : context(loop, dialect, std::move(hooks)) {}
+  ListenerContext context;
   evconnlistener* listener = nullptr;
   bool listening = true;
 
   static void onFlush(evutil_socket_t, short, void* argument) {
-    auto& room = static_cast<State*>(argument)->room;
-    std::vector<std::shared_ptr<DoorConnection>> dirty;
-    dirty.swap(room.dirty);
+    auto& context = static_cast<State*>(argument)->context;
+    std::vector<std::shared_ptr<ListenerConnection>> dirty;
+    dirty.swap(context.dirty);
     for (auto& connection : dirty) connection->flush();
   }
   static void onTick(evutil_socket_t, short, void* argument) {
@@ -36,26 +37,26 @@
   }
   static void onAccept(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int,
                        void* argument) {
-    auto& room = static_cast<State*>(argument)->room;
+    auto& context = static_cast<State*>(argument)->context;
     HttpSocket::setAccepted(descriptor);
-    auto connection = std::make_shared<DoorConnection>(room, descriptor);
-    room.connections.emplace(connection.get(), connection);
+    auto connection = std::make_shared<ListenerConnection>(context, descriptor);
+    context.connections.emplace(connection.get(), connection);
     connection->start();
-    if (event_pending(&room.tickEvent, EV_TIMEOUT, nullptr) == 0) startTick(room);
+    if (event_pending(&context.tickEvent, EV_TIMEOUT, nullptr) == 0) startTick(context);
   }
   static void onAcceptError(evconnlistener* listener, void* argument) {
     auto* state = static_cast<State*>(argument);
     if (errno != EMFILE && errno != ENFILE && errno != ENOBUFS && errno != ENOMEM) return;
     // The one idle longest gives way to the one that comes; else new ones wait a little.
-    auto& idle = state->room.waits[static_cast<std::size_t>(DoorWait::kIdle)];
+    auto& idle = state->context.waits[static_cast<std::size_t>(ConnectionWait::kIdle)];
     if (!idle.empty()) return idle.front().overdue();
     evconnlistener_disable(listener);
     state->listening = false;
-    startTick(state->room);
+    startTick(state->context);
   }
-  static void startTick(DoorRoom& room) {
+  static void startTick(ListenerContext& context) {
     timeval pace{0, static_cast<suseconds_t>(kTick.microseconds)};
-    event_add(&room.tickEvent, &pace);
+    event_add(&context.tickEvent, &pace);
   }
   void tick() {
     if (!listening) {
@@ -63,61 +64,62 @@
       evconnlistener_enable(listener);
     }
     MonotonicTime now = bootNow();
-    for (std::size_t kind = 0; kind < room.waits.size(); ++kind) {
-      auto longest = room.longest(static_cast<DoorWait>(kind));
-      auto& list = room.waits[kind];
+    for (std::size_t kind = 0; kind < context.waits.size(); ++kind) {
+      auto longest = context.longest(static_cast<ConnectionWait>(kind));
+      auto& list = context.waits[kind];
       while (!list.empty() && now - list.front().since >= longest) list.front().overdue();
     }
-    if (room.connections.empty()) event_del(&room.tickEvent);
+    if (context.connections.empty()) event_del(&context.tickEvent);
   }
-  DoorConnection* of(RequestId request) {
-    auto found = room.answering.find(request.value);
-    return found == room.answering.end() ? nullptr : found->second;
+  ListenerConnection* of(RequestId request) {
+    auto found = context.answering.find(request.value);
+    return found == context.answering.end() ? nullptr : found->second;
   }
 };
 
-void DoorRoom::flushSoon(DoorConnection& connection) {
+void ListenerContext::flushSoon(ListenerConnection& connection) {
   if (!connection.markDirty()) return;
   dirty.push_back(connection.shared_from_this());
   event_active(&flushEvent, EV_TIMEOUT, 0);
 }
 
-Duration DoorRoom::longest(DoorWait wait) const {
+Duration ListenerContext::longest(ConnectionWait wait) const {
   switch (wait) {
-    case DoorWait::kIdle:
+    case ConnectionWait::kIdle:
       return leaving ? kLeavingIdle : limits.idle;
-    case DoorWait::kHead:
+    case ConnectionWait::kHead:
       return limits.headerWait;
-    case DoorWait::kBody:
-    case DoorWait::kWrite:
+    case ConnectionWait::kBody:
+    case ConnectionWait::kWrite:
       return limits.idle;
-    case DoorWait::kHalfClosed:
+    case ConnectionWait::kHalfClosed:
       return kHalfClosedLook;
-    case DoorWait::kLinger:
-    case DoorWait::kNothing:
+    case ConnectionWait::kLinger:
+    case ConnectionWait::kNothing:
       break;
   }
   return kLinger;
 }
 
-HttpDoor::HttpDoor(Loop& loop, const Dialect& dialect, Hooks hooks)
+HttpListener::HttpListener(Loop& loop, const Dialect& dialect, Hooks hooks)
     : state_(std::make_unique<State>(loop, dialect, std::move(hooks))) {
-  event_assign(&state_->room.flushEvent, loop.base(), -1, 0, &State::onFlush, state_.get());
-  event_assign(&state_->room.tickEvent, loop.base(), -1, EV_PERSIST, &State::onTick, state_.get());
+  event_assign(&state_->context.flushEvent, loop.base(), -1, 0, &State::onFlush, state_.get());
+  event_assign(&state_->context.tickEvent, loop.base(), -1, EV_PERSIST, &State::onTick,
+               state_.get());
 }
 
-HttpDoor::~HttpDoor() {
+HttpListener::~HttpListener() {
   if (state_->listener != nullptr) evconnlistener_free(state_->listener);
-  event_del(&state_->room.flushEvent);
-  event_del(&state_->room.tickEvent);
+  event_del(&state_->context.flushEvent);
+  event_del(&state_->context.tickEvent);
 }
 
-absl::Status HttpDoor::listen(const Address& address) {
+absl::Status HttpListener::listen(const Address& address) {
   sockaddr_in place{};
   if (!parseAddress(address.value, place))
     return absl::InvalidArgumentError("'" + address.value + "' is no address");
   state_->listener =
-      evconnlistener_new_bind(state_->room.loop.base(), &State::onAccept, state_.get(),
+      evconnlistener_new_bind(state_->context.loop.base(), &State::onAccept, state_.get(),
                               LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
                               kBacklog, reinterpret_cast<sockaddr*>(&place), sizeof place);
   if (state_->listener == nullptr)
@@ -126,29 +128,29 @@
   return absl::OkStatus();
 }
 
-void HttpDoor::limits(const RequestLimits& limits) { state_->room.limits = limits; }
+void HttpListener::limits(const RequestLimits& limits) { state_->context.limits = limits; }
 
-void HttpDoor::answer(const AnswerHead& command) {
+void HttpListener::answer(const AnswerHead& command) {
   if (auto* connection = state_->of(command.request); connection != nullptr && command.head)
     connection->answerHead(*command.head);
 }
-void HttpDoor::answer(const AnswerBody& command) {
+void HttpListener::answer(const AnswerBody& command) {
   if (auto* connection = state_->of(command.request)) connection->answerBody(command.bytes);
 }
-void HttpDoor::answer(const AnswerDone& command) {
+void HttpListener::answer(const AnswerDone& command) {
   if (auto* connection = state_->of(command.request)) connection->answerDone(command.whole);
 }
-void HttpDoor::answer(const RefuseRequest& command) {
+void HttpListener::answer(const RefuseRequest& command) {
   if (auto* connection = state_->of(command.request)) connection->refuse(command);
 }
 
-void HttpDoor::leave() { state_->room.leaving = true; }
+void HttpListener::leave() { state_->context.leaving = true; }
 
-void HttpDoor::close() {
+void HttpListener::close() {
   if (state_->listener != nullptr) evconnlistener_free(state_->listener);
   state_->listener = nullptr;
 }
 
-std::size_t HttpDoor::connections() const { return state_->room.connections.size(); }
+std::size_t HttpListener::connections() const { return state_->context.connections.size(); }
 
 }  // namespace peppergate
--- a/src/io/http_door.h
+++ b/src/io/http_listener.h
@@ -1,5 +1,5 @@
 #pragma once
-// The clients' door: HTTP/1.1 read strictly, answers passed on as they come.
+// The clients' listener: HTTP/1.1 read strictly, answers passed on as they come.
 #include <absl/status/status.h>
 
 #include <functional>
@@ -10,16 +10,17 @@
 
 namespace peppergate {
 
-/// Example: `HttpDoor door(loop, dialect, {onRequest, onGone, onSlow}); door.listen(address);`
-class HttpDoor {
+/// Example: `HttpListener listener(loop, dialect, {onRequest, onGone, onSlow});
+/// listener.listen(address);`
+class HttpListener {
  public:
   struct Hooks {
     std::function<void(RequestArrived)> onRequest;
     std::function<void(RequestId)> onGone;
     std::function<void(ClientSlow)> onSlow;
   };
-  HttpDoor(Loop& loop, const Dialect& dialect, Hooks hooks);
-  ~HttpDoor();
+  HttpListener(Loop& loop, const Dialect& dialect, Hooks hooks);
+  ~HttpListener();
   absl::Status listen(const Address& address);
   /// What clients may send from now on. Example: with each new configuration.
   void limits(const RequestLimits& limits);
--- a/src/io/http_door_connection.cc
+++ b/src/io/http_listener_connection.cc
@@ -1,4 +1,4 @@
-#include "io/http_door_connection.h"
+#include "io/http_listener_connection.h"
 
 #include <charconv>
 
@@ -17,41 +17,42 @@
 
 }  // namespace
 
-DoorConnection::DoorConnection(DoorRoom& room, int descriptor)
-    : room_(room), socket_(room.loop.base(), descriptor, *this) {}
+ListenerConnection::ListenerConnection(ListenerContext& context, int descriptor)
+    : context_(context), socket_(context.loop.base(), descriptor, *this) {}
 
-void DoorConnection::start() {
+void ListenerConnection::start() {
   socket_.watchRead(true);
-  waitFor(DoorWait::kIdle);
+  waitFor(ConnectionWait::kIdle);
 }
 
-void DoorConnection::waitFor(DoorWait wait) {
+void ListenerConnection::waitFor(ConnectionWait wait) {
   if (is_linked()) unlink();
   waiting_ = wait;
-  if (wait == DoorWait::kNothing) return;
+  if (wait == ConnectionWait::kNothing) return;
   since = bootNow();
-  room_.waits[static_cast<std::size_t>(wait)].push_back(*this);
+  context_.waits[static_cast<std::size_t>(wait)].push_back(*this);
 }
 
 // The wait that fits what the connection is at; a wait of the same kind goes on.
-void DoorConnection::chooseWait() {
-  DoorWait wait = DoorWait::kNothing;
+void ListenerConnection::chooseWait() {
+  ConnectionWait wait = ConnectionWait::kNothing;
   if (phase_ == Phase::kClosed) return;
-  if (phase_ == Phase::kLinger) wait = DoorWait::kLinger;
-  else if (socket_.waiting() > 0) wait = DoorWait::kWrite;
-  else if (phase_ == Phase::kHead) wait = rest_.empty() ? DoorWait::kIdle : DoorWait::kHead;
-  else if (phase_ == Phase::kBody) wait = DoorWait::kBody;
-  else if (phase_ == Phase::kAnswering && readEnded_) wait = DoorWait::kHalfClosed;
+  if (phase_ == Phase::kLinger) wait = ConnectionWait::kLinger;
+  else if (socket_.waiting() > 0) wait = ConnectionWait::kWrite;
+  else if (phase_ == Phase::kHead)
+    wait = rest_.empty() ? ConnectionWait::kIdle : ConnectionWait::kHead;
+  else if (phase_ == Phase::kBody) wait = ConnectionWait::kBody;
+  else if (phase_ == Phase::kAnswering && readEnded_) wait = ConnectionWait::kHalfClosed;
   if (wait != waiting_) waitFor(wait);
 }
 
-void DoorConnection::readable() {
+void ListenerConnection::readable() {
   auto keep = shared_from_this();
-  auto result = socket_.read(room_.buffer);
+  auto result = socket_.read(context_.buffer);
   if (result.outcome == HttpSocket::ReadOutcome::kNothing) return;
   if (result.outcome == HttpSocket::ReadOutcome::kFailed) return failed();
   if (result.outcome == HttpSocket::ReadOutcome::kEnd) return ended();
-  std::string_view bytes(room_.buffer.data(), result.size);
+  std::string_view bytes(context_.buffer.data(), result.size);
   if (phase_ == Phase::kLinger || phase_ == Phase::kEnding) return;  // read away
   // Behind an answer that was not written yet, what came ahead is taken first.
   if (phase_ == Phase::kAnswering || (phase_ == Phase::kHead && dirty_ && !rest_.empty())) {
@@ -59,12 +60,12 @@
     if (rest_.size() >= kMostAhead) socket_.watchRead(false);
     return;
   }
-  if (phase_ == Phase::kBody) waitFor(DoorWait::kBody);  // a body is bound by its pauses
+  if (phase_ == Phase::kBody) waitFor(ConnectionWait::kBody);  // a body is bound by its pauses
   take(bytes);
   chooseWait();
 }
 
-void DoorConnection::ended() {
+void ListenerConnection::ended() {
   readEnded_ = true;
   socket_.watchRead(false);
   // A client may end its side and still wait for its answer.
@@ -72,31 +73,32 @@
   drop();
 }
 
-void DoorConnection::failed() {
+void ListenerConnection::failed() {
   RequestId gone = request_;
   bool tell = phase_ == Phase::kAnswering;
   drop();
-  if (tell && room_.hooks.onGone) room_.hooks.onGone(gone);
+  if (tell && context_.hooks.onGone) context_.hooks.onGone(gone);
 }
 
-void DoorConnection::drop() {
+void ListenerConnection::drop() {
   if (phase_ == Phase::kClosed) return;
-  if (phase_ == Phase::kAnswering) room_.answering.erase(request_.value);
+  if (phase_ == Phase::kAnswering) context_.answering.erase(request_.value);
   phase_ = Phase::kClosed;
-  waitFor(DoorWait::kNothing);
+  waitFor(ConnectionWait::kNothing);
   socket_.close();
-  room_.connections.erase(this);  // whoever called holds it
+  context_.connections.erase(this);  // whoever called holds it
 }
 
-void DoorConnection::writable() {
+void ListenerConnection::writable() {
   auto keep = shared_from_this();
   auto before = socket_.handed();
   if (!socket_.flush()) return failed();
-  if (socket_.handed() != before && waiting_ == DoorWait::kWrite) waitFor(DoorWait::kWrite);
+  if (socket_.handed() != before && waiting_ == ConnectionWait::kWrite)
+    waitFor(ConnectionWait::kWrite);
   watchOutput();
 }
 
-void DoorConnection::flush() {
+void ListenerConnection::flush() {
   dirty_ = false;
   if (phase_ == Phase::kClosed) return;
   bool sent = pending_.empty() || socket_.send(pending_);
@@ -116,7 +118,7 @@
   watchOutput();
 }
 
-void DoorConnection::watchOutput() {
+void ListenerConnection::watchOutput() {
   if (phase_ == Phase::kClosed) return;
   std::size_t waiting = socket_.waiting() + pending_.size();
   if (phase_ == Phase::kEnding && waiting == 0) {
@@ -130,35 +132,35 @@
   chooseWait();
   if (phase_ != Phase::kAnswering || slow == slow_) return;
   slow_ = slow;
-  if (room_.hooks.onSlow) room_.hooks.onSlow({request_, slow});
+  if (context_.hooks.onSlow) context_.hooks.onSlow({request_, slow});
 }
 
-void DoorConnection::overdue() {
+void ListenerConnection::overdue() {
   auto keep = shared_from_this();
   switch (waiting_) {
-    case DoorWait::kIdle:
+    case ConnectionWait::kIdle:
       // Unread bytes would be a request on its way: that one is still taken.
       if (!socket_.quiet()) return readable();
       return drop();
-    case DoorWait::kHead:
-    case DoorWait::kBody:
+    case ConnectionWait::kHead:
+    case ConnectionWait::kBody:
       return turnAway(408, "the request did not come in time");
-    case DoorWait::kHalfClosed:
-      waitFor(DoorWait::kHalfClosed);
+    case ConnectionWait::kHalfClosed:
+      waitFor(ConnectionWait::kHalfClosed);
       if (socket_.takeError() != 0) failed();
       return;
-    case DoorWait::kWrite:
+    case ConnectionWait::kWrite:
       return failed();
-    case DoorWait::kLinger:
-    case DoorWait::kNothing:
+    case ConnectionWait::kLinger:
+    case ConnectionWait::kNothing:
       return drop();
   }
 }
 
-void DoorConnection::answerHead(const WireHead& head) {
+void ListenerConnection::answerHead(const WireHead& head) {
   if (phase_ != Phase::kAnswering || headSent_) return;
   headSent_ = true;
-  closeAfter_ = closeAfter_ || room_.leaving || !head_.keepAlive;
+  closeAfter_ = closeAfter_ || context_.leaving || !head_.keepAlive;
   bool bare = head_.method == "HEAD" || head.status == 204 || head.status == 304;
   if (bare) framing_ = BodyFraming::kNone;
   else if (head.length) framing_ = BodyFraming::kLength;
@@ -170,7 +172,7 @@
   pending_ += ' ';
   pending_ += head.reason;
   pending_ += "\r\n";
-  pending_ += room_.dialect.answerHeaders(head);
+  pending_ += context_.dialect.answerHeaders(head);
   if (head.length && head.status != 204) {
     pending_ += "Content-Length: ";
     pending_ += numberText(*head.length);
@@ -181,16 +183,16 @@
   if (closeAfter_) pending_ += "Connection: close\r\n";
   else if (head_.http10) pending_ += "Connection: keep-alive\r\n";
   if (!closeAfter_) {  // a second less than it is kept, so that none is sent to a closed one
-    auto told = static_cast<std::uint64_t>(std::max(inSeconds(room_.limits.idle) - 1, 1.0));
+    auto told = static_cast<std::uint64_t>(std::max(inSeconds(context_.limits.idle) - 1, 1.0));
     pending_ += "Keep-Alive: timeout=";
     pending_ += numberText(told);
     pending_ += "\r\n";
   }
   pending_ += "\r\n";
-  room_.flushSoon(*this);
+  context_.flushSoon(*this);
 }
 
-void DoorConnection::answerBody(std::string_view bytes) {
+void ListenerConnection::answerBody(std::string_view bytes) {
   if (phase_ != Phase::kAnswering || !headSent_ || bytes.empty()) return;
   switch (framing_) {
     case BodyFraming::kNone:
@@ -210,10 +212,10 @@
       pending_ += bytes;
       break;
   }
-  room_.flushSoon(*this);
+  context_.flushSoon(*this);
 }
 
-void DoorConnection::answerDone(bool whole) {
+void ListenerConnection::answerDone(bool whole) {
   if (phase_ != Phase::kAnswering) return;
   if (framing_ == BodyFraming::kLength && left_ > 0) whole = false;
   if (whole && headSent_) {
@@ -222,7 +224,7 @@
   }
   // No last chunk, or fewer bytes than told: it can't be taken for whole. Where only the close
   // would tell its end, it is reset.
-  room_.answering.erase(request_.value);
+  context_.answering.erase(request_.value);
   if (headSent_ && framing_ == BodyFraming::kUntilClose) {
     socket_.close(true);
     phase_ = Phase::kEnding;
@@ -231,22 +233,22 @@
   closeAfterOutput(false);
 }
 
-void DoorConnection::refuse(const RefuseRequest& refusal) {
+void ListenerConnection::refuse(const RefuseRequest& refusal) {
   if (phase_ != Phase::kAnswering) return;
   if (headSent_) return answerDone(false);
-  writeRefusal(refusal, clientId_, closeAfter_ || room_.leaving || !head_.keepAlive);
+  writeRefusal(refusal, clientId_, closeAfter_ || context_.leaving || !head_.keepAlive);
   endAnswer();
 }
 
-void DoorConnection::writeRefusal(const RefuseRequest& refusal, const std::string& clientId,
-                                  bool close) {
+void ListenerConnection::writeRefusal(const RefuseRequest& refusal, const std::string& clientId,
+                                      bool close) {
   closeAfter_ = close;
   pending_ += "HTTP/1.1 ";
   pending_ += numberText(static_cast<std::uint64_t>(refusal.status));
   pending_ += ' ';
   pending_ += reasonOf(refusal.status);
   pending_ += "\r\n";
-  pending_ += room_.dialect.refusalHeaders(refusal, clientId);
+  pending_ += context_.dialect.refusalHeaders(refusal, clientId);
   if (!refusal.kind.empty()) pending_ += "Content-Type: text/plain\r\n";
   pending_ += "Content-Length: ";
   pending_ += numberText(refusal.kind.empty() ? 0 : refusal.kind.size() + 1);
@@ -257,26 +259,26 @@
     pending_ += refusal.kind;
     pending_ += '\n';
   }
-  room_.flushSoon(*this);
+  context_.flushSoon(*this);
 }
 
-void DoorConnection::endAnswer() {
-  room_.answering.erase(request_.value);
+void ListenerConnection::endAnswer() {
+  context_.answering.erase(request_.value);
   slow_ = false;
   if (closeAfter_) return closeAfterOutput(false);
   phase_ = Phase::kHead;
   headSent_ = false;
   scanner_ = {};
   head_ = {};
-  room_.flushSoon(*this);
+  context_.flushSoon(*this);
 }
 
-void DoorConnection::closeAfterOutput(bool linger) {
+void ListenerConnection::closeAfterOutput(bool linger) {
   phase_ = Phase::kEnding;
   linger_ = linger || !rest_.empty();
   rest_.clear();
-  waitFor(DoorWait::kNothing);
-  room_.flushSoon(*this);
+  waitFor(ConnectionWait::kNothing);
+  context_.flushSoon(*this);
 }
 
 }  // namespace peppergate
--- a/src/io/http_door_connection.h
+++ b/src/io/http_listener_connection.h
@@ -7,14 +7,14 @@
 #include <utility>
 #include <vector>
 
-#include "io/http_door.h"
+#include "io/http_listener.h"
 #include "io/http_parse.h"
 #include "io/http_socket.h"
 
 namespace peppergate {
 
 /// What a connection waits for; each kind of wait has one length, so its list is in order of age.
-enum class DoorWait : std::uint8_t {
+enum class ConnectionWait : std::uint8_t {
   kIdle = 0,
   kHead,
   kBody,
@@ -24,49 +24,50 @@
   kNothing
 };
 
-class DoorConnection;
+class ListenerConnection;
 
 /// One in the lists of waits; it leaves its list by itself. Example: `waits[kind].push_back(one)`.
-struct DoorWaiting
+struct WaitingConnection
     : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
   /// The wait took too long; afterwards it is over or begins anew.
   virtual void overdue() = 0;
   MonotonicTime since;
 
  protected:
-  ~DoorWaiting() = default;
+  ~WaitingConnection() = default;
 };
 
-/// What the connections of one door share.
-struct DoorRoom {
-  using WaitList = boost::intrusive::list<DoorWaiting, boost::intrusive::constant_time_size<false>>;
-  DoorRoom(Loop& loop, const Dialect& dialect, HttpDoor::Hooks hooks)
+/// What the connections of one listener share.
+struct ListenerContext {
+  using WaitList =
+      boost::intrusive::list<WaitingConnection, boost::intrusive::constant_time_size<false>>;
+  ListenerContext(Loop& loop, const Dialect& dialect, HttpListener::Hooks hooks)
       : loop(loop), dialect(dialect), hooks(std::move(hooks)), buffer(64U << 10) {}
   /// Asks for a connection's output to be written once the present event has been dealt with.
-  void flushSoon(DoorConnection& connection);
-  /// How long a wait may last. Example: `room.longest(DoorWait::kIdle)`.
-  Duration longest(DoorWait wait) const;
+  void flushSoon(ListenerConnection& connection);
+  /// How long a wait may last. Example: `context.longest(ConnectionWait::kIdle)`.
+  Duration longest(ConnectionWait wait) const;
 
   Loop& loop;
   const Dialect& dialect;
-  HttpDoor::Hooks hooks;
+  HttpListener::Hooks hooks;
   RequestLimits limits;
   bool leaving = false;
   std::uint64_t lastRequest = 0;
   std::vector<char> buffer;  // what is read at once
-  std::unordered_map<DoorConnection*, std::shared_ptr<DoorConnection>> connections;
-  std::unordered_map<std::uint64_t, DoorConnection*> answering;
-  std::array<WaitList, static_cast<std::size_t>(DoorWait::kNothing)> waits;
-  std::vector<std::shared_ptr<DoorConnection>> dirty;
+  std::unordered_map<ListenerConnection*, std::shared_ptr<ListenerConnection>> connections;
+  std::unordered_map<std::uint64_t, ListenerConnection*> answering;
+  std::array<WaitList, static_cast<std::size_t>(ConnectionWait::kNothing)> waits;
+  std::vector<std::shared_ptr<ListenerConnection>> dirty;
   event flushEvent, tickEvent;
 };
 
-/// Example: `std::make_shared<DoorConnection>(room, descriptor)->start()`.
-class DoorConnection final : public HttpSocketOwner,
-                             public DoorWaiting,
-                             public std::enable_shared_from_this<DoorConnection> {
+/// Example: `std::make_shared<ListenerConnection>(context, descriptor)->start()`.
+class ListenerConnection final : public HttpSocketOwner,
+                                 public WaitingConnection,
+                                 public std::enable_shared_from_this<ListenerConnection> {
  public:
-  DoorConnection(DoorRoom& room, int descriptor);
+  ListenerConnection(ListenerContext& context, int descriptor);
   void start();
   void readable() override;
   void writable() override;
@@ -75,9 +76,9 @@
   void answerBody(std::string_view bytes);
   void answerDone(bool whole);
   void refuse(const RefuseRequest& refusal);
-  /// Writes what was answered; then the next request is read. Called by the room only.
+  /// Writes what was answered; then the next request is read. Called by the context only.
   void flush();
-  /// False: its output is already asked to be written. Called by the room only.
+  /// False: its output is already asked to be written. Called by the context only.
   bool markDirty() { return !std::exchange(dirty_, true); }
   void overdue() override;
 
@@ -97,14 +98,14 @@
   void ended();
   void failed();
   void drop();
-  void waitFor(DoorWait wait);
+  void waitFor(ConnectionWait wait);
   void chooseWait();
   void watchOutput();
 
-  DoorRoom& room_;
+  ListenerContext& context_;
   HttpSocket socket_;
   Phase phase_ = Phase::kHead;
-  DoorWait waiting_ = DoorWait::kNothing;
+  ConnectionWait waiting_ = ConnectionWait::kNothing;
   std::string rest_;     // bytes that came and were not looked at yet
   std::string pending_;  // of an answer, not handed to the socket yet
   bool dirty_ = false, readEnded_ = false, linger_ = false;
--- a/src/io/http_door_request.cc
+++ b/src/io/http_listener_request.cc
@@ -1,5 +1,5 @@
 // The reading half of a client's connection: heads, bodies, and what is refused unheard.
-#include "io/http_door_connection.h"
+#include "io/http_listener_connection.h"
 
 namespace peppergate {
 namespace {
@@ -36,7 +36,7 @@
 }  // namespace
 
 // Takes bytes in order until an answer has to come first.
-void DoorConnection::take(std::string_view bytes) {
+void ListenerConnection::take(std::string_view bytes) {
   while (phase_ == Phase::kHead || phase_ == Phase::kBody)
     if (phase_ == Phase::kHead ? !takeHead(bytes) : !takeBody(bytes)) return;
   if (phase_ == Phase::kAnswering) rest_ += bytes;
@@ -44,7 +44,7 @@
 }
 
 // False: more has to come, or the connection is over.
-bool DoorConnection::takeHead(std::string_view& bytes) {
+bool ListenerConnection::takeHead(std::string_view& bytes) {
   if (rest_.empty()) {
     while (bytes.starts_with("\r\n")) bytes.remove_prefix(2);  // some send one behind a body
     if (bytes.empty()) return false;
@@ -61,7 +61,7 @@
     else return turnAway(400, kRefused[0].kind), false;
   }
   std::size_t size = found == HeadScanner::Found::kWhole ? scanner_.size() : text.size();
-  if (size > room_.limits.headerBytes) return turnAway(431, "the head is too large"), false;
+  if (size > context_.limits.headerBytes) return turnAway(431, "the head is too large"), false;
   if (found == HeadScanner::Found::kPartial) {
     if (rest_.empty()) rest_ = bytes;
     return false;
@@ -74,7 +74,7 @@
   return good && (phase_ != Phase::kBody || !bytes.empty());
 }
 
-bool DoorConnection::headDone(std::string_view text) {
+bool ListenerConnection::headDone(std::string_view text) {
   scanner_ = {};
   head_ = {};
   closeAfter_ = headSent_ = false;
@@ -93,20 +93,20 @@
   phase_ = Phase::kBody;
   chunks_ = {};
   if (head_.framing == BodyFraming::kLength) {
-    if (*head_.length > room_.limits.bodyBytes)
+    if (*head_.length > context_.limits.bodyBytes)
       return turnAway(413, "the body is too large"), false;
     wire_->body.reserve(std::min<std::size_t>(*head_.length, kReserved));
   }
   return true;
 }
 
-void DoorConnection::askForBody() {
+void ListenerConnection::askForBody() {
   if (!head_.expectContinue || head_.http10) return;
   pending_ += "HTTP/1.1 100 Continue\r\n\r\n";
-  room_.flushSoon(*this);
+  context_.flushSoon(*this);
 }
 
-bool DoorConnection::takeBody(std::string_view& bytes) {
+bool ListenerConnection::takeBody(std::string_view& bytes) {
   if (head_.framing == BodyFraming::kLength) {
     auto size = std::min<std::size_t>(*head_.length - wire_->body.size(), bytes.size());
     wire_->body.append(bytes.substr(0, size));
@@ -115,7 +115,7 @@
   } else {
     auto found = chunks_.read(bytes, wire_->body);
     if (found == ChunkReader::Found::kBad) return turnAway(400, "a chunk is broken"), false;
-    if (wire_->body.size() > room_.limits.bodyBytes)
+    if (wire_->body.size() > context_.limits.bodyBytes)
       return turnAway(413, "the body is too large"), false;
     if (found == ChunkReader::Found::kMore) return false;
   }
@@ -123,7 +123,7 @@
   return phase_ != Phase::kClosed;
 }
 
-void DoorConnection::fillEvent(RequestArrived& event) const {
+void ListenerConnection::fillEvent(RequestArrived& event) const {
   event.request = request_;
   event.wire = wire_;
   auto [host, path] = placeOf(wire_->target, head_.host);
@@ -131,28 +131,28 @@
   event.path = path;
 }
 
-void DoorConnection::arrived() {
+void ListenerConnection::arrived() {
   phase_ = Phase::kAnswering;
-  waitFor(DoorWait::kNothing);
-  request_ = {++room_.lastRequest};
-  room_.answering[request_.value] = this;
+  waitFor(ConnectionWait::kNothing);
+  request_ = {++context_.lastRequest};
+  context_.answering[request_.value] = this;
   RequestArrived event;
   fillEvent(event);
-  int status = room_.dialect.readRequest(wire_, event);
+  int status = context_.dialect.readRequest(wire_, event);
   clientId_ = event.clientId;
   wire_.reset();
   if (status > 0) return refuse({request_, status, "the request can't be read", {}});
   event.request = request_;
-  room_.hooks.onRequest(std::move(event));
+  context_.hooks.onRequest(std::move(event));
 }
 
 // Refuses what was not read to its end; nothing behind it can be trusted.
-void DoorConnection::turnAway(int status, std::string_view kind) {
+void ListenerConnection::turnAway(int status, std::string_view kind) {
   RequestArrived event;
   if (phase_ == Phase::kBody && wire_) {
     request_ = {};
     fillEvent(event);
-    room_.dialect.readRequest(wire_, event);  // for the client's id alone
+    context_.dialect.readRequest(wire_, event);  // for the client's id alone
   }
   wire_.reset();
   writeRefusal({{}, status, kind, {}}, event.clientId, true);
--- a/src/io/web_server.h
+++ b/src/io/web_server.h
@@ -1,5 +1,5 @@
 #pragma once
-// An HTTP/1.1 door: short answers and event streams, with the caller's going noticed.
+// An HTTP/1.1 listener: short answers and event streams, with the caller's going noticed.
 #include <absl/status/status.h>
 #include <event2/http.h>
 
--- a/src/requests/events.h
+++ b/src/requests/events.h
@@ -1,5 +1,5 @@
 #pragma once
-// What clients' doors and engines' connections tell the requests' machine, and what it answers.
+// What clients' listener and engines' connections tell the requests' machine, and what it answers.
 #include <memory>
 #include <optional>
 #include <string>
--- a/src/requests/router_node.h
+++ b/src/requests/router_node.h
@@ -1,6 +1,6 @@
 #pragma once
 // A data-plane machine for any number of services: member, follower, watcher of kept parts, and
-// the requests' way from the clients' door to an engine.
+// the requests' way from the clients' listener to an engine.
 #include <memory>
 
 #include "core/core_node.h"
@@ -24,8 +24,8 @@
   Outbox& outbox() override { return outbox_; }
   Json status(MonotonicTime now) const override;
   void reload(const Options& options) override;
-  /// Whether no new clients come any more; what is open still ends whole. Example: then the door
-  /// closes, and the process goes when its last connection ended.
+  /// Whether no new clients come any more; what is open still ends whole. Example: then the
+  /// listener closes, and the process goes when its last connection ended.
   bool drained(MonotonicTime now) const override;
   /// Whether clients' new connections are welcome. Example: asked by the platform each second.
   bool ready(MonotonicTime now) const;
--- a/src/sim/router_operators.cc
+++ b/src/sim/router_operators.cc
@@ -124,18 +124,18 @@
     change.outcome = "no-answer";
     return;
   }
-  std::vector<RouterProcess*> doors;
+  std::vector<RouterProcess*> candidates;
   for (auto& process : world_.processes())
     if (process->alive && world_.reachable("operators", process->host))
-      doors.push_back(process.get());
-  if (doors.empty()) return;
-  RouterProcess& door = *doors[world_.random().below(doors.size())];
+      candidates.push_back(process.get());
+  if (candidates.empty()) return;
+  RouterProcess& target = *candidates[world_.random().below(candidates.size())];
   change.ticket = ++lastTicket_;
-  world_.after(world_.latency(),
-               [this, &door, life = door.life, ticket = change.ticket, body = change.body.dump()] {
-                 if (door.life == life)
-                   world_.deliver(door, OperatorRequest{{ticket}, "POST", "/change", body});
-               });
+  world_.after(world_.latency(), [this, &target, life = target.life, ticket = change.ticket,
+                                  body = change.body.dump()] {
+    if (target.life == life)
+      world_.deliver(target, OperatorRequest{{ticket}, "POST", "/change", body});
+  });
 }
 
 void RouterOperators::answered(const AnswerWeb& answer) {
--- a/src/sim/world_commands.cc
+++ b/src/sim/world_commands.cc
@@ -158,11 +158,11 @@
       change.outcome = "no-answer";
       continue;
     }
-    std::vector<SimProcess*> doors;
+    std::vector<SimProcess*> candidates;
     for (auto& process : processes_)
-      if (process->alive && process->role == Role::kFront) doors.push_back(process.get());
-    if (doors.empty()) continue;
-    SimProcess& door = *doors[random_.below(doors.size())];
+      if (process->alive && process->role == Role::kFront) candidates.push_back(process.get());
+    if (candidates.empty()) continue;
+    SimProcess& target = *candidates[random_.below(candidates.size())];
     change.nextTry = now_ + seconds(4);
     ++change.tries;
     change.lastAsked = now_;
@@ -170,12 +170,12 @@
     body["changeId"] = change.id;
     bool base = !body["kind"].get<std::string>().starts_with("key");
     if (base && !body.contains("basedOn")) {
-      const SectionVersions& have = static_cast<FrontNode&>(*door.node).follower().have();
+      const SectionVersions& have = static_cast<FrontNode&>(*target.node).follower().have();
       body["basedOn"] = versionText(body["kind"] == "weights" ? have.weights : have.setup);
       if (!change.retry) change.body["basedOn"] = body["basedOn"];  // a racer keeps its base
     }
     change.ticket = ++lastTicket_;
-    deliver(door, OperatorRequest{{change.ticket}, "POST", "/change", body.dump()});
+    deliver(target, OperatorRequest{{change.ticket}, "POST", "/change", body.dump()});
   }
 }
 
--- a/tests/config_cores_test.cc
+++ b/tests/config_cores_test.cc
@@ -129,7 +129,7 @@
   }
 };
 
-TEST(ConfigCores, WhatIsAcknowledgedIsReadBackAtEveryDoor) {
+TEST(ConfigCores, WhatIsAcknowledgedIsReadBackAtEveryListener) {
   settle();
   for (int index = 0; index <= kFront; ++index)
     LONGS_EQUAL(404, machines.ask(index, "GET", "/config").status);
--- a/tests/http_door_test.cc
+++ b/tests/http_listener_test.cc
@@ -1,28 +1,28 @@
-// The clients' door over real loopback sockets: framing, order, cuts, time limits.
-#include "io/http_door.h"
+// The clients' listener over real loopback sockets: framing, order, cuts, time limits.
+#include "io/http_listener.h"
 
 #include "tests/http_testing.h"
 
 using namespace peppergate;
 
-TEST_GROUP(HttpDoors) {
+TEST_GROUP(HttpListeners) {
   TestLoop loop;
   TestDialect dialect;
   std::vector<RequestArrived> arrived;
   std::vector<RequestId> gone;
   std::vector<ClientSlow> slow;
   std::function<void(const RequestArrived&)> atOnce;
-  HttpDoor door{loop.loop(),
-                dialect,
-                {[this](RequestArrived event) {
-                   arrived.push_back(event);
-                   if (atOnce) atOnce(event);
-                 },
-                 [this](RequestId request) { gone.push_back(request); },
-                 [this](ClientSlow event) { slow.push_back(event); }}};
+  HttpListener listener{loop.loop(),
+                        dialect,
+                        {[this](RequestArrived event) {
+                           arrived.push_back(event);
+                           if (atOnce) atOnce(event);
+                         },
+                         [this](RequestId request) { gone.push_back(request); },
+                         [this](ClientSlow event) { slow.push_back(event); }}};
   Address address = freeAddress();
 
-  void setup() override { CHECK(door.listen(address).ok()); }
+  void setup() override { CHECK(listener.listen(address).ok()); }
   bool arrives(std::size_t count) {
     return loop.until([&] { return arrived.size() >= count; });
   }
@@ -35,9 +35,9 @@
     return head;
   }
   void answerWhole(RequestId request, const std::string& body) {
-    door.answer(AnswerHead{request, headOf(body.size())});
-    door.answer(AnswerBody{request, body});
-    door.answer(AnswerDone{request, true});
+    listener.answer(AnswerHead{request, headOf(body.size())});
+    listener.answer(AnswerBody{request, body});
+    listener.answer(AnswerDone{request, true});
   }
   // What a client gets that sends this and ends its side.
   std::string exchange(const std::string& text) {
@@ -48,7 +48,7 @@
   }
 };
 
-TEST(HttpDoors, PassesTheRequestOnAsSentAndKeepsTheConnection) {
+TEST(HttpListeners, PassesTheRequestOnAsSentAndKeepsTheConnection) {
   TestPeer client(loop, address);
   client.send(
       "POST /a/b?c=d HTTP/1.1\r\nHost: one.example\r\nX-Test-Id: t1\r\nX-Odd:  kept  \r\n"
@@ -71,24 +71,24 @@
   CHECK(arrives(2));
   answerWhole(arrived[1].request, "again");
   CHECK(loop.until([&] { return client.has("again"); }));
-  CHECK_EQUAL(1U, door.connections());
+  CHECK_EQUAL(1U, listener.connections());
 }
 
-TEST(HttpDoors, CommandsBehindTheEndChangeNothing) {
+TEST(HttpListeners, CommandsBehindTheEndChangeNothing) {
   TestPeer client(loop, address);
   client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
   CHECK(arrives(1));
   answerWhole(arrived[0].request, "one");
   answerWhole(arrived[0].request, "two");
-  door.answer(RefuseRequest{arrived[0].request, 503, "late", {}});
-  door.answer(AnswerDone{{77}, false});
+  listener.answer(RefuseRequest{arrived[0].request, 503, "late", {}});
+  listener.answer(AnswerDone{{77}, false});
   CHECK(loop.until([&] { return client.has("one"); }));
   loop.turn();
   CHECK(!client.has("two"));
   CHECK(!client.has("503"));
 }
 
-TEST(HttpDoors, TakesChunkedBodiesApartAndAnswersInChunks) {
+TEST(HttpListeners, TakesChunkedBodiesApartAndAnswersInChunks) {
   TestPeer client(loop, address);
   client.send(
       "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -97,16 +97,16 @@
   client.send("A\r\n0123456789\r\n0\r\nTrailer: x\r\n\r\n");
   CHECK(arrives(1));
   CHECK_EQUAL(std::string("abc0123456789"), arrived[0].wire->body);
-  door.answer(AnswerHead{arrived[0].request, headOf(std::nullopt)});
-  door.answer(AnswerBody{arrived[0].request, "sixteen bytes..."});
+  listener.answer(AnswerHead{arrived[0].request, headOf(std::nullopt)});
+  listener.answer(AnswerBody{arrived[0].request, "sixteen bytes..."});
   CHECK(loop.until([&] { return client.has("10\r\nsixteen bytes...\r\n"); }));
   CHECK(client.has("Transfer-Encoding: chunked\r\n"));
   CHECK(!client.has("\r\n0\r\n"));
-  door.answer(AnswerDone{arrived[0].request, true});
+  listener.answer(AnswerDone{arrived[0].request, true});
   CHECK(loop.until([&] { return client.has("\r\n0\r\n\r\n"); }));
 }
 
-TEST(HttpDoors, AnswersPipelinedRequestsInOrder) {
+TEST(HttpListeners, AnswersPipelinedRequestsInOrder) {
   TestPeer client(loop, address);
   client.send(
       "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nPOST /2 HTTP/1.1\r\nHost: a\r\n"
@@ -129,7 +129,7 @@
   CHECK(client.got.find("second") < client.got.find("third"));
 }
 
-TEST(HttpDoors, AnswersFromInsideTheRequestsEvent) {
+TEST(HttpListeners, AnswersFromInsideTheRequestsEvent) {
   atOnce = [this](const RequestArrived& event) { answerWhole(event.request, "now"); };
   TestPeer client(loop, address);
   std::string many;
@@ -138,10 +138,10 @@
   CHECK(loop.until([&] { return client.ended; }));
   CHECK_EQUAL(51U, arrived.size());
   CHECK(client.has("Connection: close\r\n"));
-  CHECK_EQUAL(0U, door.connections());
+  CHECK_EQUAL(0U, listener.connections());
 }
 
-TEST(HttpDoors, RefusesWhatOthersMightReadDifferently) {
+TEST(HttpListeners, RefusesWhatOthersMightReadDifferently) {
   const std::string lead = "POST / HTTP/1.1\r\nHost: a\r\n";
   for (const std::string& text :
        {lead + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
@@ -175,7 +175,7 @@
   CHECK_EQUAL(0U, arrived.size());
 }
 
-TEST(HttpDoors, RefusesWhatItDoesNotSpeak) {
+TEST(HttpListeners, RefusesWhatItDoesNotSpeak) {
   const std::string lead = "POST / HTTP/1.1\r\nHost: a\r\n";
   CHECK(exchange(lead + "Transfer-Encoding: gzip\r\n\r\n").starts_with("HTTP/1.1 501"));
   CHECK(exchange(lead + "Expect: the best\r\n\r\n").starts_with("HTTP/1.1 417"));
@@ -184,11 +184,11 @@
   CHECK_EQUAL(0U, arrived.size());
 }
 
-TEST(HttpDoors, BoundsHeadsAndBodies) {
+TEST(HttpListeners, BoundsHeadsAndBodies) {
   RequestLimits limits;
   limits.headerBytes = 200;
   limits.bodyBytes = 10;
-  door.limits(limits);
+  listener.limits(limits);
   CHECK(exchange("GET / HTTP/1.1\r\nX: " + std::string(300, 'a')).starts_with("HTTP/1.1 431"));
   const std::string lead = "POST / HTTP/1.1\r\nHost: a\r\nX-Test-Id: t9\r\n";
   std::string told = exchange(lead + "Content-Length: 100000\r\n\r\n" + std::string(100000, 'b'));
@@ -199,19 +199,19 @@
   CHECK_EQUAL(0U, arrived.size());
 }
 
-TEST(HttpDoors, EndsSlowHeadsWithAnAnswerAndIdleConnectionsWithout) {
+TEST(HttpListeners, EndsSlowHeadsWithAnAnswerAndIdleConnectionsWithout) {
   RequestLimits limits;
   limits.headerWait = limits.idle = milliseconds(20);
-  door.limits(limits);
+  listener.limits(limits);
   TestPeer slowOne(loop, address), idleOne(loop, address);
   slowOne.send("GET / HTTP/1.1\r\nHo");
   CHECK(loop.until([&] { return slowOne.ended && idleOne.ended; }));
   CHECK(slowOne.got.starts_with("HTTP/1.1 408"));
   CHECK_EQUAL(std::string(), idleOne.got);
-  CHECK(loop.until([&] { return door.connections() == 0; }));
+  CHECK(loop.until([&] { return listener.connections() == 0; }));
 }
 
-TEST(HttpDoors, AsksForAnExpectedBody) {
+TEST(HttpListeners, AsksForAnExpectedBody) {
   TestPeer client(loop, address);
   client.send("POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n");
   CHECK(loop.until([&] { return client.has("HTTP/1.1 100 Continue\r\n\r\n"); }));
@@ -220,7 +220,7 @@
   CHECK_EQUAL(std::string("abc"), arrived[0].wire->body);
 }
 
-TEST(HttpDoors, AnswersAClientThatEndedItsWritingSide) {
+TEST(HttpListeners, AnswersAClientThatEndedItsWritingSide) {
   TestPeer client(loop, address);
   client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\nGET /cut");
   client.endWriting();
@@ -234,10 +234,10 @@
   CHECK(client.has("first"));
   CHECK(client.has("second"));
   CHECK_EQUAL(0U, gone.size());
-  CHECK(loop.until([&] { return door.connections() == 0; }));
+  CHECK(loop.until([&] { return listener.connections() == 0; }));
 }
 
-TEST(HttpDoors, TellsOnceOfAClientThatIsGone) {
+TEST(HttpListeners, TellsOnceOfAClientThatIsGone) {
   auto client = std::make_unique<TestPeer>(loop, address);
   client->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
   CHECK(arrives(1));
@@ -247,21 +247,21 @@
   answerWhole(arrived[0].request, "to nobody");
   loop.turn();
   CHECK_EQUAL(1U, gone.size());
-  CHECK_EQUAL(0U, door.connections());
+  CHECK_EQUAL(0U, listener.connections());
 }
 
-TEST(HttpDoors, SeesAClosedClientAtTheNextWrites) {
+TEST(HttpListeners, SeesAClosedClientAtTheNextWrites) {
   TestPeer client(loop, address);
   client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
   CHECK(arrives(1));
   client.leave(false);
   loop.turn();
   CHECK_EQUAL(0U, gone.size());  // it might have ended its writing side only
-  door.answer(AnswerHead{arrived[0].request, headOf(std::nullopt)});
+  listener.answer(AnswerHead{arrived[0].request, headOf(std::nullopt)});
   CHECK(loop.until([&] { return gone.size() == 1; }));
 }
 
-TEST(HttpDoors, ACutAnswerCannotBeTakenForWhole) {
+TEST(HttpListeners, ACutAnswerCannotBeTakenForWhole) {
   TestPeer told(loop, address), chunked(loop, address), old(loop, address), none(loop, address);
   told.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
   CHECK(arrives(1));
@@ -271,65 +271,67 @@
   CHECK(arrives(3));
   none.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
   CHECK(arrives(4));
-  door.answer(AnswerHead{arrived[0].request, headOf(10)});
-  door.answer(AnswerHead{arrived[1].request, headOf(std::nullopt)});
-  door.answer(AnswerHead{arrived[2].request, headOf(std::nullopt)});
-  for (std::size_t one = 0; one < 3; ++one) door.answer(AnswerBody{arrived[one].request, "part"});
+  listener.answer(AnswerHead{arrived[0].request, headOf(10)});
+  listener.answer(AnswerHead{arrived[1].request, headOf(std::nullopt)});
+  listener.answer(AnswerHead{arrived[2].request, headOf(std::nullopt)});
+  for (std::size_t one = 0; one < 3; ++one)
+    listener.answer(AnswerBody{arrived[one].request, "part"});
   CHECK(loop.until([&] { return told.has("part") && chunked.has("part") && old.has("part"); }));
-  door.answer(AnswerDone{arrived[0].request, true});  // shorter than told: not whole
-  for (std::size_t one = 1; one < 4; ++one) door.answer(AnswerDone{arrived[one].request, false});
+  listener.answer(AnswerDone{arrived[0].request, true});  // shorter than told: not whole
+  for (std::size_t one = 1; one < 4; ++one)
+    listener.answer(AnswerDone{arrived[one].request, false});
   CHECK(loop.until([&] { return told.ended && chunked.ended && old.failed && none.ended; }));
   CHECK(!chunked.has("0\r\n\r\n"));
   CHECK_EQUAL(std::string(), none.got);
 }
 
-TEST(HttpDoors, NeverSendsMoreThanWasTold) {
+TEST(HttpListeners, NeverSendsMoreThanWasTold) {
   TestPeer client(loop, address);
   client.send("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
   CHECK(arrives(1));
-  door.answer(AnswerHead{arrived[0].request, headOf(4)});
-  door.answer(AnswerBody{arrived[0].request, "fourmore"});
-  door.answer(AnswerDone{arrived[0].request, true});
+  listener.answer(AnswerHead{arrived[0].request, headOf(4)});
+  listener.answer(AnswerBody{arrived[0].request, "fourmore"});
+  listener.answer(AnswerDone{arrived[0].request, true});
   CHECK(loop.until([&] { return client.ended; }));
   CHECK(client.got.ends_with("\r\n\r\nfour"));
 }
 
-TEST(HttpDoors, HeadsWithoutBodies) {
+TEST(HttpListeners, HeadsWithoutBodies) {
   TestPeer client(loop, address);
   client.send("HEAD / HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n");
   CHECK(arrives(1));
   answerWhole(arrived[0].request, "hidden");
   CHECK(arrives(2));
-  door.answer(AnswerHead{arrived[1].request, headOf(std::nullopt, 204)});
-  door.answer(AnswerDone{arrived[1].request, true});
+  listener.answer(AnswerHead{arrived[1].request, headOf(std::nullopt, 204)});
+  listener.answer(AnswerDone{arrived[1].request, true});
   CHECK(loop.until([&] { return client.has("204"); }));
   CHECK(client.has("Content-Length: 6\r\n"));
   CHECK(!client.has("hidden"));
   CHECK(!client.has("chunked"));
 }
 
-TEST(HttpDoors, RefusesAtOnceAndGoesOn) {
+TEST(HttpListeners, RefusesAtOnceAndGoesOn) {
   TestPeer client(loop, address);
   client.send("GET / HTTP/1.1\r\nHost: a\r\nX-Test-Id: t3\r\n\r\n");
   CHECK(arrives(1));
-  door.answer(RefuseRequest{arrived[0].request, 503, "all are busy", {}});
+  listener.answer(RefuseRequest{arrived[0].request, 503, "all are busy", {}});
   CHECK(loop.until([&] { return client.has("all are busy\n"); }));
   CHECK(client.got.starts_with("HTTP/1.1 503 Service Unavailable\r\nX-Test-Id: t3\r\n"));
   client.send("GET / HTTP/1.1\r\nHost: a\r\nX-Test-Id: unreadable\r\n\r\n");
   CHECK(loop.until([&] { return client.has("HTTP/1.1 422 "); }));
   CHECK_EQUAL(1U, arrived.size());
-  CHECK_EQUAL(1U, door.connections());
+  CHECK_EQUAL(1U, listener.connections());
 }
 
-TEST(HttpDoors, TellsOfSlowClients) {
+TEST(HttpListeners, TellsOfSlowClients) {
   TestPeer client(loop, address);
   client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
   CHECK(arrives(1));
   client.stopReading();
   constexpr std::size_t kWhole = 32U << 20, kPart = 1U << 20;
-  door.answer(AnswerHead{arrived[0].request, headOf(kWhole)});
+  listener.answer(AnswerHead{arrived[0].request, headOf(kWhole)});
   for (std::size_t sent = 0; sent < kWhole; sent += kPart) {
-    door.answer(AnswerBody{arrived[0].request, std::string(kPart, 'x')});
+    listener.answer(AnswerBody{arrived[0].request, std::string(kPart, 'x')});
     loop.turn();
   }
   CHECK(loop.until([&] { return !slow.empty(); }));
@@ -337,15 +339,15 @@
   client.readOn();
   CHECK(loop.until([&] { return slow.size() == 2; }));
   CHECK(!slow[1].slow);
-  door.answer(AnswerDone{arrived[0].request, true});
+  listener.answer(AnswerDone{arrived[0].request, true});
   CHECK(loop.until([&] { return client.got.size() > kWhole; }));
 }
 
-TEST(HttpDoors, LeavesWithoutCuttingAnybodyShort) {
+TEST(HttpListeners, LeavesWithoutCuttingAnybodyShort) {
   TestPeer busy(loop, address), idle(loop, address);
   busy.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
   CHECK(arrives(1));
-  door.leave();
+  listener.leave();
   CHECK(loop.until([&] { return idle.ended; }));
   TestPeer late(loop, address);  // it is still taken
   late.send("GET /late HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -356,5 +358,5 @@
   CHECK(busy.got.ends_with("busy"));
   CHECK(late.got.ends_with("late"));
   CHECK(late.has("Connection: close\r\n"));
-  CHECK_EQUAL(0U, door.connections());
+  CHECK_EQUAL(0U, listener.connections());
 }
--- a/tests/http_testing.h
+++ b/tests/http_testing.h
@@ -1,5 +1,5 @@
 #pragma once
-// Loopback sockets on a loop, and a dialect of the tests' own, for the HTTP door and client.
+// Loopback sockets on a loop, and a dialect of the tests' own, for the HTTP listener and client.
 #include <event2/event.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -120,7 +120,7 @@
   return descriptor;
 }
 
-/// An address at which nobody listens. Example: `door.listen(freeAddress())`.
+/// An address at which nobody listens. Example: `listener.listen(freeAddress())`.
 inline Address freeAddress() {
   int descriptor = bindLoopback();
   Address address = addressOf(descriptor);
