Reads show only what a leader showed; proofs belong to a view

Change: a proof names the sections that the leader itself showed, and relays pass that on; a reader is answered only when exactly that is installed; a witness counts as proven only by a proof of the accepted view or a later one; the wait counts from when a majority holds the state; an unfit candidate releases its votes.

--- a/src/core/core_node.cc
+++ b/src/core/core_node.cc
@@ -126,9 +126,14 @@
 }
 
 void CoreNode::putInForce(MonotonicTime now) {
-  if (leadership_->names(now))
+  if (leadership_->names(now)) {
     follower_->lead(leadership_->published(), leadership_->view(), now, outbox_);
-  else if (readOnlyLeader_->attests(now)) follower_->attest(now);
+    // This machine itself may hold a change of an earlier view that was never acknowledged.
+    const SectionVersions mine = leadership_->published().sections();
+    const SectionVersions& have = follower_->have();
+    if (have.setup > mine.setup || have.keys > mine.keys || have.weights > mine.weights)
+      leadership_->sawNewer(have);
+  } else if (readOnlyLeader_->attests(now)) follower_->attest(now);
 }
 
 void CoreNode::tick(MonotonicTime now) {
@@ -256,7 +261,7 @@
     answer.sentAt = asker.ask.sentAt;
     answer.proof = true;
     answer.view = leadership_->view();
-    answer.now = sections;
+    answer.now = answer.named = sections;
     if (sections.setup > have.setup) answer.setup = leadership_->published().setupText();
     if (sections.keys > have.keys) answer.keys = leadership_->published().keysText();
     if (sections.weights > have.weights) answer.weights = leadership_->published().weightsText();
--- a/src/core/follower.cc
+++ b/src/core/follower.cc
@@ -163,7 +163,14 @@
     relayHeard_ = now;
   }
   proofOrigin_ = std::max(proofOrigin_, origin);
-  if (!answer.attested) primaryOrigin_ = std::max(primaryOrigin_, origin);
+  if (!answer.attested) notePrimaryProof(answer, origin);
+}
+
+void Follower::notePrimaryProof(const StateReply& answer, MonotonicTime origin) {
+  if (origin < primaryOrigin_) return;
+  primaryOrigin_ = origin;
+  primaryEpoch_ = std::max(primaryEpoch_, answer.view.epoch);
+  named_ = answer.named;
 }
 
 void Follower::noteReadOnlyLeader(const Address& from, MonotonicTime now, Outbox& outbox) {
@@ -181,6 +188,7 @@
   StateReply answer;
   answer.sentAt = ask.sentAt;
   answer.now = have_;
+  answer.named = named_;
   answer.proof = installed() && fresh(now);
   answer.attested = proofOrigin_ > primaryOrigin_;
   answer.view = answer.proof ? chosenView_ : view_;
@@ -202,6 +210,8 @@
     install(answer, now, outbox);
   }
   proofOrigin_ = primaryOrigin_ = now;
+  primaryEpoch_ = std::max(primaryEpoch_, view.epoch);
+  named_ = state.sections();
 }
 
 bool Follower::withdraw(const KeyDigest& digest, Outbox& outbox) {
--- a/src/core/follower.h
+++ b/src/core/follower.h
@@ -66,6 +66,14 @@
   }
   /// When the newest proof of a primary itself began. Example: asked by read-only leaders.
   MonotonicTime primaryOrigin() const { return primaryOrigin_; }
+  /// The epoch of the view in which that proof was given; 0 before the first one.
+  Epoch primaryEpoch() const { return primaryEpoch_; }
+  /// Whether the configuration here is the newest acknowledged one as of a moment: a leader proved
+  /// its state at or after it, and what is installed is exactly what that leader showed. A replica
+  /// may hold a change that was never acknowledged; it is not readable before a leader shows it.
+  bool readable(MonotonicTime since) const {
+    return primaryOrigin_ >= since && have_.setup == named_.setup;
+  }
   /// Whether a live stream may go on: its key may have been withdrawn since the last proof.
   bool mayGoOn(MonotonicTime now) const {
     return now - proofOrigin_ < options_.liveLimit || !options_.guards(Guard::kLiveStale) ||
@@ -109,6 +117,7 @@
   template <class Reader, class Taker>
   void installSection(std::string_view name, const Offered& offered, Reader read, Taker take,
                       MonotonicTime now, Outbox& outbox);
+  void notePrimaryProof(const StateReply& answer, MonotonicTime origin);
   void takeWeights(Weights weights, MonotonicTime now);
   bool newer(const SectionVersion& offered, const SectionVersion& mine) const;
   void install(const StateReply& answer, MonotonicTime now, Outbox& outbox);
@@ -120,6 +129,8 @@
   Random& random_;
   View view_, chosenView_;
   SectionVersions have_;
+  SectionVersions named_;  // by the leader's newest proof
+  Epoch primaryEpoch_;     // of the view of that proof
   Setup setup_;
   Keys keys_;
   Weights weights_;
--- a/src/core/leadership.cc
+++ b/src/core/leadership.cc
@@ -278,7 +278,8 @@
 void Leadership::prepared(MonotonicTime now, Outbox& outbox) {
   if (!isMember(old_, self()) || replica_.tag < old_.base) {
     outbox.push(NoteState{"core: no intact member of the last view, stands down"});
-    phase_ = leading_ ? LeaderPhase::kLeading : LeaderPhase::kFollowing;
+    if (leading_) phase_ = LeaderPhase::kLeading;
+    else yieldVotes(outbox);  // an eligible candidate finds them free
     nextTry_ = now + seconds(1);
     return;
   }
--- a/src/core/leadership_witnesses.cc
+++ b/src/core/leadership_witnesses.cc
@@ -48,6 +48,7 @@
   if (!majority(witnesses_, view_.voters)) return;
   if (witnessedState_->version() == published_.version() && !named_) {
     named_ = true;
+    publishedAt_ = now;  // an order repeated now waits for the routers as its first answer did
     outbox.count("holders.named");
   }
   if (batchState_ && witnessedState_->version() == batchState_->version()) finishBatch(now, outbox);
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -138,10 +138,11 @@
   Duration age;           // how old the proof was when it left
   View view;
   SectionVersions now;
+  SectionVersions named;             // what the leader itself showed in the newest proof
   std::string setup, keys, weights;  // empty where the asker had the newest
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(sentAt) PEPPERGATE_FIELD(proof) PEPPERGATE_FIELD(attested)
                         PEPPERGATE_FIELD(age) PEPPERGATE_FIELD(view) PEPPERGATE_FIELD(now)
-                            PEPPERGATE_FIELD(setup) PEPPERGATE_FIELD(keys)
+                            PEPPERGATE_FIELD(named) PEPPERGATE_FIELD(setup) PEPPERGATE_FIELD(keys)
                                 PEPPERGATE_FIELD(weights))
 };
 
--- a/src/core/operator_handler.cc
+++ b/src/core/operator_handler.cc
@@ -135,7 +135,7 @@
   (void)now;
   std::string body;  // made once for all who wait
   for (auto reader = readers_.begin(); reader != readers_.end();) {
-    if (follower_.primaryOrigin() < reader->second) {
+    if (!follower_.readable(reader->second)) {
       ++reader;
       continue;
     }
--- a/src/core/read_only_leader.h
+++ b/src/core/read_only_leader.h
@@ -43,7 +43,12 @@
     bool allProven = true;
   };
   bool able() const;
-  bool proven() const { return follower_.primaryOrigin() > started_; }
+  /// A leader of the accepted view, or of a later one, proved its state to this process. A proof of
+  /// an earlier view says nothing of changes that voters replaced since then took part in.
+  bool proven() const {
+    return follower_.primaryOrigin() > started_ &&
+           follower_.primaryEpoch() >= acceptor_.record().accepted.epoch;
+  }
   void adoptOwnReplica(MonotonicTime now, Outbox& outbox);
   void count(Round& round, CoreId voter, bool intact, bool isProven) const;
   void sendRound(bool grant, MonotonicTime now, Outbox& outbox);
--- a/tests/config_cores_test.cc
+++ b/tests/config_cores_test.cc
@@ -160,6 +160,20 @@
   LONGS_EQUAL(200, machines.ask(2, "POST", "/change", change("a", 0, 5)).status);  // again
 }
 
+TEST(ConfigCores, ARepeatedOrderWaitsForRoutersAfterAChangeOfLeader) {
+  settle();
+  LONGS_EQUAL(200, machines.ask(0, "POST", "/change", change("a", 0, 5)).status);
+  machines.kill(kFront);  // not counted as dead yet: it may act on an older proof
+  machines.kill(*machines.primary());
+  for (int turn = 0; turn < 100 && !machines.primary(); ++turn) machines.run(0.05);
+  CHECK(machines.primary().has_value());
+  TicketId ticket = machines.send(*machines.primary(), "POST", "/change", change("a", 0, 5));
+  machines.run(1);
+  CHECK(machines.answerTo(ticket) == nullptr);
+  machines.run(2);
+  CHECK(machines.answerTo(ticket) != nullptr && machines.answerTo(ticket)->status == 200);
+}
+
 TEST(ConfigCores, AChangeAndAReadingOutlastAPrimary) {
   settle();
   LONGS_EQUAL(200, machines.ask(0, "POST", "/change", change("a", 0, 5)).status);
--- a/tests/config_desk_test.cc
+++ b/tests/config_desk_test.cc
@@ -82,7 +82,7 @@
     news.sentAt = when(asked);
     news.proof = true;
     news.age = age;
-    news.now = state.sections();
+    news.now = news.named = state.sections();
     news.setup = state.setupText();
     news.keys = state.keysText();
     news.weights = state.weightsText();
@@ -264,6 +264,36 @@
   LONGS_EQUAL(405, onlyAnswer(outbox.take()).status);
 }
 
+TEST(Desk, AChangeThatNoLeaderShowedIsNotRead) {
+  knowPrimary();
+  ControlState shown = ControlState::founded({1});
+  shown.apply(R"({"kind":"replace","basedOnVersion":0,"config":{"version":3}})", "c", {1}, options);
+  ControlState replica = shown;  // holds one change more, which was never acknowledged
+  replica.apply(R"({"kind":"replace","basedOnVersion":3,"config":{"version":4}})", "d", {1},
+                options);
+  StateReply held;
+  held.now = replica.sections();
+  held.setup = replica.setupText();
+  held.keys = replica.keysText();
+  held.weights = replica.weightsText();
+  follower.adopt(held, when(0.5), outbox);
+  read(1);
+  proof(shown, 1, 1.01);
+  CHECK(taken<AnswerWeb>(outbox.take()).empty());
+  // A relay that holds the same change passes on what the leader showed it, not what it holds.
+  StateReply relayed = held;
+  relayed.sentAt = when(1);
+  relayed.proof = true;
+  relayed.named = shown.sections();
+  follower.hear(kSecondAddress, relayed, when(1.02), outbox);
+  desk.settle(when(1.02), outbox);
+  CHECK(taken<AnswerWeb>(outbox.take()).empty());
+  proof(replica, 1, 1.2);
+  AnswerWeb web = onlyAnswer(outbox.take());
+  LONGS_EQUAL(200, web.status);
+  LONGS_EQUAL(4, Json::parse(web.body)["version"].get<int>());
+}
+
 TEST(Desk, TheSetupPageTellsNoKeysOfTheConfiguration) {
   knowPrimary();
   ControlState state = ControlState::founded({1});
--- /dev/null
+++ b/tests/consensus_proofs_test.cc
@@ -0,0 +1,114 @@
+// What replicas may claim of a leader's state, and what a candidate does that can't lead.
+#include <string>
+
+#include "core/leadership.h"
+#include "core/read_only_leader.h"
+#include "tests/testing.h"
+
+using namespace peppergate;
+
+namespace {
+
+constexpr CoreId kSelf{1};
+constexpr int kCores = 4;
+
+Address addressOf(CoreId core) { return {"10.0.0." + std::to_string(core.value) + ":1"}; }
+
+MemberRecord memberOf(CoreId core) {
+  MemberRecord record;
+  record.member = {core.value};
+  record.address = record.pages = addressOf(core);
+  record.core = core;
+  record.role = Role::kCore;
+  record.heartbeat = 1;
+  return record;
+}
+
+View viewOf(std::uint64_t epoch, CoreId primary, std::vector<CoreId> backups) {
+  View view;
+  view.epoch = view.base = {epoch};
+  view.primary = primary;
+  view.backups = std::move(backups);
+  for (std::uint64_t core = 1; core <= kCores; ++core) view.voters.push_back({core});
+  return view;
+}
+
+AcceptorRecord recordOf(const View& accepted) {
+  AcceptorRecord record;
+  record.identity = kSelf;
+  record.promised = accepted.epoch;
+  record.promisedTo = accepted.primary;
+  record.accepted = accepted;
+  return record;
+}
+
+}  // namespace
+
+TEST_GROUP(ConsensusProofs) {
+  Options options;
+  Random random{1};
+  Outbox outbox;
+  Membership membership{options, memberOf(kSelf), {}, random};
+  MonotonicTime started = at(100);
+
+  void know(CoreId core) {
+    Shuffle shuffle;
+    shuffle.sender = memberOf(core);
+    membership.hear(shuffle, started, outbox);
+  }
+};
+
+TEST(ConsensusProofs, AProofOfAnEarlierViewDoesNotMakeAWitnessOfTheNewOneProven) {
+  for (std::uint64_t core = 2; core <= kCores; ++core) know({core});
+  View accepted = viewOf(7, {2}, {{3}});
+  Acceptor acceptor(options, recordOf(accepted), started);
+  Leadership leadership(options, acceptor, membership, random, {});
+  Follower follower(options, membership, random);
+  ReadOnlyLeader readOnlyLeader(options, acceptor, leadership, membership, follower, random,
+                                started);
+  auto provenAfterProofOf = [&](const View& view, MonotonicTime now) {
+    follower.noteView(view);
+    follower.tick(now, outbox);
+    StateReply proof;
+    proof.sentAt = now;
+    proof.proof = true;
+    proof.view = view;
+    follower.hear(addressOf(view.primary), proof, now, outbox);
+    outbox.take();
+    readOnlyLeader.ask(addressOf({4}), {accepted, {4}, now, {}, false}, now, outbox);
+    auto replies = messages<ReadLeaseReply>(outbox.take());
+    LONGS_EQUAL(1, replies.size());
+    return replies[0].proven;
+  };
+  CHECK_FALSE(provenAfterProofOf(viewOf(6, {2}, {{3}}), started + seconds(1)));
+  CHECK(provenAfterProofOf(accepted, started + seconds(3)));
+}
+
+TEST(ConsensusProofs, ACandidateThatCanNotLeadReleasesItsVotes) {
+  for (std::uint64_t core = 2; core <= kCores; ++core) know({core});
+  View accepted = viewOf(5, {2}, {{3}});  // this core is no member of it
+  Acceptor acceptor(options, recordOf(accepted), started);
+  ReplicaOnDisk replica{{9}, ControlState::founded({9})};  // of a view that was given up
+  Leadership leadership(options, acceptor, membership, random, replica);
+  MonotonicTime now = started;
+  std::vector<PrepareRequest> requests;
+  for (; requests.empty() && now < started + seconds(6); now = now + milliseconds(50)) {
+    leadership.tick(now, outbox);
+    requests = messages<PrepareRequest>(outbox.take());
+  }
+  CHECK(!requests.empty());
+  for (CoreId voter : {CoreId{2}, CoreId{3}, CoreId{4}}) {
+    PrepareReply reply;
+    reply.epoch = reply.promised = requests[0].epoch;
+    reply.voter = voter;
+    reply.sentAt = requests[0].sentAt;
+    reply.granted = true;
+    reply.accepted = accepted;
+    leadership.hear(reply, now, outbox);
+  }
+  CHECK(leadership.phase() == LeaderPhase::kFollowing);
+  std::size_t releases = 0;
+  for (const auto& request : messages<PrepareRequest>(outbox.take()))
+    if (request.kind == PrepareKind::kRelease) ++releases;
+  LONGS_EQUAL(kCores - 1, releases);
+}
