Answers count only for their own question; relays are tried in turn

Cause: a question to the leader and one to a relay of the same instant had one stamp, so that a relay's answer without a proof passed for the leader's own word (the follower took the leader for deposed and asked it again), and a relay that answered was not remembered. Whoever answered wasn't compared with whom was asked.

Change: each question has its own stamp and its responder; an answer from another address counts as unasked. A member is kept as relay only if its proof is younger than what is here, for 0.7 s; else all members are asked in turn, none twice before all others.

Unit tests: the group FollowerQuestions, five tests, all failing before.

--- a/src/core/follower.cc
+++ b/src/core/follower.cc
@@ -1,16 +1,51 @@
 #include "core/follower.h"
 
+#include <algorithm>
+#include <span>
+
 namespace peppergate {
+namespace {
+
+constexpr std::size_t kMostQuestions = 32;      // open at once; older answers count no more
+constexpr int kRelaysAtOnce = 3;                // members asked in one round
+constexpr Duration kRelayTrust = seconds(0.7);  // two to three rounds without its answer
+
+}  // namespace
 
 Follower::Follower(const Options& options, Membership& membership, Random& random)
     : options_(options), membership_(membership), random_(random) {}
 
-void Follower::ask(const Address& to, bool relayed, MonotonicTime now, Outbox& outbox) {
-  if (to.value.empty() || to == membership_.self().address) return;
-  asked_.insert(now.microseconds);
-  while (asked_.size() > 32) asked_.erase(asked_.begin());
+MonotonicTime Follower::ask(const Address& to, Responder responder, bool relayed, MonotonicTime now,
+                            Outbox& outbox) {
+  if (to.value.empty() || to == membership_.self().address) return kNever;
+  // Two questions of one instant differ in their stamps, so that each answer finds its own.
+  MonotonicTime stamp = std::max(now, lastStamp_ + Duration{1});
+  lastStamp_ = stamp;
+  questions_[stamp] = {to, responder, now};
+  while (questions_.size() > kMostQuestions) questions_.erase(questions_.begin());
   outbox.count(relayed ? "news.askedRelay" : "news.askedPrimary");
-  outbox.send(to, StateRequest{membership_.self().member, now, have_, relayed});
+  outbox.send(to, StateRequest{membership_.self().member, stamp, have_, relayed});
+  return stamp;
+}
+
+void Follower::askLeader(const Address& leader, bool relayed, MonotonicTime now, Outbox& outbox) {
+  waiting_ = true;
+  askedPrimary_ = now;
+  leaderQuestion_ = ask(leader, Responder::kLeader, relayed, now, outbox);
+}
+
+Address Follower::nextRelay() {
+  // All members in turn, in an order of chance: after a cut most of those that are known may be
+  // as far away as the leader, and one that was silent isn't asked again before all others.
+  if (relayTurns_.empty()) {
+    for (const auto& record : membership_.live())
+      if (record.address != membership_.self().address) relayTurns_.push_back(record.address);
+    random_.shuffle(std::span(relayTurns_));
+  }
+  if (relayTurns_.empty()) return {};
+  Address relay = std::move(relayTurns_.back());
+  relayTurns_.pop_back();
+  return relay;
 }
 
 void Follower::tick(MonotonicTime now, Outbox& outbox) {
@@ -24,16 +59,12 @@
   if (noPrimary && now - readOnlyLeaderHeard_ < seconds(2) &&
       now - askedReadOnlyLeader_ > options_.stateRequestWait) {
     askedReadOnlyLeader_ = now;
-    ask(readOnlyLeader_, true, now, outbox);
+    ask(readOnlyLeader_, Responder::kRelay, true, now, outbox);
   }
   if (now < nextAsk_) return;
   Address primary = membership_.addressOf(view_.primary);
   bool silent = waiting_ && now - askedPrimary_ > options_.stateRequestTimeout;
-  if (!primary.value.empty() && (!waiting_ || silent)) {
-    waiting_ = true;
-    askedPrimary_ = now;
-    ask(primary, false, now, outbox);
-  }
+  if (!primary.value.empty() && (!waiting_ || silent)) askLeader(primary, false, now, outbox);
   // Without word from the primary, members that can relay are asked, spread at random.
   bool needsRelay = primary.value.empty() ||
                     now - proofOrigin_ > options_.stateRequestTimeout + milliseconds(200);
@@ -44,31 +75,25 @@
 }
 
 void Follower::askRelay(MonotonicTime now, Outbox& outbox) {
-  // Who relayed lately is asked again; else members are tried, for many of those that are known
-  // may be as far away as the primary.
-  if (now - relayHeard_ < seconds(1.5)) {
-    ask(relay_, true, now, outbox);
+  // Who relayed a younger proof lately is asked again; else members are tried in turn.
+  if (now - relayHeard_ < kRelayTrust) {
+    ask(relay_, Responder::kRelay, true, now, outbox);
     return;
   }
-  for (int turn = 0; turn < 3; ++turn) ask(membership_.randomMember(), true, now, outbox);
+  for (int turn = 0; turn < kRelaysAtOnce; ++turn)
+    ask(nextRelay(), Responder::kRelay, true, now, outbox);
 }
 
 void Follower::askNow(MonotonicTime now, Outbox& outbox) {
   Address primary = membership_.addressOf(view_.primary);
-  if (!primary.value.empty()) {
-    waiting_ = true;
-    askedPrimary_ = now;
-    ask(primary, true, now, outbox);  // as a relay's question it is answered without any wait
-  }
+  if (!primary.value.empty()) askLeader(primary, true, now, outbox);
   if (primary.value.empty() || now - primaryOrigin_ > options_.stateRequestTimeout)
     askRelay(now, outbox);
 }
 
 void Follower::askAgain(MonotonicTime now, Outbox& outbox) {
   // The next question tells the primary what is in force here now: its yes waits for that.
-  waiting_ = true;
-  askedPrimary_ = now;
-  ask(membership_.addressOf(view_.primary), false, now, outbox);
+  askLeader(membership_.addressOf(view_.primary), false, now, outbox);
 }
 
 void Follower::noteView(const View& view) {
@@ -136,12 +161,14 @@
     if (changesSeen_ != before) askAgain(now, outbox);
     return;
   }
-  if (!asked_.contains(answer.sentAt.microseconds)) {
+  auto found = questions_.find(answer.sentAt);
+  if (found == questions_.end() || found->second.to != from) {
     outbox.count("news.unasked");
     return;
   }
+  const Question question = found->second;
   noteView(answer.view);
-  if (answer.sentAt == askedPrimary_) {
+  if (answer.sentAt == leaderQuestion_) {
     waiting_ = false;
     if (!answer.proof) nextAsk_ = now + milliseconds(100);  // not the primary any more
   }
@@ -157,8 +184,11 @@
     outbox.count("news.partial");
     return;
   }
-  MonotonicTime origin = answer.sentAt - answer.age;
-  if (answer.sentAt != askedPrimary_ && now - origin < options_.proofLimit * 0.7) {
+  MonotonicTime origin = question.sentAt - answer.age;
+  // Two members that are cut off together only tell each other of the same old proof.
+  bool younger = origin > proofOrigin_;
+  if (question.responder == Responder::kRelay && younger &&
+      now - origin < options_.proofLimit * 0.7) {
     relay_ = from;
     relayHeard_ = now;
   }
--- a/src/core/follower.h
+++ b/src/core/follower.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string_view>
+#include <vector>
 
 #include "core/control_state.h"
 #include "core/membership.h"
@@ -104,7 +105,20 @@
   void reload(const Options& options) { options_ = options; }
 
  private:
-  void ask(const Address& to, bool relayed, MonotonicTime now, Outbox& outbox);
+  /// Of whom a question was asked, and as what.
+  enum class Responder : std::uint8_t { kLeader, kRelay };
+  /// A question that may still be answered; its stamp on the wire is its number.
+  struct Question {
+    Address to;
+    Responder responder = Responder::kRelay;
+    MonotonicTime sentAt;
+  };
+  /// Sends a question with a stamp of its own, and returns the stamp; kNever if nobody is asked.
+  MonotonicTime ask(const Address& to, Responder responder, bool relayed, MonotonicTime now,
+                    Outbox& outbox);
+  /// Asks the leader for a proof; `relayed`: to be answered without any wait.
+  void askLeader(const Address& leader, bool relayed, MonotonicTime now, Outbox& outbox);
+  Address nextRelay();
   void askRelay(MonotonicTime now, Outbox& outbox);
   void askAgain(MonotonicTime now, Outbox& outbox);
   /// A section as it was offered, and what is here of it.
@@ -139,14 +153,17 @@
   std::deque<KeyDigest> recentWithdrawn_;
   MonotonicTime proofOrigin_ = kNever, primaryOrigin_ = kNever;
   Address readOnlyLeader_;
-  Address relay_;  // the member that relayed a proof last
+  Address relay_;  // the member that relayed a younger proof last
   MonotonicTime relayHeard_ = kNever;
   MonotonicTime readOnlyLeaderHeard_ = kNever, askedReadOnlyLeader_ = kNever;
   std::string_view lastAttester_ = "nobody";
   std::map<WeightsVersion, MonotonicTime> learned_;
   MonotonicTime askedPrimary_ = kNever, askedRelay_ = kNever, nextAsk_{};
   bool waiting_ = false;
-  std::set<std::int64_t> asked_;
+  MonotonicTime leaderQuestion_ = kNever;  // the stamp of the last question to a leader
+  MonotonicTime lastStamp_ = kNever;
+  std::map<MonotonicTime, Question> questions_;  // by stamp; only the newest are kept
+  std::vector<Address> relayTurns_;              // members not asked yet in this turn
   std::deque<InstallRecord> installs_;
   std::uint64_t changesSeen_ = 0;
 };
--- /dev/null
+++ b/tests/follower_test.cc
@@ -0,0 +1,161 @@
+// How a daemon keeps its state fresh: each answer counts only for the question that it was asked.
+#include <set>
+#include <string>
+
+#include "core/control_state.h"
+#include "core/follower.h"
+#include "tests/testing.h"
+
+using namespace peppergate;
+
+namespace {
+
+constexpr CoreId kLeader{11};
+const Address kLeaderAddress{"10.0.0.1:1"};
+
+MemberRecord memberAt(std::uint64_t id, const Address& address, CoreId core = {}) {
+  MemberRecord record;
+  record.member = {id};
+  record.address = record.pages = address;
+  record.core = core;
+  record.role = core.value == 0 ? Role::kFront : Role::kCore;
+  record.heartbeat = 1;
+  return record;
+}
+
+Address relayAddress(int number) { return {"10.0.1." + std::to_string(number) + ":1"}; }
+
+}  // namespace
+
+TEST_GROUP(FollowerQuestions) {
+  Options options;
+  Random random{1};
+  Outbox outbox;
+  Membership membership{options, memberAt(1, {"10.0.2.1:1"}), {}, random};
+  Follower follower{options, membership, random};
+  MonotonicTime now = at(100);
+
+  void know(const MemberRecord& record) {
+    Shuffle shuffle;
+    shuffle.sender = record;
+    membership.hear(shuffle, now, outbox);
+  }
+  void knowLeader() {
+    know(memberAt(11, kLeaderAddress, kLeader));
+    View view;
+    view.epoch = {3};
+    view.primary = kLeader;
+    follower.noteView(view);
+  }
+  struct Asked {
+    Address to;
+    StateRequest request;
+  };
+  std::vector<Asked> asked() {
+    std::vector<Asked> found;
+    for (const auto& send : taken<Send>(outbox.take()))
+      if (auto* request = std::get_if<StateRequest>(&send.message))
+        found.push_back({send.to, *request});
+    return found;
+  }
+  std::vector<Asked> askedWithin(Duration span) {
+    std::vector<Asked> all;
+    for (MonotonicTime end = now + span; now < end;) {
+      now = now + milliseconds(50);
+      follower.tick(now, outbox);
+      for (auto& one : asked()) all.push_back(one);
+    }
+    return all;
+  }
+  StateReply proofFor(const Asked& question, Duration age) {
+    ControlState state = ControlState::founded({1});
+    StateReply reply;
+    reply.sentAt = question.request.sentAt;
+    reply.proof = true;
+    reply.age = age;
+    reply.view.epoch = {3};
+    reply.view.primary = kLeader;
+    reply.now = state.sections();
+    reply.setup = state.setupText();
+    reply.keys = state.keysText();
+    reply.weights = state.weightsText();
+    return reply;
+  }
+};
+
+TEST(FollowerQuestions, ARelaysRefusalIsNotTheLeadersOwn) {
+  knowLeader();
+  know(memberAt(21, relayAddress(1)));
+  follower.tick(now, outbox);  // without any proof the leader and relays are asked at once
+  std::vector<Asked> questions = asked();
+  bool leaderAsked = false;
+  for (const auto& question : questions) leaderAsked = leaderAsked || question.to == kLeaderAddress;
+  CHECK(leaderAsked);
+  for (const auto& question : questions) {
+    if (question.to == kLeaderAddress) continue;
+    StateReply none;
+    none.sentAt = question.request.sentAt;
+    follower.hear(question.to, none, now, outbox);
+  }
+  // The leader's own answer is still awaited: it is asked no second time before its timeout.
+  for (const auto& question : askedWithin(options.stateRequestTimeout - milliseconds(100)))
+    CHECK(question.to != kLeaderAddress || question.request.relayed);
+}
+
+TEST(FollowerQuestions, TwoQuestionsOfOneInstantHaveTheirOwnStamps) {
+  knowLeader();
+  for (int number = 1; number <= 3; ++number)
+    know(memberAt(20 + static_cast<std::uint64_t>(number), relayAddress(number)));
+  follower.tick(now, outbox);
+  std::set<std::int64_t> stamps;
+  std::vector<Asked> questions = asked();
+  CHECK(questions.size() >= 3);
+  for (const auto& question : questions)
+    CHECK(stamps.insert(question.request.sentAt.microseconds).second);
+}
+
+TEST(FollowerQuestions, OnlyTheOneThatWasAskedAnswers) {
+  knowLeader();
+  know(memberAt(21, relayAddress(1)));
+  follower.tick(now, outbox);
+  std::vector<Asked> questions = asked();
+  CHECK(!questions.empty());
+  Address other{"10.0.9.9:1"};
+  follower.hear(other, proofFor(questions[0], {}), now, outbox);
+  CHECK_FALSE(follower.fresh(now));
+  follower.hear(questions[0].to, proofFor(questions[0], {}), now, outbox);
+  CHECK(follower.fresh(now));
+}
+
+TEST(FollowerQuestions, AllMembersAreTriedBeforeOneIsAskedAgain) {
+  constexpr int kMembers = 9;
+  for (int number = 1; number <= kMembers; ++number)
+    know(memberAt(20 + static_cast<std::uint64_t>(number), relayAddress(number)));
+  std::set<std::string> tried;
+  int questions = 0;
+  while (questions < kMembers)
+    for (const auto& question : askedWithin(milliseconds(50))) {
+      ++questions;
+      tried.insert(question.to.value);
+    }
+  LONGS_EQUAL(kMembers, tried.size());
+}
+
+TEST(FollowerQuestions, ARelayWithNothingYoungerIsNotKept) {
+  // Two members that are cut off together have the same proof; the way out is a third one.
+  for (int number = 1; number <= 4; ++number)
+    know(memberAt(20 + static_cast<std::uint64_t>(number), relayAddress(number)));
+  std::vector<Asked> first = askedWithin(milliseconds(50));
+  CHECK(!first.empty());
+  follower.hear(first[0].to, proofFor(first[0], seconds(1)), now, outbox);
+  MonotonicTime origin = now - follower.proofAge(now);
+  Address companion = first[0].to;
+  std::set<std::string> tried;
+  for (int round = 0; round < 40; ++round)
+    for (const auto& question : askedWithin(milliseconds(50))) {
+      tried.insert(question.to.value);
+      if (question.to == companion)
+        follower.hear(companion, proofFor(question, question.request.sentAt - origin), now, outbox);
+    }
+  LONGS_EQUAL(4, tried.size());
+}
