--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -84,6 +84,17 @@
   std::erase_if(buried_, [&](const auto& entry) { return now - entry.second.since > seconds(30); });
 }
 
+Address Membership::missingSeed() {
+  std::vector<Address> missing;
+  for (const auto& seed : seeds_) {
+    bool known = seed == self_.address || std::ranges::any_of(known_, [&](const auto& entry) {
+                   return entry.second.record.address == seed;
+                 });
+    if (!known) missing.push_back(seed);
+  }
+  return missing.empty() ? Address{} : missing[nextSeed_++ % missing.size()];
+}
+
 void Membership::tick(MonotonicTime now, Outbox& outbox) {
   if (now < nextShuffle_) return;
   nextShuffle_ = now + options_.shuffleEvery;
@@ -108,6 +119,9 @@
     const Address& seed = seeds_[random_.below(seeds_.size())];
     if (seed != self_.address) outbox.send(seed, makeShuffle(true));
   }
+  // After a common start small parts that know each other form at once; whoever a seed is missing
+  // to asks it each time, so that they join within some rounds.
+  if (Address seed = missingSeed(); !seed.value.empty()) outbox.send(seed, makeShuffle(true));
   if (!former_.empty() && random_.below(6) == 0)
     outbox.send(former_[random_.below(former_.size())], makeShuffle(true));
   // One neighbour is traded for a random known member, so that views keep moving.
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -56,6 +56,8 @@
   Shuffle makeShuffle(bool wantsAnswer);
   void note(const MemberRecord& record, bool direct, MonotonicTime now, Outbox& outbox);
   void age(MonotonicTime now, Outbox& outbox);
+  /// The next seed at which no member is known; empty where all are known.
+  Address missingSeed();
 
   Options options_;
   MemberRecord self_;
@@ -70,6 +72,7 @@
   std::vector<Address> former_;       // asked now and then, so that parts find each other again
   std::vector<MemberId> view_;        // the neighbours to shuffle with, oldest first
   MonotonicTime nextShuffle_{};
+  std::size_t nextSeed_ = 0;  // of those that aren't known
   std::function<void(Shuffle&)> carrier_;
 };
 
--- a/src/core/read_only_leader.cc
+++ b/src/core/read_only_leader.cc
@@ -111,7 +111,11 @@
         outbox.send(member.address,
                     ReadLeaderNotification{self(), acceptor_.record().accepted.epoch});
   }
-  if (now < yieldUntil_ || now < nextAsk_) return;
+  if (now < yieldUntil_) {
+    wants_ = false;  // the room that is left to an election is this core's own, too
+    return;
+  }
+  if (now < nextAsk_) return;
   std::set<CoreId> sight = inSight(now);
   bool more = !std::ranges::includes(lastSight_, sight);  // an election may go better than before
   lastSight_ = sight;
@@ -127,6 +131,7 @@
       return;
     }
     if (rounds_.empty() && patient) {
+      wants_ = false;  // it may have wanted while fewer were in sight
       sendRound(false, now, outbox);
       return;
     }
