One vote, one epoch, one state: slow disks, power losses and late replicas at the acceptor

Six holes found by reading, each with a unit test that failed before (tests/consensus_test.cc): - An acceptor renewed the former leader's lease while its promise to another was being written for longer than a lease: two leaders could count one vote. The vote is the other's from the request on. - A candidate could settle a view without its own promise on disk, lose its power and use the epoch again for another state. Its own promise is durable before it proposes, the replica's tag counts among the epochs seen, an acceptor that decided an epoch accepts only the same whole view again, and equal versions with different texts are declined (copies.forked). - A late replica of a lower epoch took the place of one still being written, or ended a newer duty. - A leader whose proposal of other voters timed out could propose a second, different one from the same view; the two need share no quorum. The open proposal is repeated. - A member that leaves ended before another had its state on disk. It waits for a view without it, at most 3 s or half of the grace time. - A candidate that found itself unfit kept a majority's votes for a lease.

Ruled out: that an equal epoch of the same candidate is always a renewal (not after a power loss).

--- a/src/core/acceptor.cc
+++ b/src/core/acceptor.cc
@@ -138,7 +138,10 @@
     return;
   }
   bool renewal = ask.epoch == durable_.promised && ask.candidate == durable_.promisedTo;
-  if (renewal && !suspect_ && !grantedToOther(ask.candidate, now)) {
+  // While a promise to another candidate is being written, this vote is that candidate's, also
+  // when the disk takes longer than a lease.
+  bool promisesOther = inFlight_ && writing_.promisedTo != ask.candidate;
+  if (renewal && !promisesOther && !suspect_ && !grantedToOther(ask.candidate, now)) {
     grant(ask.candidate, now);
     replyToPrepare(from, ask, true, outbox);
     return;
@@ -165,9 +168,10 @@
     if (queue_.size() < 16) queue_.push_back({from, ask});
     return;
   }
-  bool again = durable_.accepted.epoch == ask.view.epoch &&
-               durable_.accepted.primary == ask.view.primary && !suspect_;
-  if (again || !mayAccept(ask, now)) {
+  // One epoch has one view; a second one under its number would be a fork.
+  bool decided = durable_.accepted.epoch == ask.view.epoch && durable_.accepted.epoch.value != 0;
+  bool again = decided && durable_.accepted == ask.view && !suspect_;
+  if (decided || !mayAccept(ask, now)) {
     replyToAccept(from, ask, again, outbox);
     return;
   }
@@ -192,8 +196,9 @@
   outbox.push(DropOlder{"voter", 2});
   durable_ = writing_;
   if (auto* promise = std::get_if<PrepareRequest>(&waiting.ask)) {
-    grant(promise->candidate, now);
-    replyToPrepare(waiting.from, *promise, true, outbox);
+    bool free = !grantedToOther(promise->candidate, now);
+    if (free) grant(promise->candidate, now);
+    replyToPrepare(waiting.from, *promise, free, outbox);
   } else {
     replyToAccept(waiting.from, std::get<AcceptRequest>(waiting.ask), true, outbox);
   }
--- a/src/core/core_node.h
+++ b/src/core/core_node.h
@@ -46,7 +46,7 @@
   Outbox& outbox() override { return outbox_; }
   Json status(MonotonicTime now) const override;
   void reload(const Options& options) override { options_ = options; }
-  bool drained(MonotonicTime) const override { return draining_ && leadership_->gone(); }
+  bool drained(MonotonicTime now) const override { return draining_ && leadership_->gone(now); }
   /// From now on the one in charge lists engines and orders weights. Example: in a fleet whose
   /// routers are told of engines by the core.
   void takeEngineDuties();
--- a/src/core/leadership.cc
+++ b/src/core/leadership.cc
@@ -19,7 +19,8 @@
       random_(random),
       replica_(std::move(copy)),
       view_(acceptor.record().accepted) {
-  seen_ = std::max(acceptor.record().promised, view_.epoch);
+  // The replica's tag is an epoch that some leader used; this core may have been that leader.
+  seen_ = std::max({acceptor.record().promised, view_.epoch, replica_.tag});
 }
 
 bool Leadership::majority(const std::set<CoreId>& yes, const std::vector<CoreId>& voters) {
@@ -214,6 +215,7 @@
   Epoch epoch = std::max(view_.epoch, leaseEpoch_);  // a gathered epoch is never gone back on
   std::set<CoreId> asked(view_.voters.begin(), view_.voters.end());
   asked.insert(wanted_.voters.begin(), wanted_.voters.end());
+  asked.insert(self());  // its own promise makes the epoch durable here before it is used
   PrepareKind kind = bootstrapping_ ? PrepareKind::kBootstrap : PrepareKind::kLease;
   for (CoreId voter : asked)
     outbox.send(membership_.addressOf(voter), PrepareRequest{epoch, self(), now, kind});
@@ -252,7 +254,10 @@
     return;
   }
   promised_.insert(answer.voter);
-  if (majority(promised_, old_.voters)) prepared(now, outbox);
+  // An epoch whose number a power loss could take back might be used twice, for two states.
+  const AcceptorRecord& own = acceptor_.record();
+  bool ownPromise = own.promised == wanted_.epoch && own.promisedTo == self();
+  if (ownPromise && majority(promised_, old_.voters)) prepared(now, outbox);
 }
 
 bool Leadership::holds(const std::set<CoreId>& round) const {
--- a/src/core/leadership.h
+++ b/src/core/leadership.h
@@ -67,8 +67,9 @@
   void suspect(Outbox& outbox);
   /// Ends what is under way, gives up the duty and stands no more. Example: on SIGTERM.
   void leave(MonotonicTime now);
-  /// Whether it leads no more, and said so twice. Example: the process may end.
-  bool gone() const { return leavingSince_ != kForever && !leading_ && !releasing_; }
+  /// Whether the process may end: it leads no more, said so twice, and the newest view that is
+  /// known here has copies on other machines, or those couldn't be made in time.
+  bool gone(MonotonicTime now) const;
   /// A core gave up its votes; if it was the primary, the first backup stands at once.
   /// Example: on a PrepareRequest of the kind kRelease.
   void released(CoreId candidate, MonotonicTime now);
@@ -148,6 +149,8 @@
   std::size_t bootstrapQuorum() const { return bootstrap_.voters.size() / 2 + 1; }
   // Copies and batches, see leadership_replication.cc.
   void writeReplica(Write write, Outbox& outbox);
+  /// The highest tag of the replica on disk and of those on their way there.
+  Epoch newestTag() const;
   void replicate(Outbox& outbox, bool joining);
   void heardReplicateRejection(const ReplicateReply& answer, MonotonicTime now);
   bool allSynced(const View& view) const;
--- a/src/core/leadership_reconfiguration.cc
+++ b/src/core/leadership_reconfiguration.cc
@@ -9,6 +9,7 @@
 constexpr Duration kFresh = seconds(0.75);       // heard of within two renewals
 constexpr Duration kNewcomerKnown = seconds(1);  // so long before a seat is added for one
 constexpr Duration kForget = seconds(60);
+constexpr Duration kHandOverWithin = seconds(3);  // so long a leaving member waits for a new one
 
 }  // namespace
 
@@ -35,6 +36,14 @@
   });
 }
 
+bool Leadership::gone(MonotonicTime now) const {
+  if (leavingSince_ == kForever || leading_ || releasing_) return false;
+  // A member that leaves may be the only holder until another has the state on its disk.
+  bool replaced = intactReplica(view_) == nullptr;
+  Duration patience = std::min(kHandOverWithin, options_.graceTime * 0.5);
+  return replaced || now - leavingSince_ > patience;
+}
+
 Duration Leadership::silent(CoreId core, MonotonicTime now) const {
   if (core == self()) return {};
   auto sight = peers_.find(core);
@@ -69,6 +78,9 @@
 }
 
 std::vector<CoreId> Leadership::wantedVoters(MonotonicTime now) const {
+  // A proposal that nobody is known to have settled may be settled all the same: until one is,
+  // only the same voters are proposed again, for two different changes of one view share no quorum.
+  if (!proposed_.empty()) return proposed_.back();
   std::vector<CoreId> voters = view_.voters;
   std::vector<std::pair<CoreId, const PeerObservation*>> newcomers;
   for (const auto& [core, sight] : peers_) {
--- a/src/core/leadership_replication.cc
+++ b/src/core/leadership_replication.cc
@@ -66,7 +66,7 @@
   }
   if (suspect_) return true;
   stalled_ = false;
-  replica_ = {write.tag, write.state};
+  if (write.tag >= replica_.tag) replica_ = {write.tag, write.state};
   outbox.push(DropOlder{"state", 3});
   if (queuedWrite_) {
     Write next = std::move(*queuedWrite_);
@@ -97,11 +97,20 @@
   return true;
 }
 
+Epoch Leadership::newestTag() const {
+  Epoch newest = replica_.tag;
+  for (const auto& [ticket, write] : writes_) newest = std::max(newest, write.tag);
+  return queuedWrite_ ? std::max(newest, queuedWrite_->tag) : newest;
+}
+
 void Leadership::hear(const Address& from, const ReplicateRequest& ask, MonotonicTime now,
                       Outbox& outbox) {
   seen_ = std::max(seen_, ask.epoch);
-  bool fits = ask.joining ? ask.epoch >= replica_.tag : ask.epoch == replica_.tag;
-  if (suspect_ || stalled_ || !fits || !acceptor_.allowsReplica(ask.epoch, ask.from)) {
+  // A late copy of a former leader must not take the place of one that is still being written,
+  // nor end a newer duty here.
+  bool fits = ask.joining ? ask.epoch >= newestTag() : ask.epoch == newestTag();
+  bool outdated = !idle() && ask.epoch < std::max(view_.epoch, leaseEpoch_);
+  if (suspect_ || stalled_ || !fits || outdated || !acceptor_.allowsReplica(ask.epoch, ask.from)) {
     outbox.count("copies.declined");
     outbox.send(from, ReplicateReply{ask.epoch, self(), ask.version, false});
     return;
@@ -111,6 +120,12 @@
     outbox.count("copies.unreadable");
     return;
   }
+  bool sameVersion = ask.epoch == replica_.tag && replica_.state.version() == state->version();
+  if (sameVersion && replica_.state.text() != state->text()) {
+    outbox.count("copies.forked");  // never call another content the same state
+    outbox.send(from, ReplicateReply{ask.epoch, self(), ask.version, false});
+    return;
+  }
   if (ask.epoch == replica_.tag && replica_.state.version() >= state->version()) {
     outbox.send(from, ReplicateReply{ask.epoch, self(), ask.version, true});
     return;
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -37,6 +37,7 @@
   std::vector<CoreId> backups;  // in the order in which they take over
   Epoch base;  // copies made for this epoch or later hold all that was acknowledged
   std::vector<CoreId> voters;
+  bool operator==(const View&) const = default;
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(epoch) PEPPERGATE_FIELD(primary) PEPPERGATE_FIELD(backups)
                         PEPPERGATE_FIELD(base) PEPPERGATE_FIELD(voters))
 };
--- /dev/null
+++ b/tests/consensus_test.cc
@@ -0,0 +1,324 @@
+// Votes, leases and replicas of single core machines, one step at a time, with slow disks, late
+// messages and power losses at the worst moment.
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+
+#include "core/leadership.h"
+#include "tests/testing.h"
+
+using namespace peppergate;
+
+namespace {
+
+constexpr CoreId kSelf{1};
+
+Address addressOfCore(CoreId core) { return {"10.0.0." + std::to_string(core.value) + ":1"}; }
+
+MemberRecord coreRecord(CoreId core, std::uint64_t heartbeat) {
+  MemberRecord record;
+  record.member = {100 + core.value};
+  record.address = record.pages = addressOfCore(core);
+  record.role = Role::kCore;
+  record.core = core;
+  record.heartbeat = heartbeat;
+  return record;
+}
+
+View viewOf(std::uint64_t epoch, CoreId primary, std::vector<CoreId> backups,
+            std::uint64_t voters) {
+  View view{{epoch}, primary, std::move(backups), {epoch}, {}};
+  for (std::uint64_t voter = 1; voter <= voters; ++voter) view.voters.push_back({voter});
+  return view;
+}
+
+/// What one core has on its disk when it starts.
+struct StartDisk {
+  AcceptorRecord record;
+  ReplicaOnDisk replica;
+};
+
+/// One core with its real acceptor and leadership; all others are played.
+class OneCore {
+ public:
+  explicit OneCore(StartDisk disk)
+      : acceptor(options, disk.record, at(0)),
+        membership(options, coreRecord(kSelf, 1), {}, random),
+        leadership(options, acceptor, membership, random, std::move(disk.replica)),
+        accepted_(disk.record.accepted) {}
+
+  /// Lets some cores be heard, and the time go on with a tick each 50 ms.
+  void run(double length) {
+    for (MonotonicTime end = now + seconds(length); now < end;) {
+      now = now + milliseconds(50);
+      for (CoreId core : heard) {
+        Shuffle shuffle;
+        shuffle.sender = coreRecord(core, ++heartbeat_);
+        membership.hear(shuffle, now, outbox);
+      }
+      acceptor.notice(now);
+      leadership.tick(now, outbox);
+      carryOut();
+    }
+  }
+  /// Runs until the condition holds, at most so long. Example: `runUntil([&] { ... }, 5)`.
+  bool runUntil(const std::function<bool()>& holds, double length) {
+    for (MonotonicTime end = now + seconds(length); now < end && !holds();) run(0.05);
+    return holds();
+  }
+  void carryOut() {
+    for (auto commands = outbox.take(); !commands.empty(); commands = outbox.take())
+      for (const auto& command : commands) {
+        if (auto* write = std::get_if<WriteFile>(&command)) wrote(*write);
+        if (auto* send = std::get_if<Send>(&command)) sent(*send);
+      }
+  }
+  void finishWrites() {
+    for (auto& ticket : std::exchange(pendingWrites, {})) finish(ticket);
+    carryOut();
+  }
+
+  Options options;
+  Random random{1};
+  Outbox outbox;
+  Acceptor acceptor;
+  Membership membership;
+  Leadership leadership;
+  MonotonicTime now = at(10);
+  std::set<CoreId> heard;      // by the membership
+  std::set<CoreId> answering;  // their acceptors and disks
+  bool diskWorks = true;       // else writes stay under way
+  bool othersAccept = true;    // views that are proposed to them
+  std::vector<TicketId> pendingWrites;
+  std::vector<PrepareRequest> prepares;  // that left this core for another
+  std::vector<View> proposals;           // views that it asked another to accept
+  std::vector<std::pair<Address, ReplicateReply>> replicateReplies;
+
+ private:
+  void finish(TicketId ticket) {
+    FileWritten event{ticket, true};
+    if (!acceptor.written(event, now, outbox)) leadership.written(event, now, outbox);
+  }
+  void wrote(const WriteFile& write) {
+    if (diskWorks) finish(write.ticket);
+    else pendingWrites.push_back(write.ticket);
+  }
+  void sent(const Send& send) {
+    if (send.to == addressOfCore(kSelf)) {
+      toSelf(send.message);
+      return;
+    }
+    CoreId other;
+    for (CoreId core : heard)
+      if (addressOfCore(core) == send.to) other = core;
+    if (auto* reply = std::get_if<ReplicateReply>(&send.message))
+      replicateReplies.emplace_back(send.to, *reply);
+    if (auto* ask = std::get_if<PrepareRequest>(&send.message);
+        ask && ask->kind != PrepareKind::kRelease)
+      prepares.push_back(*ask);
+    if (auto* ask = std::get_if<AcceptRequest>(&send.message)) proposals.push_back(ask->view);
+    if (answering.contains(other)) answer(other, send.message);
+  }
+  void toSelf(const Message& message) {
+    Address self = addressOfCore(kSelf);
+    if (auto* ask = std::get_if<PrepareRequest>(&message)) acceptor.ask(self, *ask, now, outbox);
+    if (auto* ask = std::get_if<AcceptRequest>(&message)) acceptor.ask(self, *ask, now, outbox);
+    if (auto* reply = std::get_if<PrepareReply>(&message)) leadership.hear(*reply, now, outbox);
+    if (auto* reply = std::get_if<AcceptReply>(&message)) leadership.hear(*reply, now, outbox);
+  }
+  void answer(CoreId other, const Message& message) {
+    if (auto* ask = std::get_if<PrepareRequest>(&message)) {
+      if (ask->kind == PrepareKind::kRelease) return;
+      leadership.hear(PrepareReply{ask->epoch, other, ask->sentAt, true, ask->epoch, accepted_},
+                      now, outbox);
+    }
+    if (auto* ask = std::get_if<AcceptRequest>(&message); ask && othersAccept) {
+      accepted_ = ask->view;
+      leadership.hear(AcceptReply{ask->view.epoch, other, true, ask->view.epoch}, now, outbox);
+    }
+    if (auto* ask = std::get_if<ReplicateRequest>(&message))
+      leadership.hear(ReplicateReply{ask->epoch, other, ask->version, true}, now, outbox);
+    if (auto* ask = std::get_if<WitnessUpdateRequest>(&message))
+      leadership.hear(WitnessUpdateReply{ask->epoch, other, ask->version, ask->now}, now, outbox);
+  }
+
+  View accepted_;
+  std::uint64_t heartbeat_ = 1;
+};
+
+StartDisk diskIn(const View& view) {
+  StartDisk disk;
+  disk.record = {kSelf, view.epoch, view.primary, view};
+  disk.replica = {view.epoch, ControlState::founded({1})};
+  return disk;
+}
+
+PrepareRequest leaseOf(CoreId candidate, std::uint64_t epoch, MonotonicTime sentAt) {
+  return {{epoch}, candidate, sentAt, PrepareKind::kLease};
+}
+
+}  // namespace
+
+TEST_GROUP(AcceptorVotes) {
+  Options options;
+  Outbox outbox;
+  AcceptorRecord record{kSelf, {6}, {3}, viewOf(6, {3}, {{2}}, 5)};
+  Acceptor acceptor{options, record, at(0)};
+
+  std::vector<PrepareReply> replies() { return messages<PrepareReply>(lastCommands); }
+  std::vector<Command> lastCommands;
+  void take() { lastCommands = outbox.take(); }
+};
+
+TEST(AcceptorVotes, NoRenewalForTheFormerLeaderWhileAPromiseToAnotherIsWritten) {
+  acceptor.ask(addressOfCore({4}), leaseOf({4}, 8, at(10)), at(10), outbox);
+  take();
+  LONGS_EQUAL(1, taken<WriteFile>(lastCommands).size());
+  TicketId ticket = taken<WriteFile>(lastCommands)[0].ticket;
+  // The disk takes longer than a lease, so the grant in memory has run out by now.
+  MonotonicTime later = at(10) + options.lease + milliseconds(100);
+  acceptor.ask(addressOfCore({3}), leaseOf({3}, 6, later), later, outbox);
+  take();
+  for (const auto& reply : replies()) CHECK_FALSE(reply.granted);
+  acceptor.written({ticket, true}, later + milliseconds(50), outbox);
+  take();
+  for (const auto& reply : replies()) CHECK(reply.granted == (reply.epoch.value == 8));
+}
+
+TEST(AcceptorVotes, TheLeaderRenewsWhileItsOwnNextViewIsWritten) {
+  acceptor.ask(addressOfCore({3}), leaseOf({3}, 7, at(10)), at(10), outbox);
+  take();
+  acceptor.ask(addressOfCore({3}), leaseOf({3}, 6, at(10.3)), at(10.3), outbox);
+  take();
+  LONGS_EQUAL(1, replies().size());
+  CHECK(replies()[0].granted);
+}
+
+TEST(AcceptorVotes, OneEpochHasOneView) {
+  View other = viewOf(6, {3}, {{4}}, 5);
+  acceptor.ask(addressOfCore({3}), AcceptRequest{other, false}, at(10), outbox);
+  take();
+  LONGS_EQUAL(0, taken<WriteFile>(lastCommands).size());
+  CHECK_FALSE(messages<AcceptReply>(lastCommands).at(0).accepted);
+  acceptor.ask(addressOfCore({3}), AcceptRequest{record.accepted, false}, at(10), outbox);
+  take();
+  CHECK(messages<AcceptReply>(lastCommands).at(0).accepted);
+}
+
+TEST_GROUP(LeadershipSteps){};
+
+TEST(LeadershipSteps, NothingIsProposedBeforeTheOwnPromiseIsOnDisk) {
+  OneCore core(diskIn(viewOf(5, {2}, {kSelf}, 5)));
+  core.heard = core.answering = {{3}, {4}, {5}};
+  core.diskWorks = false;  // its own promise stays under way
+  CHECK(core.runUntil([&] { return !core.prepares.empty(); }, 6));
+  core.run(0.6);
+  LONGS_EQUAL(0, core.proposals.size());
+  core.diskWorks = true;
+  core.finishWrites();
+  CHECK(core.runUntil([&] { return !core.proposals.empty(); }, 3));
+}
+
+TEST(LeadershipSteps, AnEpochOfAnEarlierLifeIsNeverUsedAgain) {
+  // The promise was lost with the power, the replica of that epoch was written.
+  StartDisk disk = diskIn(viewOf(5, kSelf, {{2}}, 5));
+  disk.replica.tag = {9};
+  OneCore core(disk);
+  core.heard = {{2}, {3}, {4}, {5}};
+  CHECK(core.runUntil([&] { return !core.prepares.empty(); }, 6));
+  CHECK(core.prepares[0].epoch.value > 9);
+}
+
+TEST(LeadershipSteps, ALateReplicaOfALowerEpochTakesNoPlace) {
+  StartDisk disk;
+  disk.record.identity = kSelf;  // a machine that is about to join
+  OneCore core(disk);
+  core.diskWorks = false;
+  ControlState state = ControlState::founded({1});
+  auto request = [&](std::uint64_t epoch, CoreId from) {
+    core.leadership.hear(addressOfCore(from),
+                         ReplicateRequest{{epoch}, from, state.version(), true, state.text()},
+                         core.now, core.outbox);
+    core.carryOut();
+  };
+  request(8, {2});
+  request(7, {3});  // delayed, of the former leader
+  core.diskWorks = true;
+  core.finishWrites();
+  core.finishWrites();
+  LONGS_EQUAL(8, core.leadership.replicaTag().value);
+  for (const auto& [to, reply] : core.replicateReplies)
+    CHECK(reply.synced == (reply.epoch.value == 8));
+}
+
+TEST(LeadershipSteps, EqualVersionsWithAnotherContentAreNeverCalledSynced) {
+  ControlState mine = ControlState::founded({1}), theirs = ControlState::founded({1});
+  auto apply = [](ControlState& state, const std::string& label) {
+    Json change{{"kind", "weights"}, {"label", label}, {"basedOn", "1.1"}};
+    return state.apply(change.dump(), label, {5}, Options{}).outcome;
+  };
+  CHECK(apply(mine, "spring") == ChangeOutcome::kDone);
+  CHECK(apply(theirs, "autumn") == ChangeOutcome::kDone);
+  CHECK(mine.version() == theirs.version());
+  StartDisk disk = diskIn(viewOf(5, {2}, {kSelf}, 3));
+  disk.replica.state = mine;
+  OneCore core(disk);
+  core.leadership.hear(addressOfCore({2}),
+                       ReplicateRequest{{5}, {2}, theirs.version(), false, theirs.text()}, core.now,
+                       core.outbox);
+  core.carryOut();
+  LONGS_EQUAL(1, core.replicateReplies.size());
+  CHECK_FALSE(core.replicateReplies[0].second.synced);
+}
+
+TEST(LeadershipSteps, AMemberThatLeavesWaitsForItsSuccessor) {
+  OneCore core(diskIn(viewOf(5, {2}, {kSelf}, 4)));
+  core.heard = {{2}, {3}, {4}};
+  core.run(0.5);
+  core.leadership.leave(core.now);
+  core.run(1);
+  CHECK_FALSE(core.leadership.gone(core.now));  // the others may have no second copy yet
+  core.leadership.noteChosen(viewOf(6, {2}, {{3}}, 4), core.now, core.outbox);
+  CHECK(core.leadership.gone(core.now));
+}
+
+TEST(LeadershipSteps, AMemberWithoutASuccessorLeavesWithinItsGraceTime) {
+  OneCore core(diskIn(viewOf(5, {2}, {kSelf}, 4)));
+  core.heard = {{2}};
+  core.leadership.leave(core.now);
+  core.run(4);
+  CHECK(core.leadership.gone(core.now));
+}
+
+TEST(LeadershipSteps, OneViewIsFollowedByOneChangeOfVotersOnly) {
+  OneCore core(diskIn(viewOf(5, kSelf, {{2}}, 5)));
+  core.heard = core.answering = {{2}, {3}, {4}, {5}};
+  CHECK(core.runUntil([&] { return core.leadership.names(core.now); }, 8));
+  core.run(2);
+  CHECK(core.leadership.names(core.now));
+  core.proposals.clear();
+  // Core 3 is silent and 6 takes its slot; nobody is known to accept that.
+  core.othersAccept = false;
+  core.heard = core.answering = {{2}, {4}, {5}, {6}};
+  CHECK(core.runUntil([&] { return !core.proposals.empty(); }, 8));
+  std::vector<CoreId> first = core.proposals.front().voters;
+  CHECK(first != viewOf(5, kSelf, {{2}}, 5).voters);
+  // Then 3 is back, and 4 is silent instead, with 7 as a newcomer.
+  core.heard = core.answering = {{2}, {3}, {5}, {6}, {7}};
+  core.run(8);
+  for (const auto& view : core.proposals)
+    if (core.leadership.leadsHere()) CHECK(view.voters == first);
+}
+
+TEST(LeadershipSteps, AnUnfitCandidateGivesTheVotesBack) {
+  // It has a replica of a view that was never settled, and learns only from the votes that it is no
+  // member of the newest one.
+  StartDisk disk = diskIn(viewOf(5, {2}, {{3}}, 5));
+  disk.replica.tag = {7};
+  OneCore core(disk);
+  core.heard = core.answering = {{2}, {3}, {4}, {5}};
+  CHECK(core.runUntil([&] { return !core.prepares.empty(); }, 6));
+  core.run(0.5);
+  CHECK_FALSE(core.acceptor.grantedTo(core.now) == kSelf);
+}
