Without random numbers there is no identity, instead of the same one everywhere

Cause: where getrandom failed, an identity was 1: two core machines would vote as one, and two operators' changes would be one change. Unit tests: FreshNumbers.

--- a/src/app/setup_command.cc
+++ b/src/app/setup_command.cc
@@ -1,6 +1,4 @@
 // The operators' command line: changes by change id, repeated until there is a clear answer.
-#include <sys/random.h>
-
 #include <array>
 #include <cstdio>
 #include <fstream>
@@ -12,6 +10,7 @@
 #include "core/digest.h"
 #include "core/example_setup.h"
 #include "core/schemas.h"
+#include "io/fresh_number.h"
 #include "wire/json_fields.h"
 
 namespace peppergate {
@@ -19,11 +18,7 @@
 
 namespace po = boost::program_options;
 
-std::string freshChangeId() {
-  std::uint64_t number = 0;
-  if (getrandom(&number, sizeof number, 0) != sizeof number) number = 1;
-  return "change-" + std::to_string(number);
-}
+std::string freshChangeId() { return "change-" + std::to_string(freshNumber()); }
 
 int printResult(const WebResult& result) {
   if (result.status == 0) {
--- a/src/io/daemon.cc
+++ b/src/io/daemon.cc
@@ -2,20 +2,14 @@
 
 #include <glog/logging.h>
 #include <signal.h>
-#include <sys/random.h>
 
 #include "core/front_node.h"
+#include "io/fresh_number.h"
 #include "requests/router_node.h"
 
 namespace peppergate {
 namespace {
 
-std::uint64_t freshNumber() {
-  std::uint64_t number = 0;
-  if (getrandom(&number, sizeof number, 0) != sizeof number) number = 1;
-  return (number >> 1) | 1;
-}
-
 constexpr std::size_t kSlowCaller = 256 << 10;
 constexpr std::size_t kCallerTookEnough = 64 << 10;
 constexpr std::size_t kLargestPage = 8 << 20;  // a whole configuration in one body
--- /dev/null
+++ b/tests/fresh_number_test.cc
@@ -0,0 +1,25 @@
+// Identities are random or there are none.
+#include "io/fresh_number.h"
+
+#include <cstring>
+
+#include "tests/testing.h"
+
+using namespace peppergate;
+
+TEST_GROUP(FreshNumbers){};
+
+TEST(FreshNumbers, WithoutRandomBytesThereIsNoIdentity) {
+  CHECK_FALSE(freshNumber([](void*, std::size_t) -> std::ptrdiff_t { return -1; }).ok());
+  CHECK_FALSE(freshNumber([](void*, std::size_t) -> std::ptrdiff_t { return 7; }).ok());
+}
+
+TEST(FreshNumbers, ANumberIsNeverZeroAndFitsAnIdentity) {
+  auto number = freshNumber([](void* buffer, std::size_t size) {
+    std::memset(buffer, 0, size);
+    return static_cast<std::ptrdiff_t>(size);
+  });
+  CHECK(number.ok());
+  CHECK(*number == 1);
+  CHECK(freshNumber() != freshNumber());
+}
