Two tests ask as the product asks now: own promise first, a stamp for each question

ConsensusProofs.ACandidateThatCanNotLeadReleasesItsVotes gave a candidate others' promises without its own; those don't count any more before its own is on disk, so the test now writes it. The Desk test of a change that was never shown answered as a relay with the leader's stamp, which is dropped as unasked; it now answers the relay's own question, so that the rule is still what keeps the change from being read.

--- a/tests/config_desk_test.cc
+++ b/tests/config_desk_test.cc
@@ -1,5 +1,6 @@
 // What a daemon does with operators' changes and readings while primaries come and go.
 #include <cmath>
+#include <optional>
 #include <string>
 
 #include "core/control_state.h"
@@ -277,12 +278,18 @@
   held.keys = replica.keysText();
   held.weights = replica.weightsText();
   follower.adopt(held, when(0.5), outbox);
+  know(12, kSecondAddress, kSecond, 0);
   read(1);
+  std::optional<MonotonicTime> relayAsked;  // each question has a stamp of its own
+  for (const auto& send : taken<Send>(outbox.take()))
+    if (auto* request = std::get_if<StateRequest>(&send.message); request != nullptr)
+      if (send.to == kSecondAddress) relayAsked = request->sentAt;
+  CHECK(relayAsked.has_value());
   proof(shown, 1, 1.01);
   CHECK(taken<AnswerWeb>(outbox.take()).empty());
   // A relay that holds the same change passes on what the leader showed it, not what it holds.
   StateReply relayed = held;
-  relayed.sentAt = when(1);
+  relayed.sentAt = *relayAsked;
   relayed.proof = true;
   relayed.named = shown.sections();
   follower.hear(kSecondAddress, relayed, when(1.02), outbox);
--- a/tests/consensus_proofs_test.cc
+++ b/tests/consensus_proofs_test.cc
@@ -97,6 +97,12 @@
     requests = messages<PrepareRequest>(outbox.take());
   }
   CHECK(!requests.empty());
+  // Its own promise is on disk, as it has to be before the others' promises count.
+  acceptor.ask(membership.self().address, requests[0], now, outbox);
+  auto writes = taken<WriteFile>(outbox.take());
+  LONGS_EQUAL(1, writes.size());
+  acceptor.written({writes[0].ticket, true}, now, outbox);
+  outbox.take();
   for (CoreId voter : {CoreId{2}, CoreId{3}, CoreId{4}}) {
     PrepareReply reply;
     reply.epoch = reply.promised = requests[0].epoch;
