The last slots of an engine are left to more urgent requests

A router refused all kinds alike once every engine's slots were taken, so a more urgent kind could be refused while a less urgent one had just been admitted. Now the last sixteenth of an engine's slots is admitted by rank, in proportion; with one rank nothing changes. Engines get the rank as before. Tests: Placement.TheLastSlotsAreLeftToTheMoreUrgent.

--- a/src/prompts/placement.h
+++ b/src/prompts/placement.h
@@ -26,6 +26,7 @@
   ModelName model;
   TenantId tenant;
   bool isolated = false;
+  int urgency = 0;  // rank from 0, the most urgent, to 9
   std::span<const PartSize> parts;
   std::int64_t tokensIn = 0, tokensOut = 0;
   Duration timeLeft;
--- a/src/prompts/survey.cc
+++ b/src/prompts/survey.cc
@@ -12,6 +12,15 @@
 constexpr std::int64_t kTinyPart = 128;         // parts with fewer tokens have no home
 constexpr Duration kStartsWithin = seconds(1);  // a request that is sent off has begun by then
 
+constexpr double kKeptForUrgent = 1.0 / 16;  // of an engine's slots, from the least urgent
+constexpr int kLeastUrgent = 9;
+
+/// The share of an engine's slots that a request of this rank may use: the last ones are left to
+/// the more urgent, so that these are never refused more often.
+double slotShareOf(int urgency) {
+  return 1 - kKeptForUrgent * std::clamp(urgency, 0, kLeastUrgent) / kLeastUrgent;
+}
+
 std::uint64_t hashOf(std::string_view text, std::uint64_t seed) {
   std::uint64_t hash = 1469598103934665603ULL ^ seed;
   for (char letter : text) hash = (hash ^ static_cast<unsigned char>(letter)) * 1099511628211ULL;
@@ -103,7 +112,7 @@
   CandidateNumbers& is = choice.numbers;
   is.running = book_.running(engine, survey.now);
   is.slots = slotsOf(engine);
-  if (is.running >= is.slots) {
+  if (is.running >= is.slots * slotShareOf(survey.ask.urgency)) {
     double waiting = engine.told ? static_cast<double>(engine.told->waiting) : 0;
     survey.forecastMs = std::min(survey.forecastMs, roomForecastMs(is.running, is.slots, waiting));
     return;
--- a/src/requests/requests.cc
+++ b/src/requests/requests.cc
@@ -101,6 +101,7 @@
   if (plan.paid && !budgetAllows(request, share->service, now))
     return AttemptFault{Hurdle::kOverBudget};
 
+  plan.urgency = urgencies.of(tenant ? tenant->urgency : UrgencyTable::kNoTenant, route->urgency);
   PlacementAsk ask;
   ask.request = request.asked.request;
   ask.route = route;
@@ -108,6 +109,7 @@
   ask.model = request.asked.model;
   ask.tenant = plan.tenant;
   ask.isolated = tenant && tenant->isolated;
+  ask.urgency = plan.urgency;
   ask.parts = request.asked.parts;
   ask.tokensIn = request.asked.tokensIn;
   ask.tokensOut = request.asked.tokensOut;
@@ -119,7 +121,6 @@
                         refusal->comeBack};
   plan.placed = std::move(std::get<Placed>(placed));
   plan.service = share->service;
-  plan.urgency = urgencies.of(tenant ? tenant->urgency : UrgencyTable::kNoTenant, route->urgency);
   plan.writeBefore = std::min(freshUntil, request.deadline);
   plan.route = route == request.route.get() ? request.route : keepRoute(route);
   return plan;
--- a/tests/prompts_placement_test.cc
+++ b/tests/prompts_placement_test.cc
@@ -65,6 +65,7 @@
   Outbox outbox;
   Route route;
   std::vector<EngineId> tried;
+  int urgency = 0;
   std::uint64_t last = 0;
 
   explicit Front(std::uint64_t seed, int engines = 4, bool withStore = false,
@@ -91,6 +92,7 @@
     ask.model = kModel;
     ask.tenant = {tenant};
     ask.isolated = isolated;
+    ask.urgency = urgency;
     ask.parts = parts;
     for (const auto& part : parts) ask.tokensIn += part.tokens;
     ask.tokensOut = 20;
@@ -395,6 +397,27 @@
   CHECK(refused.comeBack >= milliseconds(50) && refused.comeBack <= milliseconds(500));
 }
 
+TEST(Placement, TheLastSlotsAreLeftToTheMoreUrgent) {
+  Front front(1, 1);
+  front.busy({"e1"}, 1500, 15);
+  front.urgency = 9;
+  CHECK(std::get<PlaceRefusal>(front.ask(kPrompt)).fault == PlaceFault::kFull);
+  front.urgency = 0;
+  CHECK(front.place(kPrompt).engine == EngineId{"e1"});
+  // Whatever is admitted for a rank is admitted for each more urgent one.
+  for (int running = 0; running <= 16; ++running) {
+    Front loaded(1, 1);
+    if (running > 0) loaded.busy({"e1"}, 100, running);
+    bool admitted = true;
+    for (loaded.urgency = 0; loaded.urgency <= 9; ++loaded.urgency) {
+      bool now = std::holds_alternative<Placed>(loaded.ask(kPrompt));
+      CHECK(admitted || !now);
+      admitted = now;
+    }
+    CHECK_EQUAL(running < 15, admitted);
+  }
+}
+
 TEST(Placement, WithoutEnginesItSaysWhenToComeBack) {
   Front front(1, 2);
   front.tried = {{"e1"}, {"e2"}};
