A member out of reach for a moment is tried again after 0.1 s, not 3 s

Cause: a connect that fails at once (no way to the address) gives no event, so the connection stayed as if it were coming up until its write timed out after 3 s, longer than a lease.

tests/member_schedule_test.cc cuts, splits, damages and resets frames at every byte, on both ends; nothing else was found there.

--- a/src/io/member_hub.cc
+++ b/src/io/member_hub.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t kMostWaiting = 8U << 20;
+constexpr Duration kPauseAfterFailure = milliseconds(100);  // before a member is tried again
 constexpr std::size_t kMostIncoming = 512;
 constexpr std::size_t kAddressField = 32;  // each frame is led by its sender's address
 
@@ -151,7 +152,7 @@
       }
       bufferevent_free(connection);
       one->connection = nullptr;
-      one->notBefore = bootNow() + milliseconds(100);
+      one->notBefore = bootNow() + kPauseAfterFailure;
     };
     bufferevent_setcb(outgoing->connection, nullptr, nullptr, kEvent, outgoing.get());
     timeval slow{3, 0};
@@ -159,8 +160,14 @@
     // Reading only notices the end of the connection; nothing comes this way.
     bufferevent_enable(outgoing->connection, EV_READ | EV_WRITE);
     if (bufferevent_socket_connect(outgoing->connection, reinterpret_cast<sockaddr*>(&address),
-                                   sizeof address) != 0)
+                                   sizeof address) != 0) {
+      // No way there at all: no event will tell of it, so it is let go here.
+      if (outgoing->connection != nullptr) bufferevent_free(outgoing->connection);
+      outgoing->connection = nullptr;
+      outgoing->notBefore = bootNow() + kPauseAfterFailure;
       return;
+    }
+    if (outgoing->connection == nullptr) return;  // it failed at once and was told so
   }
   evbuffer* output = bufferevent_get_output(outgoing->connection);
   if (evbuffer_get_length(output) > kMostWaiting) {
--- /dev/null
+++ b/tests/member_schedule_test.cc
@@ -0,0 +1,177 @@
+// Frames between members at every byte boundary: torn, split, of another fleet, cut by resets.
+#include <errno.h>
+
+#include <cstdio>
+
+#include "io/member_hub.h"
+#include "tests/http_testing.h"
+#include "tests/socket_script.h"
+
+using namespace peppergate;
+
+namespace {
+
+constexpr std::size_t kSenderField = 32;  // each frame is led by its sender's address
+
+/// A frame as it stands on the wire, with its sender.
+std::string wireFrame(std::string_view fleet, std::uint64_t number) {
+  std::string lead = "127.0.0.1:9";
+  lead.resize(kSenderField, '\0');
+  return lead + encodeFrame(fleetMark(fleet), Message{DiscoveredEnginesRequest{{number}}});
+}
+
+std::uint64_t numberOf(const Message& message) {
+  auto* request = std::get_if<DiscoveredEnginesRequest>(&message);
+  return request == nullptr ? 0 : request->have.value;
+}
+
+/// The numbers of the frames on one connection; `torn` if something else stands there.
+std::vector<std::uint64_t> framesOn(std::string_view bytes, bool& torn) {
+  std::vector<std::uint64_t> numbers;
+  torn = false;
+  while (bytes.size() >= kSenderField + kFrameHeadSize) {
+    FrameHead head = readFrameHead(fleetMark("one"), bytes.substr(kSenderField));
+    torn = torn || head.fault != FrameFault::kNone;
+    if (torn || bytes.size() < kSenderField + kFrameHeadSize + head.length) return numbers;
+    std::string_view body = bytes.substr(kSenderField + kFrameHeadSize, head.length);
+    auto message = decodeBody(head.kind, body);
+    torn = torn || !bodyIsWhole(head, body) || !message.ok();
+    if (torn) return numbers;
+    numbers.push_back(numberOf(*message));
+    bytes.remove_prefix(kSenderField + kFrameHeadSize + head.length);
+  }
+  return numbers;
+}
+
+}  // namespace
+
+TEST_GROUP(MemberSchedules) {
+  TestLoop loop;
+  Address address = freeAddress();
+  std::vector<std::uint64_t> taken;
+  MemberHub hub{loop.loop(), address, "one",
+                [this](const Address&, Message message) { taken.push_back(numberOf(message)); }};
+  std::size_t runs = 0;
+
+  void setup() override { CHECK(hub.listen().ok()); }
+  void teardown() override {
+    failConnects(0, 0);
+    std::printf("\n%s: %zu runs\n", UtestShell::getCurrent()->getName().asCharString(), runs);
+  }
+  /// A good frame on a connection of its own is taken, and nothing before it that was torn.
+  void checkNext(std::uint64_t number, std::size_t before) {
+    TestPeer peer(loop, address);
+    peer.send(wireFrame("one", number));
+    CHECK(loop.until([&] { return !taken.empty() && taken.back() == number; }));
+    CHECK_EQUAL(before + 1, taken.size());
+    peer.leave(true);
+  }
+};
+
+TEST(MemberSchedules, FramesTornAtEveryByteAreNotTaken) {
+  std::uint64_t number = 0;
+  enum class TornBy { kReset, kClose, kHalfClose, kNextFrame };
+  for (TornBy how : {TornBy::kReset, TornBy::kClose, TornBy::kHalfClose, TornBy::kNextFrame})
+    for (std::size_t size = 0; size < wireFrame("one", 1).size(); ++size, ++runs) {
+      std::size_t before = taken.size();
+      TestPeer peer(loop, address);
+      peer.send(std::string_view(wireFrame("one", ++number)).substr(0, size));
+      if (how == TornBy::kNextFrame && size > 0) peer.send(wireFrame("one", ++number));
+      loop.turn();
+      if (how == TornBy::kHalfClose) peer.endWriting();
+      else peer.leave(how == TornBy::kReset);
+      loop.turn();
+      CHECK_EQUAL(before, taken.size());
+      checkNext(++number, before);
+    }
+}
+
+TEST(MemberSchedules, FramesSplitAtEveryByteAreTakenOnce) {
+  std::uint64_t number = 0;
+  for (std::size_t size = 0; size <= wireFrame("one", 1).size(); ++size, ++runs) {
+    std::string frame = wireFrame("one", number + 1) + wireFrame("one", number + 2);
+    number += 2;
+    TestPeer peer(loop, address);
+    peer.send(std::string_view(frame).substr(0, size));
+    loop.turn();
+    peer.send(std::string_view(frame).substr(size));
+    CHECK(loop.until([&] { return !taken.empty() && taken.back() == number; }));
+    CHECK_EQUAL(number, taken.size());
+    peer.leave(true);
+  }
+}
+
+TEST(MemberSchedules, FramesOfAnotherFleetEndTheConnection) {
+  TestPeer peer(loop, address);
+  peer.send(wireFrame("other", 1) + wireFrame("one", 2));
+  CHECK(loop.until([&] { return peer.ended || peer.failed; }));
+  CHECK_EQUAL(0U, taken.size());
+  CHECK_EQUAL(1U, hub.faults().at("other fleet"));
+  checkNext(3, 0);
+  runs = 2;
+}
+
+TEST(MemberSchedules, EveryDamagedByteOfAFrameEndsTheConnection) {
+  const std::string good = wireFrame("one", 7);
+  for (std::size_t place = kSenderField; place < good.size(); ++place, ++runs) {
+    std::string bad = good;
+    bad[place] = static_cast<char>(bad[place] ^ 0x40);
+    std::size_t before = taken.size();
+    TestPeer peer(loop, address);
+    peer.send(bad + good);
+    loop.turn();
+    CHECK_EQUAL(before, taken.size());
+    peer.leave(true);
+  }
+  checkNext(8, 0);
+}
+
+TEST(MemberSchedules, AConnectionThatBreaksAtEveryByteBeginsAnewWithAWholeFrame) {
+  // The receiver resets once it has so many bytes; what follows stands on a new connection, whole
+  // frames from its first byte on, each at most once.
+  std::size_t largest = wireFrame("one", 1).size() * 2;
+  for (std::size_t size = 0; size < largest; size += 7, ++runs) {
+    TestListener other(loop);
+    std::uint64_t number = 0;
+    auto send = [&] { hub.send(other.address(), Message{DiscoveredEnginesRequest{{++number}}}); };
+    send();
+    send();
+    send();
+    CHECK(loop.until([&] { return !other.peers.empty() && other.peers[0]->got.size() >= size; }));
+    other.peers[0]->leave(true);
+    std::uint64_t before = number;
+    CHECK(loop.until([&] {
+      send();
+      loop.turn();
+      return other.peers.size() > 1 && other.peers[1]->got.size() >= largest;
+    }));
+    std::vector<std::uint64_t> all;
+    for (auto& peer : other.peers) {
+      bool torn = false;
+      auto numbers = framesOn(peer->got, torn);
+      CHECK_FALSE(torn);
+      all.insert(all.end(), numbers.begin(), numbers.end());
+    }
+    for (std::size_t at = 1; at < all.size(); ++at) CHECK(all[at - 1] < all[at]);
+    CHECK(all.back() > before);
+  }
+}
+
+TEST(MemberSchedules, AMemberOutOfReachIsReachedOnceThereIsAWayAgain) {
+  // A machine without a way says so at once, before any connection is under way.
+  for (int error : {ENETUNREACH, EHOSTUNREACH, EADDRNOTAVAIL, ECONNREFUSED}) {
+    TestListener other(loop);
+    failConnects(1, error);
+    hub.send(other.address(), Message{DiscoveredEnginesRequest{{1}}});
+    failConnects(0, 0);
+    MonotonicTime failed = bootNow();
+    CHECK(loop.until([&] {
+      hub.send(other.address(), Message{DiscoveredEnginesRequest{{2}}});
+      loop.turn();
+      return !other.peers.empty() && !other.peers[0]->got.empty();
+    }));
+    // Leases are as long: nobody may be out of reach for longer than the way to it was gone.
+    CHECK(bootNow() - failed < seconds(1));
+    ++runs;
+  }
+}
