--- a/src/io/dialect.h
+++ b/src/io/dialect.h
@@ -17,6 +17,9 @@
   std::string body;
   Duration timeout = seconds(1);
   MonotonicTime writeBefore = kForever;
+  // A late answer to an earlier call can't be told from this one's: none may stand on its
+  // connection.
+  bool ownConnection = false;
 };
 /// What came back; status 0 is no answer, and `written` tells whether a byte of the call left.
 struct HttpAnswer {
@@ -62,6 +65,8 @@
   virtual HttpCall call(const OrderWeights& command) const = 0;
   virtual HttpCall call(const PollParts& command) const = 0;
   virtual HttpCall call(const ListParts& command) const = 0;
+  /// Whether a head may be a call's answer: one to a client's request names that request.
+  virtual bool answersCall(const WireHead& head) const = 0;
   virtual EnginesListed readList(TicketId ticket, const HttpAnswer& answer) const = 0;
   virtual ReportAnswered readReport(TicketId ticket, const HttpAnswer& answer) const = 0;
   virtual OrderAnswered readOrder(TicketId ticket, const HttpAnswer& answer) const = 0;
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -153,8 +153,12 @@
   }
   void forget() override { table_.erase(this); }
   bool headCame() override {
-    answer_.status = reader.head().status;
-    for (auto& [name, value] : reader.head().headers) {
+    WireHead head;
+    head.status = reader.head().status;
+    head.headers = std::move(reader.head().headers);
+    if (!pool.dialect.answersCall(head)) return false;
+    answer_.status = head.status;
+    for (auto& [name, value] : head.headers) {
       auto [entry, added] = answer_.headers.emplace(lowered(std::move(name)), value);
       if (!added) entry->second += ", " + value;
     }
@@ -212,6 +216,7 @@
   exchange->address = call.address;
   exchange->text = callText(call);
   exchange->writeBefore = call.writeBefore;
+  exchange->ownConnection = call.ownConnection;
   exchange->bounded = true;
   exchange->startTimer(call.timeout);
   state_->calls[exchange.get()] = exchange;
--- a/src/io/http_client_connection.cc
+++ b/src/io/http_client_connection.cc
@@ -41,7 +41,7 @@
 void Exchange::fail() {
   if (done) return;
   auto keep = shared_from_this();
-  if (written) sendStateUpdate();
+  if (written) tellPending();
   if (done) return;
   done = true;
   stopTimer();
@@ -60,7 +60,7 @@
   whole();
 }
 
-void Exchange::sendStateUpdate() {
+void Exchange::tellPending() {
   if (done) return;
   if (written && !std::exchange(told, true)) tellWritten();
   if (doomed) fail();
@@ -84,7 +84,8 @@
   if (bootNow() >= exchange->writeBefore) {
     exchange->doomed = true;
     exchange->connection.reset();
-    pool_.keep(shared_from_this(), kKeptUnused);
+    if (exchange->ownConnection) close();
+    else pool_.keep(shared_from_this(), kKeptUnused);
     pool_.tellSoon(std::move(exchange));
     return true;
   }
@@ -144,7 +145,11 @@
   auto exchange = std::move(exchange_);
   if (!exchange || exchange->done) return close();
   if (!exchange->bounded) exchange->stopTimer();
-  if (!write(exchange)) exchange->fail();
+  // Bytes or an end that came before the request was written are no answer to it; as nothing of it
+  // has left, another engine may still get it.
+  bool quiet = socket_.quiet();
+  if (!quiet) close();
+  if (!quiet || !write(exchange)) exchange->fail();
 }
 
 void ClientConnection::readable() {
@@ -158,7 +163,7 @@
 
 void ClientConnection::take(std::string_view bytes) {
   auto exchange = exchange_;
-  exchange->sendStateUpdate();
+  exchange->tellPending();
   std::string body;
   while (!exchange->done) {
     switch (exchange->reader.next(bytes, body)) {
@@ -184,7 +189,8 @@
   exchange_.reset();
   exchange->connection.reset();
   Duration time = exchange->reader.keepTime();
-  bool clean = !surplus && !writeBroken_ && socket_.waiting() == 0 && time > Duration{};
+  bool clean = !exchange->ownConnection && !surplus && !writeBroken_ && socket_.waiting() == 0 &&
+               time > Duration{};
   if (clean) pool_.keep(shared_from_this(), time);
   else close();
   exchange->lastCame();
@@ -207,7 +213,7 @@
 
 void ConnectionPool::onNews(evutil_socket_t, short, void* pool) {
   auto news = std::exchange(static_cast<ConnectionPool*>(pool)->news_, {});
-  for (auto& exchange : news) exchange->sendStateUpdate();
+  for (auto& exchange : news) exchange->tellPending();
 }
 
 void ConnectionPool::tellSoon(std::shared_ptr<Exchange> exchange) {
@@ -216,8 +222,11 @@
 }
 
 void ConnectionPool::start(const std::shared_ptr<Exchange>& exchange) {
-  while (auto connection = takeKept(exchange->address))
+  while (!exchange->ownConnection) {
+    auto connection = takeKept(exchange->address);
+    if (!connection) break;
     if (connection->write(exchange)) return;
+  }
   int descriptor = HttpSocket::connectTo(exchange->address);
   if (descriptor < 0 && (errno == EMFILE || errno == ENFILE) && keptCount > 0) {
     dropOldest();
--- a/src/io/http_client_connection.h
+++ b/src/io/http_client_connection.h
@@ -37,7 +37,7 @@
   /// Ends it with its answer whole.
   void finish();
   /// Tells what could not be told at once. Called by the pool only.
-  void sendStateUpdate();
+  void tellPending();
   /// Calls `fail` when the time is up. Example: a call's time limit.
   void startTimer(Duration time);
   void stopTimer();
@@ -50,8 +50,9 @@
   AnswerReader reader;
   std::shared_ptr<ClientConnection> connection;
   bool written = false, told = false, doomed = false, done = false, paused = false;
-  bool timed = false;    // a timer runs
-  bool bounded = false;  // it bounds the whole exchange, not the connect alone
+  bool timed = false;          // a timer runs
+  bool ownConnection = false;  // neither on a kept connection nor kept after it
+  bool bounded = false;        // it bounds the whole exchange, not the connect alone
 
  private:
   event timer_;
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -360,6 +360,37 @@
   CHECK_EQUAL(1U, client->opened());
 }
 
+TEST(HttpClients, ACallNeverTakesARequestsAnswer) {
+  // The answer to the attempt before comes once more, where the call's own is due.
+  warmUp();
+  call();
+  CHECK(asked(0, "GET /report"));
+  answer(0, "t1", "Content-Length: 2\r\n\r\nok");
+  CHECK(loop.until([&] { return answers.size() == 1; }));
+  CHECK_EQUAL(0, answers[0].status);
+  CHECK(answers[0].written);
+  CHECK_EQUAL(std::string(), answers[0].body);
+  CHECK_EQUAL(0U, client->kept());
+}
+
+TEST(HttpClients, ACallThatMayNotMeetAnothersAnswerHasAConnectionOfItsOwn) {
+  warmUp();
+  HttpCall order;
+  order.method = "POST";
+  order.path = "/order";
+  order.address = engine.address();
+  order.timeout = seconds(5);
+  order.ownConnection = true;
+  client->call(order, [this](const HttpAnswer& answer) { answers.push_back(answer); });
+  CHECK(asked(1, "POST /order"));
+  engine.peers[1]->send("HTTP/1.1 202 Taken\r\nContent-Length: 0\r\n\r\n");
+  CHECK(loop.until([&] { return answers.size() == 1; }));
+  CHECK_EQUAL(202, answers[0].status);
+  CHECK_EQUAL(1U, client->kept());  // the attempt's, not the order's
+  CHECK(loop.until([&] { return engine.peers[1]->ended; }));
+  CHECK_EQUAL(std::string(), engine.peers[0]->got);
+}
+
 TEST(HttpClients, CallsEndInTime) {
   call(milliseconds(30));
   CHECK(asked(0, "/report"));
--- a/tests/http_testing.h
+++ b/tests/http_testing.h
@@ -2,6 +2,7 @@
 // Loopback sockets on a loop, and a dialect of the tests' own, for the HTTP listener and client.
 #include <event2/event.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -65,6 +66,9 @@
   HttpCall call(const OrderWeights&) const override { return {}; }
   HttpCall call(const PollParts&) const override { return {}; }
   HttpCall call(const ListParts&) const override { return {}; }
+  bool answersCall(const WireHead& head) const override {
+    return headerOf(head.headers, "X-Test-Id").empty();
+  }
   EnginesListed readList(TicketId, const HttpAnswer&) const override { return {}; }
   ReportAnswered readReport(TicketId, const HttpAnswer&) const override { return {}; }
   OrderAnswered readOrder(TicketId, const HttpAnswer&) const override { return {}; }
@@ -99,6 +103,10 @@
   void turn() {
     for (int round = 0; round < 5; ++round) event_base_loop(base(), EVLOOP_NONBLOCK);
   }
+  /// The same where some event stays due without end. Example: writes of which nothing is taken.
+  void turnBounded() {
+    for (int round = 0; round < 40; ++round) event_base_loop(base(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
+  }
 
  private:
   Loop loop_;
@@ -207,6 +215,16 @@
   bool has(std::size_t peer, std::string_view text) const {
     return peer < peers.size() && peers[peer]->has(text);
   }
+  /// Takes a connection that is on its way, outside the loop; null if none comes.
+  /// Example: `if (TestPeer* peer = listener.acceptNow()) peer->leave(true);`
+  TestPeer* acceptNow() {
+    pollfd wanted{descriptor_, POLLIN, 0};
+    constexpr int kLongestMilliseconds = 2000;
+    if (poll(&wanted, 1, kLongestMilliseconds) != 1) return nullptr;
+    std::size_t before = peers.size();
+    onAccept(descriptor_, 0, this);
+    return peers.size() > before ? peers.back().get() : nullptr;
+  }
   std::vector<std::unique_ptr<TestPeer>> peers;
 
  private:
