Both simulated worlds share machines, disk, network and scenario reader

Cause: `RouterWorld` and `World` each had their own clock, network, disk, processes, faults and scenario reader; what one learnt the other lacked, and a disk was a map whose files were whole or absent.

Change: `SimCluster` (with `EventQueue`, `SimNetwork`, `SimDisk`, `SimDiskTask`, `SimProcess`) owns what both have; a world adds engines, clients and operators. One reader and one table of words serve both kinds of files. New in both: power loss apart from a kill, files and folder entries that survive one by one, torn writes, full, slow (by a factor), hanging and failing disks with the disk task's steps (write aside, sync, rename, sync the folder) one by one and in their order; one-way cuts, connections that hang with bytes held up, resets with bytes under way, slowed machines, starts within a spread in any order, spare and retired machines, other seeds.

Ruled out: a common order of random draws for both (the router world didn't draw for messages to a dead machine, the other did; now both do).

--- a/src/sim/checker.cc
+++ b/src/sim/checker.cc
@@ -315,6 +315,10 @@
       if (longest > number) say("without a primary", longest);
       break;
     }
+    case Wanted::kTaken:
+    case Wanted::kVersions:
+    case Wanted::kKept:
+      break;  // only of routers
     case Wanted::kOvershoot:
       if (figures_["overshoot"] > number) say("links overshot", figures_["overshoot"]);
       break;
--- a/src/sim/router_attempts.cc
+++ b/src/sim/router_attempts.cc
@@ -51,9 +51,9 @@
   }
   turned.attempt = run->open.attempt;
   if (last) run->over = true;
-  MonotonicTime at = std::max(now_ + (local ? Duration{1} : latency()), run->lastTurn);
+  MonotonicTime at = std::max(now() + (local ? Duration{1} : latency()), run->lastTurn);
   run->lastTurn = at;
-  after(at - now_, [this, run, turned = std::move(turned)] {
+  after(at - now(), [this, run, turned = std::move(turned)] {
     if (run->process->life != run->processLife) return;
     deliver(*run->process, turned);
     if (run->over) runs_.erase({run->process, run->open.attempt.value});
@@ -86,7 +86,7 @@
   after(kept ? Duration{1} : latency() + latency(), [this, run] {
     auto writes = [this, run] {
       if (run->over || run->process->life != run->processLife) return;
-      if (run->process->local(now_) >= run->open.writeBefore)
+      if (run->process->local(now()) >= run->open.writeBefore)
         return turn(run, bare(AttemptTurn::kNotWritten));
       turn(run, bare(AttemptTurn::kWritten));
       checker_->wrote(*run, *clients_->find(run->open.clientId));
@@ -110,7 +110,7 @@
     if (!engine.alive || random_.below(2) == 0) return turn(run, bare(AttemptTurn::kBroken));
     run->engineLife = engine.life;
   }
-  BatchVerdict verdict = engine.model->take(run->open, run->asked, now_, run->run);
+  BatchVerdict verdict = engine.model->take(run->open, run->asked, now(), run->run);
   if (verdict != BatchVerdict::kTaken) return declineRun(run, verdict);
   run->taken = true;
   run->garbles = !engine.garble.empty() && random_.fraction() < kGarbled;
@@ -120,13 +120,13 @@
     RouterEngine* keeper = engineAt(*run->open.collectFrom);
     if (keeper != nullptr && keeper->alive && !keeper->dark) source = keeper->model.get();
   }
-  Duration first = engine.model->read(run->run, source, 1, now_) * engine.slow;
+  Duration first = engine.model->read(run->run, source, 1, now()) * engine.slow;
   if (run->open.depositAt) {
     after(first, [this, run] {
       RouterEngine* store = engineAt(*run->open.depositAt);
       if (store != nullptr && store->store && store->alive && run->taken)
         store->model->keep(run->run.salt, run->run.model, run->run.parts, run->run.version,
-                           run->run.tenant.value, now_);
+                           run->run.tenant.value, now());
     });
   }
   // The engine stops what its caller waits for no longer.
@@ -207,7 +207,7 @@
       if (garble == "fails" || garble == "busy") return answerWhole(run);
       stamped = garble != "unstamped";
     }
-    run->engine->model->began(run->run, now_);
+    run->engine->model->began(run->run, now());
     turn(run, headOf(run, 200, stamped));
     // What the router joins to another run begins an event too late.
     bool joined = run->open.resumeAfter && run->open.resumeAfter != run->asked.resumeAfter;
--- a/src/sim/router_checker.cc
+++ b/src/sim/router_checker.cc
@@ -212,19 +212,19 @@
     double share = world_.clients().served(expectation.from, std::min(expectation.to, end));
     bool met = true;
     double value = share;
-    if (expectation.word == "served") met = share >= expectation.number;
-    else if (expectation.word == "served-at-most") met = share <= expectation.number;
-    else if (expectation.word == "acknowledged")
+    if (expectation.wanted == Wanted::kServed) met = share >= expectation.number;
+    else if (expectation.wanted == Wanted::kServedAtMost) met = share <= expectation.number;
+    else if (expectation.wanted == Wanted::kTaken)
       met = (value = static_cast<double>(acknowledged)) >= expectation.number;
-    else if (expectation.word == "versions")
+    else if (expectation.wanted == Wanted::kVersions)
       met = (value = static_cast<double>(orders)) >= expectation.number;
-    else if (expectation.word == "kept")  // tokens read anew by a run, at most
+    else if (expectation.wanted == Wanted::kKept)  // tokens read anew by a run, at most
       met = (value = takes_ > 0 ? static_cast<double>(read) / static_cast<double>(takes_) : 0) <=
             expectation.number;
     if (!met)
       unmet_.push_back("line " + std::to_string(expectation.line) + ": expected " +
-                       expectation.word + " " + std::to_string(expectation.number) + ", was " +
-                       std::to_string(value));
+                       std::string(wordOf(expectation.wanted, Interface::kRouters)) + " " +
+                       std::to_string(expectation.number) + ", was " + std::to_string(value));
   }
 }
 
--- a/src/sim/router_commands.cc
+++ b/src/sim/router_commands.cc
@@ -1,13 +1,10 @@
 // Runs the machines' commands: messages, files, calls to the platform and to engines.
 #include <algorithm>
-#include <cstdio>
-#include <cstdlib>
 
 #include "sim/router_checker.h"
 #include "sim/router_clients.h"
 #include "sim/router_operators.h"
 #include "sim/router_world.h"
-#include "wire/frame.h"
 
 namespace peppergate {
 
@@ -69,12 +66,7 @@
   void operator()(const AnswerDone& command) const { world.clients().done(command); }
   void operator()(const RefuseRequest& command) const { world.clients().refused(command); }
   void operator()(const AnswerWeb& command) const { world.operators().answered(command); }
-  void operator()(const NoteState& command) const {
-    static const bool kLoud = std::getenv("PEPPERGATE_SIM_LOG") != nullptr;
-    if (kLoud)
-      std::fprintf(stderr, "%9.3f %s: %s\n", inSeconds(world.now() - MonotonicTime{}),
-                   process.host.c_str(), command.text.c_str());
-  }
+  void operator()(const NoteState& command) const { world.noteState(process, command); }
   /// What only fronts of the product's own interface do has no place in this world.
   template <class Other>
   void operator()(const Other&) const {
@@ -87,56 +79,6 @@
     std::visit(RouterCommandRunner{*this, process}, command);
 }
 
-void RouterWorld::send(RouterProcess& from, const Send& command) {
-  if (command.to == from.address) {  // to itself: no network between
-    after(Duration{1}, [this, &from, life = from.life, message = command.message] {
-      if (from.life == life) deliver(from, Arrived{from.address, message});
-    });
-    return;
-  }
-  // Every message goes through its wire form, as between real processes.
-  std::string frame = encodeFrame(1, command.message);
-  RouterProcess* to = nullptr;
-  for (auto& process : processes_)
-    if (process->address == command.to) to = process.get();
-  if (to == nullptr || !to->alive || !reachable(from.host, to->host)) return;
-  if (random_.fraction() < loss_) return;  // lost with a broken connection
-  Duration delay = latency();
-  if (random_.fraction() < late_) delay = delay + seconds(2.5 * random_.fraction());
-  after(delay, [this, to, life = to->life, sender = from.address, host = from.host,
-                frame = std::move(frame)] {
-    if (!to->alive || to->life != life || !reachable(host, to->host)) return;
-    std::span<const char> bytes(frame);
-    FrameHead head = readFrameHead(1, bytes);
-    auto message = decodeBody(head.kind, bytes.subspan(kFrameHeadSize));
-    if (message.ok() && bodyIsWhole(head, bytes.subspan(kFrameHeadSize)))
-      deliver(*to, Arrived{sender, std::move(*message)});
-    else checker_->fail("frame-unreadable", host);
-  });
-}
-
-void RouterWorld::write(RouterProcess& process, const WriteFile& command) {
-  after(milliseconds(1 + static_cast<std::int64_t>(random_.below(4))),
-        [this, &process, life = process.life, command] {
-          if (process.life != life) {
-            // Power went before the yes: the file may be there or not, never half of it.
-            if (!process.disk.empty() && random_.below(2) == 0)
-              process.disk[command.name] = command.content;
-            return;
-          }
-          process.disk[command.name] = command.content;
-          deliver(process, FileWritten{command.ticket, true});
-        });
-}
-
-void RouterWorld::dropOlder(RouterProcess& process, const DropOlder& command) {
-  std::vector<std::string> names;
-  for (const auto& [name, content] : process.disk)
-    if (name.starts_with(command.prefix + ".")) names.push_back(name);
-  for (std::size_t index = 0; index + command.keep < names.size(); ++index)
-    process.disk.erase(names[index]);
-}
-
 template <class Answer>
 void RouterWorld::callEngine(RouterProcess& process, const Address& address, Duration timeout,
                              MonotonicTime writeBefore, Answer none,
@@ -146,7 +88,7 @@
       if (process.life == life) deliver(process, answer);
     });
   };
-  if (process.local(now_) >= writeBefore) {
+  if (process.local(now()) >= writeBefore) {
     if constexpr (std::is_same_v<Answer, OrderAnswered>) none.outcome = OrderOutcome::kNotWritten;
     return give(Duration{1}, std::move(none));
   }
@@ -158,7 +100,7 @@
     if (!engine->alive || engine->dark || !reachable(host, engine->host))
       return give(timeout, none);
     Answer answer = ask(*engine);
-    bool lost = random_.fraction() < loss_;
+    bool lost = random_.fraction() < network_.loss();
     if (lost) give(timeout, none);
     else give(latency(), std::move(answer));
   });
@@ -179,13 +121,13 @@
     list.push_back(std::move(entry));
   }
   // Kept as it was over time, so that readers get it as old as the platform's list is.
-  if (lists_.empty() || lists_.back().second != list) lists_.emplace_back(now_, std::move(list));
-  while (lists_.size() > 1 && lists_[1].first + kListLag <= now_) {
+  if (lists_.empty() || lists_.back().second != list) lists_.emplace_back(now(), std::move(list));
+  while (lists_.size() > 1 && lists_[1].first + kListLag <= now()) {
     lists_.pop_front();
     for (auto& engine : engines_)
       for (const auto& entry : lists_.front().second)
         if (entry.id == engine->model->id() && entry.draining)
-          engine->drainingSince = std::min(engine->drainingSince, now_);
+          engine->drainingSince = std::min(engine->drainingSince, now());
   }
 }
 
@@ -198,12 +140,12 @@
   EnginesListed answer;
   answer.ticket = command.ticket;
   if (listDown_ || !reachable(process.host, "platform")) return give(command.timeout, answer);
-  while (!listCalls_.empty() && now_ - listCalls_.front() >= seconds(1)) listCalls_.pop_front();
+  while (!listCalls_.empty() && now() - listCalls_.front() >= seconds(1)) listCalls_.pop_front();
   if (static_cast<double>(listCalls_.size()) >= options_.listRate) {
     answer.status = 429;
     return give(latency(), answer);
   }
-  listCalls_.push_back(now_);
+  listCalls_.push_back(now());
   answer.status = 200;
   const auto& list = lists_.front().second;
   std::size_t from = command.page.empty() ? 0 : std::strtoull(command.page.c_str(), nullptr, 10);
--- a/src/sim/router_scenario.h
+++ b/src/sim/router_scenario.h
@@ -1,44 +1,26 @@
 #pragma once
-// Scenarios of a fleet of routers: small text files like those of `sim/scenario.h`, and drawn days.
+// Scenarios of fleets of routers: small text files like those of `sim/scenario.h`, and drawn days.
 #include <absl/status/statusor.h>
 
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
-#include "core/types.h"
+#include "sim/scenario_reader.h"
 
 namespace peppergate {
 
-/// One line "at TIME VERB WORDS". Example: `at 10s kill primary`.
-struct RouterAction {
-  MonotonicTime at;
-  std::string verb;
-  std::vector<std::string> words;
-  int line = 0;
-};
-
-/// One line "expect WORD NUMBER [from TIME] [to TIME]". Example: `expect served 0.9 from 20s`.
-struct RouterExpectation {
-  std::string word;
-  double number = 0;
-  MonotonicTime from{}, to = kForever;
-  int line = 0;
-};
-
-struct RouterScenario {
-  std::string name;
-  int routers = 4, cores = 3, engines = 6;
-  bool fenced = true;    // engines decline orders with a lower fence
-  double requests = 40;  // a second
+/// A scenario of the platform's interface; its fronts are routers.
+struct RouterScenario : FleetScenario {
+  RouterScenario() {
+    cores = 3;
+    requests = 40;
+    run = seconds(30);
+  }
+  bool fenced = true;  // engines decline orders with a lower fence
   double eventsLost = 0.02;
-  double settles = 0.9;  // served from 12 s after the last fault on; 0: not looked at
-  Duration run = seconds(30);
-  std::vector<std::pair<std::string, std::string>> options;
-  std::uint32_t guardsOff = 0;  // "without GUARD", to show that it is needed
-  std::vector<RouterAction> actions;
-  std::vector<RouterExpectation> expectations;
-  /// As a file. Example: a drawn day that failed is kept as `day.text()`.
+  /// As a file: a drawn day that failed is kept so.
   std::string text() const;
 };
 
--- a/src/sim/router_world.cc
+++ b/src/sim/router_world.cc
@@ -6,7 +6,6 @@
 #include "sim/router_checker.h"
 #include "sim/router_clients.h"
 #include "sim/router_operators.h"
-#include "wire/frame.h"
 
 namespace peppergate {
 namespace {
@@ -20,22 +19,16 @@
 }  // namespace
 
 RouterWorld::RouterWorld(const RouterScenario& scenario, std::uint64_t seed)
-    : scenario_(scenario), random_(seed), now_(MonotonicTime{} - kRouterWarmUp) {
+    : SimCluster(seed, MonotonicTime{} - kRouterWarmUp), scenario_(scenario) {
   options_.budgetSlack = 0;  // the share alone has to hold
   for (const auto& [name, value] : scenario_.options) (void)setOption(options_, name, value);
   options_.guardsOff = scenario_.guardsOff;
-  for (int number = 1; number <= scenario_.cores + scenario_.routers; ++number) {
-    bool core = number <= scenario_.cores;
-    int place = core ? number : number - scenario_.cores;
-    auto process = std::make_unique<RouterProcess>();
-    process->host = (core ? "core" : "router") + std::to_string(place);
-    process->address = {(core ? "10.0.0." : "10.0.1.") + std::to_string(place) + ":7100"};
-    process->role = core ? Role::kCore : Role::kFront;
-    process->zone = zoneOf(place);
-    processes_.push_back(std::move(process));
-  }
+  for (int number = 1; number <= scenario_.cores + scenario_.spares; ++number)
+    addCore(number, zoneOf(number), number > scenario_.cores);
+  for (int number = 1; number <= scenario_.fronts; ++number)
+    addProcess(Role::kFront, number, zoneOf(number));
   for (int number = 1; number <= std::min(3, scenario_.cores); ++number)
-    seeds_.push_back(processes_[static_cast<std::size_t>(number - 1)]->address);
+    seeds_.push_back(processOf(Role::kCore, number)->address);
   for (int number = 1; number <= scenario_.engines + 1; ++number) {
     auto engine = std::make_unique<RouterEngine>();
     engine->store = number > scenario_.engines;
@@ -110,100 +103,45 @@
   return {{"version", 1}, {"routes", routes}, {"services", services}, {"tenants", tenants}};
 }
 
-void RouterWorld::after(Duration delay, std::function<void()> what) {
-  queue_.push({now_ + delay, ++orders_, std::move(what)});
-}
-
-Duration RouterWorld::latency() {
-  return Duration{300 + static_cast<std::int64_t>(random_.below(1500))};
-}
-
-bool RouterWorld::reachable(const std::string& one, const std::string& other) const {
-  auto groupOf = [&](const std::string& host) {
-    auto found = groups_.find(host);
-    return found == groups_.end() ? 0 : found->second;
-  };
-  return groupOf(one) == groupOf(other);
-}
-
-bool RouterWorld::inTouch(const RouterProcess& process, Duration since) const {
-  RouterProcess* primary = const_cast<RouterWorld*>(this)->leader();
+bool RouterWorld::inTouch(const RouterProcess& process, Duration since) {
+  RouterProcess* primary = leader();
   return process.alive && !process.frozen && primary != nullptr &&
-         reachable(process.host, primary->host) && now_ - process.disturbed > since &&
-         now_ - coreDisturbed_ > since;
+         reachable(process.host, primary->host) && reachable(primary->host, process.host) &&
+         !network_.hangs(process.host, primary->host) && process.slowness == 0 &&
+         now() - process.disturbed > since && now() - coreDisturbed() > since;
 }
 
-RouterProcess* RouterWorld::leader() {
-  for (auto& process : processes_)
-    if (process->alive && !process->frozen && process->role == Role::kCore &&
-        process->core().leadership().leads(process->local(now_)))
-      return process.get();
-  return nullptr;
-}
-
-void RouterWorld::start(RouterProcess& process) {
-  if (process.alive) return;
-  process.alive = true;
-  process.frozen = process.stopping = false;
-  process.stoppedAt = kForever;
-  ++process.life;
-  process.disturbed = now_;
-  if (process.role == Role::kCore) coreDisturbed_ = now_;
-  // Each machine's boot clock stands somewhere else; only its own differences count.
-  process.clock = seconds(1000 + 100000 * random_.fraction());
-  process.rate = 0.995 + 0.01 * random_.fraction();
-  MemberRecord self;
-  self.member = {random_.next() >> 1};
-  self.address = self.pages = process.address;
-  self.role = process.role;
-  self.zone = process.zone;
+std::unique_ptr<Node> RouterWorld::makeNode(SimProcess& process, const MemberRecord& self,
+                                            const DiskFound& found, const Bootstrap& bootstrap) {
   if (process.role == Role::kCore) {
-    Bootstrap bootstrap{process.bootstraps, seeds_, 0};
-    if (!process.bootstraps) bootstrap = {};
-    DiskFound found{process.disk};
-    if (identityOn(found).value == 0) {
-      // Only its first disk is told that the fleet is new.
-      process.disk["identity"] =
-          identityFile({random_.next() >> 1}, process.born ? Bootstrap{} : bootstrap);
-      process.born = true;
-      found.files = process.disk;
-    }
-    process.node = std::make_unique<CoreNode>(options_, self, seeds_, found, random_.next(),
-                                              process.local(now_), bootstrap);
-    process.core().takeEngineDuties();
-    return;
+    auto core = std::make_unique<CoreNode>(options_, self, seeds_, found, random_.next(),
+                                           process.local(now()), bootstrap);
+    core->takeEngineDuties();
+    return core;
   }
   std::map<Zone, std::string> regions;
   for (int number = 0; number < 3; ++number) regions[zoneOf(number)] = "region";
-  process.node = std::make_unique<RouterNode>(options_, self, seeds_, regions, random_.next());
+  return std::make_unique<RouterNode>(options_, self, seeds_, regions, random_.next());
 }
 
 bool RouterWorld::closed(const RouterProcess& process) const {
-  return process.stopping && process.node->drained(process.local(now_));
+  return process.stopping && process.node->drained(process.local(now()));
 }
 
-void RouterWorld::deliver(RouterProcess& process, const Event& event) {
-  if (!process.alive) return;
-  if (process.frozen) {
-    if (std::holds_alternative<Ticked>(event) || process.held.size() > 20000) return;
-    process.held.push_back([this, &process, event] { deliver(process, event); });
-    return;
-  }
-  process.node->step(event, process.local(now_));
-  runCommands(process);
+bool RouterWorld::hasEnded(const SimProcess& process) const {
+  // A router's process goes after its last open request, as the daemon does; a core's at once.
+  bool drained = process.node->drained(process.local(now()));
+  return drained && (process.role != Role::kFront || process.router().live() == 0);
+}
+
+void RouterWorld::frameUnreadable(const std::string& host) {
+  checker_->fail("frame-unreadable", host);
 }
 
 void RouterWorld::tickAll() {
-  for (auto& process : processes_) {
-    deliver(*process, Ticked{});
-    // A router's process goes after its last open request, as the daemon does; a core's at once.
-    bool leaves = process->alive && process->stopping && !process->frozen &&
-                  process->node->drained(process->local(now_));
-    bool empty = process->role != Role::kFront || (leaves && process->router().live() == 0);
-    if (leaves && empty) kill(*process, true);
-  }
+  tickProcesses();
   for (auto& engine : engines_) {
-    engine->model->tick(now_);
+    engine->model->tick(now());
     if (engine->model->cuts())
       endRuns([&](const RouterRun& run) { return run.engine == engine.get(); });
   }
@@ -212,26 +150,12 @@
 }
 
 void RouterWorld::run() {
-  for (auto& process : processes_) start(*process);
+  startAll(scenario_.startSpread);
   for (const auto& action : scenario_.actions)
-    queue_.push({action.at, ++orders_, [this, &action] { act(action); }});
-  MonotonicTime end = MonotonicTime{} + scenario_.run + kAfterRun;
-  std::function<void()> ticker = [this, &ticker] {
-    tickAll();
-    after(kTick, ticker);
-  };
-  after(kTick, ticker);
-  std::function<void()> clientTicker = [this, &clientTicker] {
-    clients_->tick();
-    after(kClientTick, clientTicker);
-  };
-  after(kClientTick, clientTicker);
-  while (!queue_.empty() && now_ < end) {
-    Item item = queue_.top();
-    queue_.pop();
-    now_ = std::max(now_, item.at);
-    item.what();
-  }
+    queue_.at(action.at, [this, &action] { act(action); });
+  queue_.every(kTick, [this] { tickAll(); });
+  queue_.every(kClientTick, [this] { clients_->tick(); });
+  queue_.runUntil(MonotonicTime{} + scenario_.run + kAfterRun);
   checker_->finish();
 }
 
--- /dev/null
+++ b/src/sim/sim_cluster.cc
@@ -0,0 +1,310 @@
+#include "sim/sim_cluster.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <utility>
+
+#include "wire/frame.h"
+
+namespace peppergate {
+namespace {
+
+constexpr std::size_t kMostHeld = 20000;                 // events that wait for a frozen process
+constexpr Duration kToItself = Duration{1};              // a message within one process
+constexpr Duration kLookWhenHanging = milliseconds(20);  // how soon held-up bytes notice a heal
+constexpr Duration kTickPeriod = milliseconds(50);
+constexpr Duration kLookWhenFrozen = milliseconds(20);
+constexpr Duration kLookForDisk = milliseconds(200);  // a start waits for a disk that can be read
+constexpr Duration kLongestBacklog = seconds(5);  // of a slowed process; what comes then is lost
+constexpr std::uint64_t kFleetMark = 1;
+
+Duration costOf(const SimProcess& process) { return seconds(process.slowness / 1000); }
+
+/// Whether a process can start from a disk. A full one can be read, but not given an identity.
+bool readable(const SimDrive& drive) {
+  if (drive.mode == DiskMode::kFull) return !drive.disk.empty();
+  return drive.mode == DiskMode::kGood || drive.mode == DiskMode::kSlow;
+}
+
+}  // namespace
+
+SimCluster::SimCluster(std::uint64_t seed, MonotonicTime begin)
+    : queue_(begin), random_(seed), network_(random_), begin_(begin) {}
+
+SimCluster::~SimCluster() = default;
+
+SimProcess& SimCluster::addProcess(Role role, int number, const Zone& zone) {
+  auto process = std::make_unique<SimProcess>();
+  bool core = role == Role::kCore;
+  process->host = (core ? "core" : frontWord()) + std::to_string(number);
+  process->address = {(core ? "10.0.0." : "10.0.1.") + std::to_string(number) + ":7100"};
+  process->role = role;
+  process->zone = zone;
+  processes_.push_back(std::move(process));
+  return *processes_.back();
+}
+
+void SimCluster::addCore(int number, const Zone& zone, bool spare) {
+  SimProcess& process = addProcess(Role::kCore, number, zone);
+  process.spare = spare;
+  process.bootstraps = !spare;
+}
+
+SimProcess* SimCluster::processAt(const Address& address) {
+  for (auto& process : processes_)
+    if (process->address == address) return process.get();
+  return nullptr;
+}
+
+SimProcess* SimCluster::processOf(Role role, int number) {
+  for (auto& process : processes_)
+    if (process->role == role && --number == 0) return process.get();
+  return nullptr;
+}
+
+SimProcess* SimCluster::leader() {
+  for (auto& process : processes_) {
+    if (!process->alive || process->frozen || process->role != Role::kCore) continue;
+    if (process->core().leadership().leads(process->local(now()))) return process.get();
+  }
+  return nullptr;
+}
+
+void SimCluster::touch(SimProcess& process) {
+  process.disturbed = now();
+  if (process.role == Role::kCore) coreDisturbed_ = now();
+}
+
+void SimCluster::start(SimProcess& process) {
+  if (process.alive || process.retired) return;
+  if (process.role == Role::kCore && !readable(process.drive)) {  // its loader fails or waits
+    after(kLookForDisk, [this, &process, life = process.life] {
+      if (process.life == life) start(process);
+    });
+    return;
+  }
+  process.alive = true;
+  process.spare = false;
+  process.frozen = process.stopping = false;
+  process.stoppedAt = kForever;
+  ++process.life;
+  touch(process);
+  // Each machine's boot clock stands somewhere else; only its own differences count.
+  process.clock = seconds(1000 + 100000 * random_.fraction());
+  process.rate = 0.995 + 0.01 * random_.fraction();  // cheap clocks differ by about 1 %
+  MemberRecord self;
+  self.member = {random_.next() >> 1};
+  self.address = self.pages = process.address;
+  self.role = process.role;
+  self.zone = process.zone;
+  DiskFound found;
+  Bootstrap bootstrap;
+  if (process.role == Role::kCore) {
+    bootstrap = process.bootstraps ? bootstrapOf(process) : Bootstrap{};
+    found = load(process, bootstrap);
+  }
+  process.node = makeNode(process, self, found, bootstrap);
+}
+
+DiskFound SimCluster::load(SimProcess& process, const Bootstrap& bootstrap) {
+  SimDisk& disk = process.drive.disk;
+  DiskFound found{loadFiles(disk)};
+  if (identityOn(found).value == 0) {
+    // Only its first disk is told that the fleet is new.
+    std::string identity =
+        identityFile({random_.next() >> 1}, process.born ? Bootstrap{} : bootstrap);
+    process.born = true;
+    disk.truncate("identity");
+    disk.append("identity", identity);
+    found.files = loadFiles(disk);
+  }
+  process.diskTask = std::make_shared<SimDiskTask>(
+      queue_, random_, process.drive, [&process] { return process.frozen; },
+      [this, &process](const FileWritten& written) { deliver(process, written); });
+  return found;
+}
+
+void SimCluster::startAll(Duration spread) {
+  for (auto& process : processes_) {
+    if (process->spare) continue;
+    if (spread == Duration{}) start(*process);
+    else after(spread * random_.fraction(), [this, &process = *process] { start(process); });
+  }
+}
+
+void SimCluster::kill(SimProcess& process, bool planned) {
+  if (!process.alive) return;
+  if (!planned || process.frozen) process.disturbed = now();
+  if (process.role == Role::kCore) coreDisturbed_ = now();
+  process.alive = process.frozen = false;
+  process.held.clear();
+  process.backlog.clear();
+  process.node.reset();
+  process.diskTask.reset();
+  ++process.life;
+  processEnded(process, planned);
+}
+
+void SimCluster::losePower(SimProcess& process) {
+  kill(process);
+  network_.reset(process.host, now());
+  process.drive.disk.losePower(random_);
+}
+
+void SimCluster::wipe(SimProcess& process) {
+  kill(process);
+  process.drive.disk.wipe();
+  process.bootstraps = false;
+}
+
+void SimCluster::replace(SimProcess& process) {
+  wipe(process);
+  auto number = std::ranges::find(processes_, &process, &std::unique_ptr<SimProcess>::get) -
+                processes_.begin() + 1;
+  process.address = {"10.0.9." + std::to_string(number) + ":" +
+                     std::to_string(7200 + process.life)};
+  start(process);
+}
+
+void SimCluster::stop(SimProcess& process) {
+  if (!process.alive || process.frozen) return;
+  process.stopping = true;
+  process.stoppedAt = now();
+  deliver(process, DrainRequest{});
+  if (process.role == Role::kCore) touch(process);
+  after(graceTime(), [this, &process, life = process.life] {
+    if (process.life == life) kill(process, true);
+  });
+}
+
+void SimCluster::thaw(SimProcess& process) {
+  if (!process.alive || !process.frozen) return;
+  process.frozen = false;
+  touch(process);
+  for (const auto& what : std::exchange(process.held, {})) what();
+}
+
+void SimCluster::deliver(SimProcess& process, const Event& event) {
+  if (!process.alive) return;
+  if (process.frozen) {
+    if (std::holds_alternative<Ticked>(event) || process.held.size() >= kMostHeld) return;
+    process.held.push_back([this, &process, event] { deliver(process, event); });
+    return;
+  }
+  if (process.slowness > 0 || !process.backlog.empty()) return enqueue(process, event);
+  handle(process, event);
+}
+
+void SimCluster::handle(SimProcess& process, const Event& event) {
+  process.node->step(event, process.local(now()));
+  runCommands(process);
+}
+
+void SimCluster::enqueue(SimProcess& process, const Event& event) {
+  Duration wait = costOf(process) * static_cast<double>(process.backlog.size());
+  // A tick that would be late by more than one is dropped: the next one does its work.
+  if (std::holds_alternative<Ticked>(event) && wait > kTickPeriod) return;
+  if (std::holds_alternative<Arrived>(event) && wait > kLongestBacklog) return;
+  process.backlog.push_back(event);
+  if (process.backlog.size() == 1) serveBacklog(process, costOf(process));
+}
+
+void SimCluster::serveBacklog(SimProcess& process, Duration delay) {
+  after(delay, [this, &process, life = process.life] {
+    if (process.life != life) return;
+    if (process.frozen) return serveBacklog(process, kLookWhenFrozen);
+    Event event = std::move(process.backlog.front());
+    process.backlog.pop_front();
+    // The next one is begun first: what is handled here may add more.
+    if (!process.backlog.empty()) serveBacklog(process, costOf(process));
+    handle(process, event);
+  });
+}
+
+void SimCluster::tickProcesses() {
+  for (auto& process : processes_) {
+    deliver(*process, Ticked{});
+    bool leaves = process->alive && process->stopping && !process->frozen;
+    if (leaves && hasEnded(*process)) kill(*process, true);
+  }
+}
+
+/// A message on its way.
+struct SimCluster::Frame {
+  std::string from, to;  // hosts
+  Address sender;
+  SimProcess* receiver;
+  std::uint64_t receiverLife;
+  std::uint64_t connection;
+  std::string bytes;
+};
+
+void SimCluster::send(SimProcess& from, const Send& command) {
+  ++messages_;
+  if (command.to == from.address) {
+    after(kToItself, [this, &from, life = from.life, message = command.message] {
+      if (from.life == life) deliver(from, Arrived{from.address, message});
+    });
+    return;
+  }
+  // Every message goes through its wire form, as between real processes.
+  auto frame = std::make_shared<Frame>();
+  frame->bytes = encodeFrame(kFleetMark, command.message);
+  countBytes(frame->bytes.size());
+  SimProcess* to = processAt(command.to);
+  if (to == nullptr || !reachable(from.host, to->host)) return;
+  if (network_.waitsToReconnect(from.host, to->host, now())) return;
+  std::optional<Duration> delay = network_.transit();
+  if (!delay) return;
+  frame->from = from.host;
+  frame->to = to->host;
+  frame->sender = from.address;
+  frame->receiver = to;
+  frame->receiverLife = to->life;
+  frame->connection = network_.connection(from.host, to->host);
+  after(*delay, [this, frame] { arrive(frame); });
+}
+
+void SimCluster::arrive(const std::shared_ptr<Frame>& frame) {
+  SimProcess& to = *frame->receiver;
+  if (!to.alive || to.life != frame->receiverLife) return;
+  if (frame->connection != network_.connection(frame->from, frame->to)) return;
+  if (network_.hangs(frame->from, frame->to)) {
+    after(kLookWhenHanging, [this, frame] { arrive(frame); });
+    return;
+  }
+  if (!reachable(frame->from, frame->to)) return;
+  std::span<const char> bytes(frame->bytes);
+  FrameHead head = readFrameHead(kFleetMark, bytes);
+  std::span<const char> body = bytes.subspan(kFrameHeadSize);
+  auto message = decodeBody(head.kind, body);
+  if (message.ok() && bodyIsWhole(head, body))
+    deliver(to, Arrived{frame->sender, std::move(*message)});
+  else frameUnreadable(frame->from);
+}
+
+void SimCluster::noteState(const SimProcess& process, const NoteState& command) const {
+  static const bool kLoud = std::getenv("PEPPERGATE_SIM_LOG") != nullptr;
+  if (!kLoud) return;
+  std::fprintf(stderr, "%9.3f %s: %s\n", inSeconds(now() - MonotonicTime{}), process.host.c_str(),
+               command.text.c_str());
+}
+
+void SimCluster::countBytes(std::size_t bytes) {
+  messageBytes_ += bytes;
+  auto second = static_cast<std::size_t>((now() - begin_).microseconds / 1'000'000);
+  if (bytesBySecond_.size() <= second) bytesBySecond_.resize(second + 1);
+  bytesBySecond_[second] += bytes;
+}
+
+std::uint64_t SimCluster::bytesAt(MonotonicTime from, MonotonicTime to) const {
+  std::uint64_t bytes = 0;
+  for (std::size_t second = 0; second < bytesBySecond_.size(); ++second) {
+    MonotonicTime at = begin_ + seconds(static_cast<double>(second));
+    if (at >= from && at < to) bytes += bytesBySecond_[second];
+  }
+  return bytes;
+}
+
+}  // namespace peppergate
--- /dev/null
+++ b/src/sim/sim_disk_task.cc
@@ -0,0 +1,123 @@
+#include "sim/sim_disk_task.h"
+
+#include <utility>
+#include <vector>
+
+namespace peppergate {
+namespace {
+
+constexpr std::int64_t kSteps = 5;
+constexpr std::uint64_t kSlowestMilliseconds = 4;         // of a good disk, for a file
+constexpr Duration kRetryWhenFull = milliseconds(200);    // as io/disk_task does
+constexpr Duration kLookWhenHanging = milliseconds(100);  // how soon the end of a hang is noticed
+constexpr std::string_view kAside = ".aside";
+
+std::string asideOf(const std::string& name) { return name + std::string(kAside); }
+
+}  // namespace
+
+SimDiskTask::SimDiskTask(EventQueue& queue, Random& random, SimDrive& drive,
+                         std::function<bool()> isFrozen, Answer answer)
+    : queue_(queue),
+      random_(random),
+      drive_(drive),
+      isFrozen_(std::move(isFrozen)),
+      answer_(std::move(answer)) {}
+
+void SimDiskTask::write(WriteFile command) { push(std::move(command)); }
+
+void SimDiskTask::dropOlder(DropOlder command) { push(std::move(command)); }
+
+void SimDiskTask::push(Job job) {
+  jobs_.push_back(std::move(job));
+  if (!writing_) next();
+}
+
+void SimDiskTask::next() {
+  while (!jobs_.empty()) {
+    if (std::holds_alternative<WriteFile>(jobs_.front())) return begin();
+    carryOut(std::get<DropOlder>(jobs_.front()));
+    jobs_.pop_front();
+  }
+}
+
+Duration SimDiskTask::drawTime() {
+  Duration time = milliseconds(1 + static_cast<std::int64_t>(random_.below(kSlowestMilliseconds)));
+  if (drive_.mode != DiskMode::kSlow) return time;
+  if (drive_.slowness > 0) return time * drive_.slowness;
+  return milliseconds(150 + static_cast<std::int64_t>(random_.below(500)));
+}
+
+void SimDiskTask::begin() {
+  writing_ = true;
+  Duration time = drawTime();
+  stepTime_ = Duration{time.microseconds / kSteps};
+  lastStepTime_ = time - stepTime_ * static_cast<double>(kSteps - 1);
+  schedule(Step::kFirstHalf, stepTime_);
+}
+
+void SimDiskTask::schedule(Step step, Duration delay) {
+  queue_.after(delay, [self = weak_from_this(), step] {
+    if (auto task = self.lock()) task->carryOut(step);
+  });
+}
+
+void SimDiskTask::carryOut(Step step) {
+  if (drive_.mode == DiskMode::kHanging || isFrozen_()) return schedule(step, kLookWhenHanging);
+  const WriteFile& command = current();
+  const std::string aside = asideOf(command.name);
+  SimDisk& disk = drive_.disk;
+  const std::size_t half = command.content.size() / 2;
+  switch (step) {
+    case Step::kFirstHalf:
+      // A full disk changes nothing; the write is tried again until there is space.
+      if (drive_.mode == DiskMode::kFull) return schedule(step, kRetryWhenFull);
+      disk.truncate(aside);
+      disk.append(aside, std::string_view(command.content).substr(0, half));
+      return schedule(Step::kSecondHalf, stepTime_);
+    case Step::kSecondHalf:
+      if (drive_.mode == DiskMode::kFull) {
+        disk.remove(aside);  // gives back its space
+        return schedule(Step::kFirstHalf, kRetryWhenFull);
+      }
+      disk.append(aside, std::string_view(command.content).substr(half));
+      return schedule(Step::kSync, stepTime_);
+    case Step::kSync:
+      if (drive_.mode == DiskMode::kFailingSync && random_.below(2) == 0) return finish(false);
+      disk.sync(aside);
+      return schedule(Step::kRename, stepTime_);
+    case Step::kRename:
+      disk.rename(aside, command.name);
+      return schedule(Step::kSyncFolder, lastStepTime_);
+    case Step::kSyncFolder:
+      if (drive_.mode == DiskMode::kFailingSync) return finish(false);
+      disk.syncFolder();
+      return finish(true);
+  }
+}
+
+void SimDiskTask::finish(bool synced) {
+  TicketId ticket = current().ticket;
+  jobs_.pop_front();
+  writing_ = false;
+  auto self = shared_from_this();  // the answer may end the process
+  answer_(FileWritten{ticket, synced});
+  if (!writing_) next();
+}
+
+void SimDiskTask::carryOut(const DropOlder& command) {
+  std::vector<std::string> names;
+  for (const auto& name : drive_.disk.names())
+    if (name.starts_with(command.prefix + ".") && !name.ends_with(kAside)) names.push_back(name);
+  for (std::size_t index = 0; index + command.keep < names.size(); ++index)
+    drive_.disk.remove(names[index]);
+}
+
+std::map<std::string, std::string> loadFiles(SimDisk& disk) {
+  for (const auto& name : disk.names())
+    if (name.ends_with(kAside)) disk.remove(name);
+  disk.syncAll();
+  return disk.files();
+}
+
+}  // namespace peppergate
--- a/src/sim/world_commands.cc
+++ b/src/sim/world_commands.cc
@@ -22,12 +22,7 @@
   void operator()(const EndAnswer& command) const { world.callers().ended(command); }
   void operator()(const DeclineStream& command) const { world.callers().declined(command); }
   void operator()(const AnswerWeb& command) const { world.answeredOperator(command); }
-  void operator()(const NoteState& command) const {
-    static const bool kLoud = std::getenv("PEPPERGATE_SIM_LOG") != nullptr;
-    if (kLoud)
-      std::fprintf(stderr, "%9.3f %s: %s\n", inSeconds(world.now() - MonotonicTime{}),
-                   process.host.c_str(), command.text.c_str());
-  }
+  void operator()(const NoteState& command) const { world.noteState(process, command); }
   /// What only routers do has no place in this world.
   template <class Other>
   void operator()(const Other&) const {
@@ -40,47 +35,6 @@
     std::visit(CommandRunner{*this, process}, command);
 }
 
-void World::write(SimProcess& process, const WriteFile& command) {
-  std::uint64_t life = process.life;
-  Duration time = milliseconds(1 + static_cast<std::int64_t>(random_.below(4)));
-  if (process.diskMode == DiskMode::kSlow)
-    time = milliseconds(150 + static_cast<std::int64_t>(random_.below(500)));
-  if (process.diskMode == DiskMode::kStalled) {
-    // A stalled disk goes on when it is good again, if the process still lives by then.
-    after(milliseconds(100), [this, &process, life, command] {
-      if (process.life == life) write(process, command);
-    });
-    return;
-  }
-  after(time, [this, &process, life, command] {
-    if (process.life != life) {
-      // Power went before the yes: the file may be there or not, never half of it.
-      if (!process.disk.empty() && random_.below(2) == 0)
-        process.disk[command.name] = command.content;
-      return;
-    }
-    // A full disk leaves the aside file unwritten and the old one as it was; what waits is tried
-    // again by the disk task until there is space, as in src/io/disk_task.cc.
-    if (process.diskMode == DiskMode::kFull) {
-      after(milliseconds(100), [this, &process, life, command] {
-        if (process.life == life) write(process, command);
-      });
-      return;
-    }
-    bool good = process.diskMode != DiskMode::kFailing;
-    if (good) process.disk[command.name] = command.content;
-    deliver(process, FileWritten{command.ticket, good});
-  });
-}
-
-void World::dropOlder(SimProcess& process, const DropOlder& command) {
-  std::vector<std::string> names;
-  for (const auto& [name, content] : process.disk)
-    if (name.starts_with(command.prefix + ".")) names.push_back(name);
-  for (std::size_t index = 0; index + command.keep < names.size(); ++index)
-    process.disk.erase(names[index]);
-}
-
 std::string World::hostAt(const Address& address) {
   if (SimEngine* engine = engineAt(address)) return engine->host;
   return "platform";
@@ -94,7 +48,7 @@
     });
   };
   std::string host = hostAt(command.address);
-  if (process.local(now_) >= command.writeBefore) {
+  if (process.local(now()) >= command.writeBefore) {
     answer(Duration{1}, {command.ticket, 0, {}});
     return;
   }
@@ -135,7 +89,7 @@
   if (command.path == "/health") result.body = model.health().dump();
   else if (command.path == "/kept") result.body = model.kept().dump();
   else if (command.path == "/order")
-    result.status = model.order(Json::parse(command.body), now_).status;
+    result.status = model.order(Json::parse(command.body), now()).status;
   else result.status = 404;
   return result;
 }
@@ -144,7 +98,7 @@
   SimChange change;
   change.id = "change-" + std::to_string(changes_.size() + 1);
   change.body = std::move(body);
-  change.asked = change.nextTry = now_;
+  change.asked = change.nextTry = now();
   change.retry = retry;
   change.tenant = tenant;
   change.key = key;
@@ -153,7 +107,7 @@
 
 void World::askOperators() {
   for (auto& change : changes_) {
-    if (!change.outcome.empty() || now_ < change.nextTry) continue;
+    if (!change.outcome.empty() || now() < change.nextTry) continue;
     if (change.tries >= 150) {
       change.outcome = "no-answer";
       continue;
@@ -163,9 +117,9 @@
       if (process->alive && process->role == Role::kFront) candidates.push_back(process.get());
     if (candidates.empty()) continue;
     SimProcess& target = *candidates[random_.below(candidates.size())];
-    change.nextTry = now_ + seconds(4);
+    change.nextTry = now() + seconds(4);
     ++change.tries;
-    change.lastAsked = now_;
+    change.lastAsked = now();
     Json body = change.body;
     body["changeId"] = change.id;
     bool base = !body["kind"].get<std::string>().starts_with("key");
@@ -187,12 +141,12 @@
     bool again =
         answer.status == 503 || answer.status == 504 || (outcome == "stale" && change.retry);
     if (again) {
-      change.nextTry = now_ + milliseconds(300 + static_cast<std::int64_t>(random_.below(400)));
+      change.nextTry = now() + milliseconds(300 + static_cast<std::int64_t>(random_.below(400)));
       return;
     }
     change.outcome = outcome;
     if (outcome != "done") return;
-    change.done = now_;
+    change.done = now();
     std::string version = body["version"];
     auto dot = version.find('.');
     change.version = {{std::stoull(version.substr(0, dot))},
@@ -201,11 +155,11 @@
     if (change.body["kind"] == "apply")
       for (const auto& [tenant, entry] : change.body["setup"]["tenants"].items())
         for (auto& engine : engines_)
-          engine->model->walled(tenant, {entry["parameters"]["wall"].get<std::string>()}, now_);
+          engine->model->walled(tenant, {entry["parameters"]["wall"].get<std::string>()}, now());
     if (change.body["kind"] == "stamp")
       for (auto& engine : engines_)
         engine->model->walled(change.body["tenant"],
-                              {change.body["parameters"]["wall"].get<std::string>()}, now_);
+                              {change.body["parameters"]["wall"].get<std::string>()}, now());
     return;
   }
 }
@@ -215,7 +169,7 @@
   std::uint64_t version = 1;
   for (const auto& change : changes_)
     if (change.outcome == "done" && change.body["kind"] == "weights") ++version;
-  for (auto& engine : engines_) engine->model->named({version}, now_);
+  for (auto& engine : engines_) engine->model->named({version}, now());
 }
 
 }  // namespace peppergate
--- a/src/sim/world_engines.cc
+++ b/src/sim/world_engines.cc
@@ -20,13 +20,13 @@
     headers[lower] = value;
   }
   run->ask = parseRun(headers, command.body);
-  run->ask.withoutList = now_ - process.withoutList < seconds(3);
+  run->ask.withoutList = now() - process.withoutList < seconds(3);
   for (std::size_t index = 0; index < engines_.size(); ++index)
     if (engines_[index]->address == command.address) run->engine = index;
   SimEngine& engine = *engines_[run->engine];
   run->engineLife = engine.life;
   runs_.push_back(run);
-  if (process.local(now_) >= command.writeBefore) {
+  if (process.local(now()) >= command.writeBefore) {
     endRun(run, ShotTurn::kNotWritten);
     return;
   }
@@ -53,7 +53,7 @@
     return;
   }
   // A caller that went away meanwhile does not unsend what is on the wire.
-  auto verdict = engine.model->begin(run->ask, now_);
+  auto verdict = engine.model->begin(run->ask, now());
   if (verdict.status != 200) {
     if (!run->ended) endRun(run, ShotTurn::kDeclined, verdict.status);
     return;
@@ -112,7 +112,7 @@
   SimEngine& engine = *engines_[run->engine];
   if (!engine.alive || engine.life != run->engineLife) return;
   if (run->ended) {  // cancelled: the engine notices at its next piece
-    engine.model->end(now_);
+    engine.model->end(now());
     return;
   }
   bool last = piece.value + 1 >= static_cast<std::uint64_t>(run->ask.pieces);
@@ -135,7 +135,7 @@
     if (last) endRun(run, ShotTurn::kEnded);
   });
   if (last) {
-    engine.model->end(now_);
+    engine.model->end(now());
     return;
   }
   after(engine.model->options().pieceEvery,
