A core makes the names on its disk last before it acts on them

Cause: a process may end between the rename of a file and the sync of its folder. The next one read the file, took its promise or view for durable and answered from it without another write; a power loss after that could take the name back, and the acceptor forgot what it had answered.

Change: `DiskTask::load` syncs the folder before it gives the files. A full disk no longer keeps a core from starting. The disk task takes its system calls from a table, so that the real task runs over a simulated disk.

Tests: power lost after each call, the process ended after each call and power lost after the next start, each call failing with EIO and ENOSPC, short writes.

--- a/src/io/disk_task.cc
+++ b/src/io/disk_task.cc
@@ -18,6 +18,8 @@
 
 namespace fs = std::filesystem;
 
+constexpr std::string_view kAside = ".aside";  // ends the name of a file that is being written
+
 absl::Status fileError(std::string_view what, const std::string& path) {
   return absl::UnavailableError(std::string(what) + " " + path + ": " + strerror(errno));
 }
@@ -26,7 +28,7 @@
 long writeSome(int descriptor, const void* data, std::size_t size) {
   return ::write(descriptor, data, size);
 }
-constexpr FileCalls kSystemCalls{&openFile, &writeSome, &fsync, &close, &std::rename};
+const FileCalls kSystemCalls{&openFile, &writeSome, &fsync, &close, &std::rename};
 
 bool noSpace() { return errno == ENOSPC || errno == EDQUOT; }
 
@@ -65,27 +67,44 @@
 
 }  // namespace
 
-absl::StatusOr<std::map<std::string, std::string>> DiskTask::load(const std::string& folder) {
+int FileCalls::removeName(const char* path) { return std::remove(path); }
+
+std::vector<std::string> FileCalls::namesIn(const char* path) {
+  std::vector<std::string> names;
+  std::error_code fault;
+  for (const auto& entry : fs::directory_iterator(path, fault))
+    names.push_back(entry.path().filename().string());
+  return names;
+}
+
+std::string FileCalls::contentOf(const char* path) {
+  std::ifstream file(path, std::ios::binary);
+  std::stringstream content;
+  content << file.rdbuf();
+  return content.str();
+}
+
+absl::StatusOr<std::map<std::string, std::string>> DiskTask::load(const std::string& folder,
+                                                                  const FileCalls& calls) {
   std::error_code fault;
   fs::create_directories(folder, fault);
   if (fault) return absl::FailedPreconditionError("data folder " + folder + ": " + fault.message());
-  std::string probe = folder + "/.probe";
-  if (absl::Status status = writeAside(kSystemCalls, probe, "probe"); !status.ok())
+  const std::string probe = folder + "/.probe";
+  absl::Status probed = writeAside(calls, probe, "probe");
+  calls.removeFile(probe.c_str());
+  if (!probed.ok() && !absl::IsResourceExhausted(probed))
     return absl::FailedPreconditionError("data folder can't be written: " +
-                                         std::string(status.message()));
-  fs::remove(probe, fault);
+                                         std::string(probed.message()));
   std::map<std::string, std::string> files;
-  for (const auto& entry : fs::directory_iterator(folder, fault)) {
-    std::string name = entry.path().filename().string();
-    if (name.ends_with(".aside")) {  // a write that never got its name
-      fs::remove(entry.path(), fault);
+  for (const std::string& name : calls.listFolder(folder.c_str())) {
+    const std::string path = folder + "/" + name;
+    if (name.ends_with(kAside)) {  // a write that never got its name
+      calls.removeFile(path.c_str());
       continue;
     }
-    std::ifstream file(entry.path(), std::ios::binary);
-    std::stringstream content;
-    content << file.rdbuf();
-    files[name] = content.str();
+    files[name] = calls.readFile(path.c_str());
   }
+  if (absl::Status synced = syncFolder(calls, folder); !synced.ok()) return synced;
   return files;
 }
 
@@ -94,10 +113,9 @@
 absl::Status writeFile(const FileCalls& calls, const std::string& folder, const std::string& name,
                        std::string_view content) {
   std::string path = folder + "/" + name;
-  std::string aside = path + ".aside";
+  std::string aside = path + std::string(kAside);
   if (absl::Status status = writeAside(calls, aside, content); !status.ok()) {
-    std::error_code fault;
-    if (absl::IsResourceExhausted(status)) fs::remove(aside, fault);  // gives back its space
+    if (absl::IsResourceExhausted(status)) calls.removeFile(aside.c_str());  // gives back its space
     return status;
   }
   if (calls.renameFile(aside.c_str(), path.c_str()) != 0) return fileError("rename", path);
@@ -109,8 +127,11 @@
   return writeFile(kSystemCalls, folder, name, content);
 }
 
-DiskTask::DiskTask(std::string folder, Answer answer)
-    : folder_(std::move(folder)), answer_(std::move(answer)), thread_([this] { work(); }) {}
+DiskTask::DiskTask(std::string folder, Answer answer, const FileCalls& calls)
+    : folder_(std::move(folder)),
+      answer_(std::move(answer)),
+      calls_(calls),
+      thread_([this] { work(); }) {}
 
 DiskTask::~DiskTask() {
   {
@@ -151,7 +172,7 @@
   if (fault == DiskFault::kSlow) std::this_thread::sleep_for(std::chrono::milliseconds(400));
   if (fault == DiskFault::kFull) return absl::ResourceExhaustedError("no space left (rehearsal)");
   if (fault == DiskFault::kFailSync) return absl::DataLossError("sync failed (rehearsal)");
-  return writeNow(folder_, command.name, command.content);
+  return writeFile(calls_, folder_, command.name, command.content);
 }
 
 absl::Status DiskTask::carryOut(const WriteFile& command) {
@@ -168,14 +189,11 @@
 
 void DiskTask::carryOut(const DropOlder& command) {
   std::vector<std::string> names;
-  std::error_code fault;
-  for (const auto& entry : fs::directory_iterator(folder_, fault)) {
-    std::string name = entry.path().filename().string();
-    if (name.starts_with(command.prefix + ".") && !name.ends_with(".aside")) names.push_back(name);
-  }
+  for (const std::string& name : calls_.listFolder(folder_.c_str()))
+    if (name.starts_with(command.prefix + ".") && !name.ends_with(kAside)) names.push_back(name);
   std::ranges::sort(names);
   for (std::size_t index = 0; index + command.keep < names.size(); ++index)
-    fs::remove(folder_ + "/" + names[index], fault);
+    calls_.removeFile((folder_ + "/" + names[index]).c_str());
 }
 
 void DiskTask::work() {
--- a/src/io/disk_task.h
+++ b/src/io/disk_task.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <thread>
 #include <variant>
+#include <vector>
 
 #include "core/outbox.h"
 
@@ -26,6 +27,14 @@
   int (*syncFile)(int descriptor);
   int (*closeFile)(int descriptor);
   int (*renameFile)(const char* from, const char* to);
+  int (*removeFile)(const char* path) = &removeName;
+  std::vector<std::string> (*listFolder)(const char* path) = &namesIn;
+  std::string (*readFile)(const char* path) = &contentOf;
+
+ private:
+  static int removeName(const char* path);
+  static std::vector<std::string> namesIn(const char* path);
+  static std::string contentOf(const char* path);
 };
 /// The system's own. Example: `writeFile(systemCalls(), folder, "a", "b")`.
 const FileCalls& systemCalls();
@@ -39,13 +48,18 @@
 class DiskTask {
  public:
   using Answer = std::function<void(const FileWritten&)>;
-  DiskTask(std::string folder, Answer answer);
+  /// `calls` must outlive it; only tests give others than the system's.
+  DiskTask(std::string folder, Answer answer, const FileCalls& calls = systemCalls());
   ~DiskTask();
   DiskTask(const DiskTask&) = delete;
   DiskTask& operator=(const DiskTask&) = delete;
 
-  /// Checks that the folder can be written and reads its files. Example: at start.
-  static absl::StatusOr<std::map<std::string, std::string>> load(const std::string& folder);
+  /// Checks that the folder can be written, and reads its files. What never got its name is
+  /// removed. The names that are read are made to last first: a process may have ended between a
+  /// rename and the sync of the folder, and what is acted on from now on must not be undone by a
+  /// power loss. A full disk is read all the same.
+  static absl::StatusOr<std::map<std::string, std::string>> load(
+      const std::string& folder, const FileCalls& calls = systemCalls());
   /// Writes one file at once, for a new disk's identity. Example: `writeNow(folder, "a", "b")`.
   static absl::Status writeNow(const std::string& folder, const std::string& name,
                                const std::string& content);
@@ -64,6 +78,7 @@
 
   std::string folder_;
   Answer answer_;
+  const FileCalls& calls_;
   std::mutex mutex_;
   std::condition_variable wake_;
   std::deque<Job> jobs_;
--- /dev/null
+++ b/tests/disk_power_test.cc
@@ -0,0 +1,254 @@
+// The real disk task over a table of system calls that work on a simulated disk: power lost after
+// each call, the process ended after each call, and each call failing in turn.
+#include <errno.h>
+#include <fcntl.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <future>
+#include <optional>
+#include <set>
+
+#include "io/disk_task.h"
+#include "sim/sim_disk.h"
+#include "tests/testing.h"
+
+using namespace peppergate;
+
+namespace {
+
+constexpr long kNoCall = -1;
+constexpr std::uint64_t kSeeds = 12;
+
+/// The machine under the fake calls. One at a time; the calls of a table have no state of their
+/// own.
+struct FakeMachine {
+  SimDisk disk;
+  std::map<int, std::string> open;  // names of open files; empty for the folder
+  int lastDescriptor = 2;
+  long callsLeft = kNoCall;  // until the machine, or the process, is gone: then nothing is done
+  long failing = kNoCall;    // the number of the one call that fails, from 1
+  long calls = 0;
+  int error = EIO;
+  std::size_t most = SIZE_MAX;  // bytes that one write takes
+  std::vector<std::string> log;
+
+  /// Whether the next call is carried out; sets errno where it isn't.
+  bool step(const std::string& call) {
+    log.push_back(call);
+    ++calls;
+    if (callsLeft == 0 || calls == failing) {
+      errno = callsLeft == 0 ? EIO : error;
+      return false;
+    }
+    if (callsLeft > 0) --callsLeft;
+    return true;
+  }
+};
+FakeMachine* machine = nullptr;
+
+std::string nameOf(const char* path) { return std::filesystem::path(path).filename().string(); }
+
+int openFile(const char* path, int flags, unsigned) {
+  if (!machine->step("open")) return -1;
+  bool folder = (flags & O_DIRECTORY) != 0;
+  if ((flags & O_TRUNC) != 0) machine->disk.truncate(nameOf(path));
+  machine->open[++machine->lastDescriptor] = folder ? "" : nameOf(path);
+  return machine->lastDescriptor;
+}
+
+long writeSome(int descriptor, const void* data, std::size_t size) {
+  if (!machine->step("write")) return -1;
+  std::size_t taken = std::min(size, machine->most);
+  machine->disk.append(machine->open.at(descriptor),
+                       std::string_view(static_cast<const char*>(data), taken));
+  return static_cast<long>(taken);
+}
+
+int syncFile(int descriptor) {
+  if (!machine->step("sync")) return -1;
+  const std::string& name = machine->open.at(descriptor);
+  if (name.empty()) machine->disk.syncFolder();
+  else machine->disk.sync(name);
+  return 0;
+}
+
+int closeFile(int descriptor) {
+  machine->open.erase(descriptor);
+  return machine->step("close") ? 0 : -1;
+}
+
+int renameFile(const char* from, const char* to) {
+  if (!machine->step("rename")) return -1;
+  return machine->disk.rename(nameOf(from), nameOf(to)) ? 0 : -1;
+}
+
+int removeFile(const char* path) {
+  if (!machine->step("remove")) return -1;
+  return machine->disk.remove(nameOf(path)) ? 0 : -1;
+}
+
+std::vector<std::string> listFolder(const char*) { return machine->disk.names(); }
+
+std::string readFile(const char* path) { return machine->disk.files()[nameOf(path)]; }
+
+constexpr FileCalls kFake{&openFile,   &writeSome,  &syncFile,   &closeFile,
+                          &renameFile, &removeFile, &listFolder, &readFile};
+
+using Files = std::map<std::string, std::string>;
+
+/// What a core writes: each file newer by name than the one before.
+struct Written {
+  std::string name, content;
+};
+const std::vector<Written> kWrites{{"voter.1", "the first promise"},
+                                   {"voter.2", "the second promise, longer"},
+                                   {"voter.3", "the third"}};
+
+/// Lets the real task write all of them, dropping older ones in between; gives how many it
+/// acknowledged.
+std::size_t writeAll(const std::string& folder) {
+  std::vector<std::promise<bool>> answers(kWrites.size());
+  std::size_t acknowledged = 0;
+  DiskTask disk(
+      folder,
+      [&](const FileWritten& written) { answers[written.ticket.value].set_value(written.synced); },
+      kFake);
+  for (std::size_t index = 0; index < kWrites.size(); ++index) {
+    disk.write({{index}, kWrites[index].name, kWrites[index].content});
+    // As a voter does: nothing more is written after a failed sync.
+    if (!answers[index].get_future().get()) break;
+    acknowledged = index + 1;
+    // The last is not waited for, and so not sent: all calls are the same in each run.
+    if (acknowledged < kWrites.size()) disk.dropOlder({"voter", 1});
+  }
+  return acknowledged;
+}
+
+Files loadAll(const std::string& folder) {
+  auto loaded = DiskTask::load(folder, kFake);
+  CHECK_TEXT(loaded.ok(), std::string(loaded.status().message()).c_str());
+  return loaded.ok() ? *loaded : Files{};
+}
+
+/// The newest file by name is whole and no older than what was acknowledged.
+void checkNewest(const Files& files, std::size_t acknowledged, const std::string& where) {
+  if (files.empty()) {
+    CHECK_TEXT(acknowledged == 0, where.c_str());
+    return;
+  }
+  const auto& [name, content] = *files.rbegin();
+  auto found = std::ranges::find(kWrites, name, &Written::name);
+  CHECK_TEXT(found != kWrites.end(), (where + ": " + name).c_str());
+  CHECK_TEXT(content == found->content, (where + ": torn " + name).c_str());
+  auto number = static_cast<std::size_t>(found - kWrites.begin()) + 1;
+  CHECK_TEXT(number >= acknowledged, (where + ": " + name + " is too old").c_str());
+}
+
+}  // namespace
+
+TEST_GROUP(DiskPower) {
+  FakeMachine fake;
+  std::string folder;
+  void setup() override {
+    std::string pattern = std::filesystem::temp_directory_path() / "peppergate-power-XXXXXX";
+    folder = mkdtemp(pattern.data());
+    machine = &fake;
+  }
+  void teardown() override {
+    machine = nullptr;
+    std::filesystem::remove_all(folder);
+  }
+  void fresh() { fake = FakeMachine{}; }
+  /// How many calls all writes take when nothing fails.
+  long allCalls() {
+    fresh();
+    CHECK_EQUAL(kWrites.size(), writeAll(folder));
+    return fake.calls;
+  }
+  void revive() { fake.callsLeft = fake.failing = kNoCall; }
+};
+
+TEST(DiskPower, WhateverCallPowerIsLostAfterWhatWasAcknowledgedIsThere) {
+  long calls = allCalls();
+  CHECK(calls >= 24);
+  std::set<std::size_t> seen;  // how many were acknowledged
+  for (long last = 0; last <= calls; ++last) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      fresh();
+      fake.most = seed % 2 == 0 ? 5 : SIZE_MAX;  // short writes every other time
+      fake.callsLeft = last;
+      std::size_t acknowledged = writeAll(folder);
+      seen.insert(acknowledged);
+      Random random(seed);
+      fake.disk.losePower(random);
+      revive();
+      checkNewest(loadAll(folder), acknowledged,
+                  "call " + std::to_string(last) + " seed " + std::to_string(seed));
+    }
+  }
+  CHECK_EQUAL(kWrites.size() + 1, seen.size());
+}
+
+TEST(DiskPower, AProcessThatEndsAfterAnyCallLeavesAFileThatPowerCantTakeBack) {
+  // The next process acts on what it read, so a power loss after that must not undo it.
+  long calls = allCalls();
+  for (long last = 0; last <= calls; ++last) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      fresh();
+      fake.callsLeft = last;
+      std::size_t acknowledged = writeAll(folder);
+      revive();
+      Files read = loadAll(folder);
+      std::string where = "call " + std::to_string(last) + " seed " + std::to_string(seed);
+      checkNewest(read, acknowledged, where);
+      Random random(seed);
+      fake.disk.losePower(random);
+      CHECK_TEXT(loadAll(folder) == read, where.c_str());
+    }
+  }
+}
+
+TEST(DiskPower, AnyOneFailingCallLeavesNoYesWithoutAFile) {
+  long calls = allCalls();
+  for (int error : {EIO, ENOSPC}) {
+    for (long failing = 1; failing <= calls; ++failing) {
+      fresh();
+      fake.failing = failing;
+      fake.error = error;
+      std::size_t acknowledged = writeAll(folder);
+      std::string where = "call " + std::to_string(failing) + " " +
+                          fake.log.at(static_cast<std::size_t>(failing - 1));
+      Random random(static_cast<std::uint64_t>(failing));
+      fake.disk.losePower(random);
+      revive();
+      checkNewest(loadAll(folder), acknowledged, where);
+    }
+  }
+}
+
+TEST(DiskPower, AFullDiskAtStartIsReadAllTheSame) {
+  fresh();
+  CHECK_EQUAL(kWrites.size(), writeAll(folder));
+  fake.error = ENOSPC;
+  fake.failing = fake.calls + 2;  // the write of the probe
+  Files read = loadAll(folder);
+  checkNewest(read, kWrites.size(), "full");
+  CHECK_EQUAL(2, read.size());
+}
+
+TEST(DiskPower, ALoaderWhoseSyncFailsReadsNothing) {
+  fresh();
+  CHECK_EQUAL(kWrites.size(), writeAll(folder));
+  long before = fake.calls;
+  loadAll(folder);
+  long calls = fake.calls - before;
+  for (long call = 1; call <= calls; ++call) {
+    auto index = static_cast<std::size_t>(before + call - 1);
+    if (fake.log[index] != "sync") continue;
+    FakeMachine whole = fake;
+    fake.failing = fake.calls + call;
+    CHECK_TEXT(!DiskTask::load(folder, kFake).ok(), ("sync at " + std::to_string(call)).c_str());
+    fake = whole;
+  }
+}
