Random schedules of every trouble, for both interfaces, within what is tolerated

`peppergate rehearse-schedules streams|routers` draws several troubles at a moment, some at the very same instant: losses of power and disks, torn and slow and full and hanging disks, failed syncs, cuts of one way and both, hanging and reset connections, slow, frozen and leaping machines, replacements planned and not, a second loss right after the first has caught up, all cores or all machines at once, seeds that are away, and closing faults right after a change. A ledger keeps core machines that are lost at once within `tolerate`.

--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -34,6 +34,9 @@
 int rehearseCommand(const Words& words);
 /// Example: `routerRehearseCommand({"scenarios/routers", "--seeds", "1-20"})`.
 int routerRehearseCommand(const Words& words);
+/// Runs random schedules of every trouble. Example: `scheduleRehearseCommand({"routers", "--seeds",
+/// "1-9"})`.
+int scheduleRehearseCommand(const Words& words);
 /// Example: `placeCommand({"placement.json"})`.
 int placeCommand(const Words& words);
 /// Example: `standinCommand({"engine", "--listen", "127.0.0.1:9001"})`.
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -33,6 +33,8 @@
     CommandRow{"rehearse", &rehearseCommand, "run scenarios on simulated time, over seeds"},
     CommandRow{"rehearse-routers", &routerRehearseCommand,
                "run scenarios of fleets of routers on simulated time"},
+    CommandRow{"rehearse-schedules", &scheduleRehearseCommand,
+               "run random schedules of every trouble on simulated time"},
     CommandRow{"place", &placeCommand, "solve placements in districts from constraints in a file"},
     CommandRow{"hollow", &hollowCommand, "measure a hollow fleet's slopes on simulated time"},
     CommandRow{"standin", &standinCommand,
--- /dev/null
+++ b/src/app/schedule_rehearse_command.cc
@@ -0,0 +1,109 @@
+// Random schedules of every trouble over seeds, several at a time; a failing seed replays exactly
+// and is printed with what it doesn't need left out.
+#include <atomic>
+#include <cstdio>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "app/commands.h"
+#include "sim/mixed_day.h"
+
+namespace peppergate {
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr int kShrinkRuns = 60;         // at most, for one failing schedule
+constexpr std::size_t kMostShrunk = 3;  // failing schedules that are shrunk
+
+struct SeedRange {
+  std::uint64_t first = 0, last = 0;
+};
+
+bool readSeeds(const std::string& text, SeedRange& seeds) {
+  char* end = nullptr;
+  seeds.first = seeds.last = std::strtoull(text.c_str(), &end, 10);
+  if (*end == '-') seeds.last = std::strtoull(end + 1, &end, 10);
+  return !text.empty() && *end == '\0' && seeds.first >= 1 && seeds.last >= seeds.first;
+}
+
+/// Runs all seeds and prints those that fail.
+class ScheduleRuns {
+ public:
+  ScheduleRuns(Interface interface, SeedRange seeds, bool shrinks)
+      : interface_(interface), seeds_(seeds), shrinks_(shrinks), next_(seeds.first) {}
+
+  /// Gives the number of schedules that failed.
+  std::size_t run(unsigned jobs) {
+    std::vector<std::thread> threads;
+    for (unsigned index = 0; index < std::max(1U, jobs); ++index)
+      threads.emplace_back([this] { work(); });
+    for (auto& thread : threads) thread.join();
+    return failed_;
+  }
+
+ private:
+  void work() {
+    for (std::uint64_t seed = next_++; seed <= seeds_.last; seed = next_++) {
+      MixedDay day = drawMixedDay(seed, interface_);
+      MixedReport report = runMixedDay(day);
+      if (!report.failures.empty()) print(day, report);
+    }
+  }
+
+  void print(const MixedDay& day, const MixedReport& report) {
+    std::size_t number = ++failed_;
+    MixedDay least = day;
+    bool shrunk = shrinks_ && number <= kMostShrunk;
+    if (shrunk) least = shrinkMixedDay(day, report, kShrinkRuns);
+    std::lock_guard lock(mutex_);
+    std::printf("FAILED %s seed %llu\n", report.name.c_str(),
+                static_cast<unsigned long long>(report.seed));
+    for (const auto& failure : report.failures) std::printf("    %s\n", failure.c_str());
+    if (shrunk) std::printf("---- the same failure with less ----\n%s----\n", least.text().c_str());
+    std::fflush(stdout);
+  }
+
+  Interface interface_;
+  SeedRange seeds_;
+  bool shrinks_;
+  std::atomic<std::uint64_t> next_;
+  std::atomic<std::size_t> failed_{0};
+  std::mutex mutex_;
+};
+
+}  // namespace
+
+int scheduleRehearseCommand(const Words& words) {
+  po::options_description options("peppergate rehearse-schedules streams|routers");
+  options.add_options()("help", "this text")(
+      "interface", po::value<std::string>()->default_value(""), "streams or routers")(
+      "print", po::bool_switch(), "print the schedules, run nothing")(
+      "shrink", po::bool_switch(), "leave out of the first failing ones what they don't need")(
+      "seeds", po::value<std::string>()->default_value("1-20"), "FIRST-LAST, or one seed")(
+      "jobs", po::value<unsigned>()->default_value(std::thread::hardware_concurrency()),
+      "how many at a time");
+  po::variables_map values;
+  if (int code = parseWords(words, options, values, {"interface"}); code >= 0) return code;
+  std::string name = values["interface"].as<std::string>();
+  SeedRange seeds;
+  if (!readSeeds(values["seeds"].as<std::string>(), seeds) ||
+      (name != "streams" && name != "routers")) {
+    std::fprintf(stderr, "wanted: streams or routers, and --seeds FIRST-LAST\n");
+    return kExitUsage;
+  }
+  Interface interface = name == "routers" ? Interface::kRouters : Interface::kStreams;
+  if (values["print"].as<bool>()) {
+    for (std::uint64_t seed = seeds.first; seed <= seeds.last; ++seed)
+      std::printf("%s\n", drawMixedDay(seed, interface).text().c_str());
+    return kExitGood;
+  }
+  std::size_t failed = ScheduleRuns(interface, seeds, values["shrink"].as<bool>())
+                           .run(values["jobs"].as<unsigned>());
+  std::printf("%llu passed, %zu failed\n",
+              static_cast<unsigned long long>(seeds.last - seeds.first + 1 - failed), failed);
+  return failed == 0 ? kExitGood : kExitFailed;
+}
+
+}  // namespace peppergate
--- a/src/sim/random_day.cc
+++ b/src/sim/random_day.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 
 #include "core/random.h"
+#include "sim/shrink.h"
 
 namespace peppergate {
 namespace {
@@ -337,20 +338,14 @@
 RandomDay cutDown(const RandomDay& day, const RunReport& report) {
   if (report.failures.empty()) return day;
   std::string kind = kindOf(report.failures.front());
+  constexpr int kMostRuns = 60;  // enough for a first look; a longer cut is made by hand
   RandomDay least = day;
-  int runsLeft = 60;  // enough for a first look; a longer cut is made by hand
-  for (std::size_t step = std::max<std::size_t>(1, least.lines.size() / 2); step >= 1; step /= 2) {
-    for (std::size_t at = 0; at < least.lines.size() && runsLeft > 0; --runsLeft) {
-      RandomDay shorter = least;
-      auto from = shorter.lines.begin() + static_cast<std::ptrdiff_t>(at);
-      auto to = shorter.lines.begin() +
-                static_cast<std::ptrdiff_t>(std::min(at + step, shorter.lines.size()));
-      shorter.lines.erase(from, to);
-      if (failsAlike(shorter, kind)) least = std::move(shorter);
-      else at += step;
-    }
-    if (step == 1) break;
-  }
+  auto fails = [&](const std::vector<std::string>& lines) {
+    RandomDay shorter = day;
+    shorter.lines = lines;
+    return failsAlike(shorter, kind);
+  };
+  least.lines = shrinkLines(day.lines, fails, kMostRuns);
   return least;
 }
 
--- /dev/null
+++ b/src/sim/schedule_drawer.h
@@ -0,0 +1,106 @@
+#pragma once
+// Draws the lines of a random schedule: troubles of machines, disks, clocks and the network that
+// both kinds of deployments know. It never asks for more losses of core machines at once than
+// `tolerate`.
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/random.h"
+#include "sim/loss_ledger.h"
+#include "sim/scenario_words.h"
+
+namespace peppergate {
+
+/// The size of the deployment that a schedule is drawn for.
+struct ScheduleSize {
+  Interface interface = Interface::kStreams;
+  int cores = 3;
+  int spares = 1;    // core machines that may be added
+  int tolerate = 1;  // core machines that may be lost at once
+  int fronts = 3;    // or routers
+  int engines = 4;
+};
+
+/// Draws lines "at TIME VERB WORDS". Times are seconds from the start of traffic.
+class ScheduleDrawer {
+ public:
+  ScheduleDrawer(std::uint64_t seed, const ScheduleSize& size);
+
+  /// Draws troubles at one moment; some begin at the very same instant.
+  void drawMoment(double at);
+  /// Draws what may end a day: all machines lose power or are killed, or as many as may be lost
+  /// lose their disks, at times while all others lose power. A change is sent shortly before.
+  void drawClosing(double at);
+  /// The lines in order of time.
+  std::vector<std::string> lines() const;
+  /// When the last of them comes.
+  double last() const;
+  Random& random() { return random_; }
+
+ private:
+  struct Line {
+    double at;
+    std::string words;
+  };
+  using Trouble = void (ScheduleDrawer::*)(double at);
+
+  double between(double low, double high) { return low + (high - low) * random_.fraction(); }
+  bool coin() { return random_.below(2) == 0; }
+  int pick(int most) {
+    return 1 + static_cast<int>(random_.below(static_cast<std::uint64_t>(most)));
+  }
+  template <std::size_t Size>
+  std::string one(const std::array<std::string_view, Size>& words) {
+    return std::string(words[random_.below(Size)]);
+  }
+  void add(double at, const std::string& words) { lines_.push_back({at, words}); }
+  std::string anyCore();  // by number or by role
+  std::string coreNumber() { return "core " + std::to_string(pick(size_.cores)); }
+  std::string front();
+  std::string engine() { return "engine " + std::to_string(pick(size_.engines)); }
+  void startCores(double from);
+  void deedNear(double at);
+  void deed(double at);
+  void streamsDeed(double at);
+  void routersDeed(double at);
+
+  // Core machines; each gives up where the ledger has no room.
+  void coreKilled(double at);
+  void coreWithoutPower(double at);
+  void coreWiped(double at);
+  void coreWipedThenAnother(double at);
+  void coreReplaced(double at);
+  void coreReplacedAsPlanned(double at);
+  void coreFrozen(double at);
+  void coreThrottled(double at);
+  void coreCut(double at);
+  void coreCutOneWay(double at);
+  void coreHangs(double at);
+  void coreConnectionsReset(double at);
+  void coreDiskBad(double at);
+  void coreDiskSlow(double at);
+  void allCoresKilled(double at);
+  void allCoresWithoutPower(double at);
+  void allWithoutPower(double at);
+  void seedsAway(double at);
+  void clocksLeap(double at);
+  // Fronts, engines and the network.
+  void frontsKilled(double at);
+  void frontFrozen(double at);
+  void frontCut(double at);
+  void frontThrottled(double at);
+  void frontConnectionsReset(double at);
+  void networkBad(double at);
+  void engineCrashes(double at);
+
+  Random random_;
+  ScheduleSize size_;
+  LossLedger ledger_;
+  std::vector<Line> lines_;
+  int sparesUsed_ = 0;
+};
+
+}  // namespace peppergate
