--- a/src/app/schedule_rehearse_command.cc
+++ b/src/app/schedule_rehearse_command.cc
@@ -31,8 +31,12 @@
 /// Runs all seeds and prints those that fail.
 class ScheduleRuns {
  public:
-  ScheduleRuns(Interface interface, SeedRange seeds, bool shrinks)
-      : interface_(interface), seeds_(seeds), shrinks_(shrinks), next_(seeds.first) {}
+  ScheduleRuns(Interface interface, SeedRange seeds, bool shrinks, bool figures)
+      : interface_(interface),
+        seeds_(seeds),
+        shrinks_(shrinks),
+        figures_(figures),
+        next_(seeds.first) {}
 
   /// Gives the number of schedules that failed.
   std::size_t run(unsigned jobs) {
@@ -49,6 +53,7 @@
       MixedDay day = drawMixedDay(seed, interface_);
       MixedReport report = runMixedDay(day);
       if (!report.failures.empty()) print(day, report);
+      if (figures_) printFigures(report);
     }
   }
 
@@ -65,9 +70,16 @@
     std::fflush(stdout);
   }
 
+  void printFigures(const MixedReport& report) {
+    std::lock_guard lock(mutex_);
+    std::printf("%s seed %llu:", report.name.c_str(), static_cast<unsigned long long>(report.seed));
+    for (const auto& [name, value] : report.figures) std::printf(" %s=%.4g", name.c_str(), value);
+    std::printf("\n");
+  }
+
   Interface interface_;
   SeedRange seeds_;
-  bool shrinks_;
+  bool shrinks_, figures_;
   std::atomic<std::uint64_t> next_;
   std::atomic<std::size_t> failed_{0};
   std::mutex mutex_;
@@ -81,6 +93,7 @@
       "interface", po::value<std::string>()->default_value(""), "streams or routers")(
       "print", po::bool_switch(), "print the schedules, run nothing")(
       "shrink", po::bool_switch(), "leave out of the first failing ones what they don't need")(
+      "figures", po::bool_switch(), "print each run's figures")(
       "seeds", po::value<std::string>()->default_value("1-20"), "FIRST-LAST, or one seed")(
       "jobs", po::value<unsigned>()->default_value(std::thread::hardware_concurrency()),
       "how many at a time");
@@ -99,8 +112,10 @@
       std::printf("%s\n", drawMixedDay(seed, interface).text().c_str());
     return kExitGood;
   }
-  std::size_t failed = ScheduleRuns(interface, seeds, values["shrink"].as<bool>())
-                           .run(values["jobs"].as<unsigned>());
+  std::size_t failed =
+      ScheduleRuns(interface, seeds, values["shrink"].as<bool>(), values["figures"].as<bool>())
+
+          .run(values["jobs"].as<unsigned>());
   std::printf("%llu passed, %zu failed\n",
               static_cast<unsigned long long>(seeds.last - seeds.first + 1 - failed), failed);
   return failed == 0 ? kExitGood : kExitFailed;
--- a/src/sim/mixed_day.cc
+++ b/src/sim/mixed_day.cc
@@ -100,14 +100,15 @@
 MixedReport runMixedDay(const MixedDay& day) {
   if (day.interface == Interface::kStreams) {
     auto scenario = parseScenario(day.text());
-    if (!scenario.ok()) return {"mixed", day.seed, {std::string(scenario.status().message())}};
+    if (!scenario.ok()) return {"mixed", day.seed, {std::string(scenario.status().message())}, {}};
     RunReport report = runScenario(*scenario, day.seed);
-    return {report.scenario, day.seed, report.failures};
+    return {
+        report.scenario, day.seed, report.failures, {report.figures.begin(), report.figures.end()}};
   }
   auto scenario = parseRouterScenario(day.text());
-  if (!scenario.ok()) return {"mixed", day.seed, {std::string(scenario.status().message())}};
+  if (!scenario.ok()) return {"mixed", day.seed, {std::string(scenario.status().message())}, {}};
   RouterReport report = runRouters(*scenario, day.seed);
-  return {report.scenario, day.seed, report.failures};
+  return {report.scenario, day.seed, report.failures, report.figures};
 }
 
 MixedDay shrinkMixedDay(const MixedDay& day, const MixedReport& report, int mostRuns) {
--- a/src/sim/mixed_day.h
+++ b/src/sim/mixed_day.h
@@ -1,8 +1,8 @@
 #pragma once
 // Random schedules of every trouble that the simulator knows, for both interfaces: several at once,
 // two or three at the same moment, more than once a run.
-#include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "sim/schedule_drawer.h"
@@ -23,6 +23,7 @@
   std::string name;
   std::uint64_t seed = 0;
   std::vector<std::string> failures;
+  std::vector<std::pair<std::string, double>> figures;
 };
 
 /// Draws a schedule. The same seed gives the same one.
--- /dev/null
+++ b/tests/schedules_test.cc
@@ -0,0 +1,192 @@
+// Random schedules of every trouble, the ledger that bounds them, and the network that they
+// disturb.
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <set>
+#include <sstream>
+
+#include "sim/loss_ledger.h"
+#include "sim/mixed_day.h"
+#include "sim/router_scenario.h"
+#include "sim/scenario.h"
+#include "sim/shrink.h"
+#include "sim/sim_network.h"
+#include "tests/testing.h"
+
+using namespace peppergate;
+
+namespace {
+
+constexpr std::uint64_t kSeeds = 300;
+
+std::vector<std::string> wordsOf(const std::string& line) {
+  std::istringstream stream(line);
+  std::vector<std::string> words;
+  for (std::string word; stream >> word;) words.push_back(word);
+  return words;
+}
+
+/// How many core machines a schedule asks to lose their disks at one time, with what they need to
+/// catch up; judged from the lines alone.
+std::size_t mostDisksLostAtOnce(const MixedDay& day) {
+  constexpr double kCatchUp = 4;
+  std::map<std::string, double> lostUntil;
+  std::size_t most = 0;
+  for (const auto& line : day.lines) {
+    auto words = wordsOf(line);
+    double at = std::strtod(words[1].c_str(), nullptr);
+    bool loses = words[2] == "wipe" || words[2] == "replace";
+    if (loses) lostUntil[words[3] + (words.size() > 4 ? words[4] : "")] = at + kCatchUp;
+    std::size_t lost = 0;
+    for (const auto& [core, until] : lostUntil) lost += at < until ? 1 : 0;
+    most = std::max(most, lost);
+  }
+  return most;
+}
+
+}  // namespace
+
+TEST_GROUP(Schedules){};
+
+TEST(Schedules, AllParseAndTheSameSeedDrawsTheSame) {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    MixedDay streams = drawMixedDay(seed, Interface::kStreams);
+    auto read = parseScenario(streams.text());
+    CHECK_TEXT(read.ok(), std::string(read.status().message()).c_str());
+    MixedDay routers = drawMixedDay(seed, Interface::kRouters);
+    auto readRouters = parseRouterScenario(routers.text());
+    CHECK_TEXT(readRouters.ok(), std::string(readRouters.status().message()).c_str());
+    CHECK(drawMixedDay(seed, Interface::kRouters).text() == routers.text());
+  }
+}
+
+TEST(Schedules, EveryTroubleIsDrawnAndSeveralAtTheSameInstant) {
+  std::set<std::string> verbs;
+  std::size_t together = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    std::map<std::string, std::set<std::string>> at;
+    for (const auto& line : drawMixedDay(seed, Interface::kRouters).lines) {
+      auto words = wordsOf(line);
+      verbs.insert(words[2]);
+      bool fault = words[2] != "start" && words[2] != "heal" && words[2] != "thaw";
+      if (fault) at[words[1]].insert(words[2]);
+    }
+    for (const auto& [time, kinds] : at) together += kinds.size() >= 2 ? 1 : 0;
+  }
+  for (const char* verb :
+       {"kill",   "power", "wipe",  "replace", "retire", "freeze",  "throttle", "cut",
+        "oneway", "hang",  "drop",  "disk",    "seeds",  "leap",    "loss",     "late",
+        "crash",  "race",  "storm", "amend",   "swap",   "version", "withdraw"})
+    CHECK_TEXT(verbs.contains(verb), verb);
+  CHECK(together > kSeeds);
+}
+
+TEST(Schedules, NoMoreDisksAreLostAtOnceThanIsTolerated) {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    MixedDay day = drawMixedDay(seed, Interface::kStreams);
+    bool two = day.head.find("at most 2 core") != std::string::npos;
+    CHECK_TEXT(mostDisksLostAtOnce(day) <= (two ? 2U : 1U), day.text().c_str());
+  }
+}
+
+TEST(Schedules, TheSameSeedReplaysExactly) {
+  for (Interface interface : {Interface::kStreams, Interface::kRouters}) {
+    MixedDay day = drawMixedDay(7, interface);
+    MixedReport one = runMixedDay(day), two = runMixedDay(day);
+    CHECK(one.failures == two.failures);
+    CHECK(one.figures == two.figures);
+  }
+}
+
+TEST(Schedules, ShrinkingLeavesWhatTheFailureNeeds) {
+  std::vector<std::string> lines{"a", "b", "c", "d", "e", "f", "g"};
+  auto needsBAndF = [](const std::vector<std::string>& left) {
+    return std::ranges::count(left, "b") == 1 && std::ranges::count(left, "f") == 1;
+  };
+  CHECK((shrinkLines(lines, needsBAndF, 60) == std::vector<std::string>{"b", "f"}));
+  CHECK(shrinkLines(lines, needsBAndF, 0) == lines);
+}
+
+TEST_GROUP(Ledger){};
+
+TEST(Ledger, ASecondLossFitsOnlyOnceTheFirstHasCaughtUp) {
+  LossLedger ledger(1, 4);
+  CHECK(ledger.lose(1, 10, 12));
+  CHECK_FALSE(ledger.lose(1, 15.9, 17));
+  CHECK_FALSE(ledger.lose(1, 5, 6.1));  // it would still count when the first is lost
+  CHECK(ledger.lose(1, 16, 17));
+}
+
+TEST(Ledger, TwoFitWhereTwoAreToleratedAndAllOnlyAlone) {
+  LossLedger ledger(2, 4);
+  CHECK(ledger.lose(1, 10, 20));
+  CHECK(ledger.lose(1, 12, 13));
+  CHECK_FALSE(ledger.lose(1, 14, 15));
+  CHECK_FALSE(ledger.loseAll(22, 23));
+  CHECK(ledger.loseAll(24, 25));
+  CHECK_FALSE(ledger.lose(1, 28, 30));
+}
+
+TEST_GROUP(SimulatedNetwork) {
+  Random random{7};
+  SimNetwork network{random};
+};
+
+TEST(SimulatedNetwork, ACutOfOneWayLeavesTheOther) {
+  network.cutOneWay({"a"}, {"b", "c"});
+  CHECK_FALSE(network.reachable("a", "b"));
+  CHECK(network.reachable("b", "a"));
+  CHECK(network.isDisturbed("b"));
+  network.heal();
+  CHECK(network.reachable("a", "b"));
+  CHECK_FALSE(network.isDisturbed("b"));
+}
+
+TEST(SimulatedNetwork, AResetEndsConnectionsAndMakesSendersWait) {
+  auto before = network.connection("a", "b"), other = network.connection("b", "c");
+  network.reset("a", at(1));
+  CHECK(network.connection("a", "b") > before);
+  CHECK(network.connection("b", "c") == other);
+  CHECK(network.waitsToReconnect("b", "a", at(1.05)));
+  CHECK_FALSE(network.waitsToReconnect("b", "a", at(1.2)));
+}
+
+TEST(SimulatedNetwork, AHangHoldsBytesAndLosesNone) {
+  network.hang({"a"});
+  CHECK(network.hangs("b", "a"));
+  CHECK(network.reachable("b", "a"));
+  CHECK_FALSE(network.hangs("b", "c"));
+  network.heal();
+  CHECK_FALSE(network.hangs("b", "a"));
+}
+
+TEST(SimulatedNetwork, TheShareOfLostMessagesIsAsTold) {
+  network.setLoss(0.25);
+  int lost = 0;
+  for (int message = 0; message < 4000; ++message) lost += network.transit() ? 0 : 1;
+  CHECK(lost > 850 && lost < 1150);
+}
+
+TEST_GROUP(WallClock){};
+
+TEST(WallClock, NoDecisionReadsIt) {
+  // A time of day that jumps can't matter to what doesn't look at it.
+  namespace fs = std::filesystem;
+  std::size_t files = 0;
+  for (const char* folder : {"core", "engines", "prompts", "requests", "wire"}) {
+    for (const auto& entry :
+         fs::recursive_directory_iterator(std::string(SOURCE_FOLDER "/src/") + folder)) {
+      if (!entry.is_regular_file()) continue;
+      std::ifstream file(entry.path());
+      std::stringstream text;
+      text << file.rdbuf();
+      ++files;
+      for (const char* name : {"system_clock", "CLOCK_REALTIME", "gettimeofday", "absl::Now",
+                               "std::time(", "localtime", "gmtime"})
+        CHECK_TEXT(text.str().find(name) == std::string::npos,
+                   (entry.path().string() + " names " + name).c_str());
+    }
+  }
+  CHECK(files > 50);
+}
