Findings of clang-tidy mended in the quiet folders; the chunk reader's steps are short functions

Shared requests are passed by reference, constants are named kName, ChunkReader::step (cognitive complexity 41) and takeValue (26) are split, an unused member is gone. No change of behaviour.

--- a/src/app/standin_command.cc
+++ b/src/app/standin_command.cc
@@ -1,6 +1,5 @@
 // The stand-ins of what is outside: engines, desk, store, platform, requesters.
-#include <signal.h>
-
+#include <csignal>
 #include <cstdio>
 #include <fstream>
 
--- a/src/config/fleet_reader.cc
+++ b/src/config/fleet_reader.cc
@@ -60,7 +60,7 @@
     constexpr double kLow = std::is_unsigned_v<Number> ? 0 : std::numeric_limits<int>::min();
     constexpr double kHigh =
         std::min(kLargestWhole, static_cast<double>(std::numeric_limits<Number>::max()));
-    double read = static_cast<double>(value);
+    auto read = static_cast<double>(value);
     if (number(name, read)) value = static_cast<Number>(std::clamp(read, kLow, kHigh));
   }
 
--- a/src/engines/roster_text.cc
+++ b/src/engines/roster_text.cc
@@ -43,8 +43,8 @@
 void orderById(std::vector<Engine>& engines) {
   std::ranges::reverse(engines);  // so that the later of two comes first
   std::ranges::stable_sort(engines, {}, &Engine::id);
-  auto doubles = std::ranges::unique(engines, {}, &Engine::id);
-  engines.erase(doubles.begin(), doubles.end());
+  auto sameId = [](const Engine& one, const Engine& other) { return one.id == other.id; };
+  engines.erase(std::unique(engines.begin(), engines.end(), sameId), engines.end());
 }
 
 bool sameEntry(const Engine& before, const Engine& after) {
--- a/src/io/http_parse.cc
+++ b/src/io/http_parse.cc
@@ -2,8 +2,6 @@
 
 #include <http_parser.h>
 
-#include <string.h>
-
 #include <algorithm>
 #include <array>
 
@@ -17,6 +15,12 @@
   return one >= 'A' && one <= 'Z' ? static_cast<char>(one - 'A' + 'a') : one;
 }
 
+constexpr std::optional<int> hexadecimalDigit(char one) {
+  if (one >= '0' && one <= '9') return one - '0';
+  if (lower(one) >= 'a' && lower(one) <= 'f') return lower(one) - 'a' + 10;
+  return std::nullopt;
+}
+
 constexpr std::array<bool, 256> tokenTable() {
   std::array<bool, 256> table{};
   for (char one = '0'; one <= '9'; ++one) table[static_cast<unsigned char>(one)] = true;
@@ -268,53 +272,56 @@
   return state_ == State::kDone ? Found::kDone : Found::kMore;
 }
 
-ChunkReader::Found ChunkReader::step(char byte) {
-  constexpr auto kMore = Found::kMore, kBad = Found::kBad;
-  auto go = [this](State next) {
-    state_ = next;
+ChunkReader::Found ChunkReader::go(State next) {
+  state_ = next;
+  return Found::kMore;
+}
+
+ChunkReader::Found ChunkReader::stepSize(char byte) {
+  if (std::optional<int> digit = hexadecimalDigit(byte)) {
+    if (++seen_ > kMostLengthDigits) return Found::kBad;
+    left_ = left_ * 16 + static_cast<std::uint64_t>(*digit);
     return Found::kMore;
-  };
+  }
+  if (seen_ == 0) return Found::kBad;
+  seen_ = 0;
+  if (byte == '\r') return go(State::kSizeEnd);
+  return byte == ';' ? go(State::kExtension) : Found::kBad;
+}
+
+ChunkReader::Found ChunkReader::stepText(char byte, State end, std::size_t largest) {
+  if (byte == '\r') return go(end);
+  return ++seen_ <= largest && clean({&byte, 1}) ? Found::kMore : Found::kBad;
+}
+
+ChunkReader::Found ChunkReader::step(char byte) {
   switch (state_) {
-    case State::kSize: {
-      int digit = byte >= '0' && byte <= '9'                 ? byte - '0'
-                  : lower(byte) >= 'a' && lower(byte) <= 'f' ? lower(byte) - 'a' + 10
-                                                             : -1;
-      if (digit >= 0) {
-        if (++seen_ > kMostLengthDigits) return kBad;
-        left_ = left_ * 16 + static_cast<std::uint64_t>(digit);
-        return kMore;
-      }
-      if (seen_ == 0) return kBad;
-      seen_ = 0;
-      if (byte == '\r') return go(State::kSizeEnd);
-      return byte == ';' ? go(State::kExtension) : kBad;
-    }
+    case State::kSize:
+      return stepSize(byte);
     case State::kExtension:
-      if (byte == '\r') return go(State::kSizeEnd);
-      return ++seen_ <= kLargestExtension && clean({&byte, 1}) ? kMore : kBad;
+      return stepText(byte, State::kSizeEnd, kLargestExtension);
     case State::kSizeEnd:
       seen_ = 0;
-      if (byte != '\n') return kBad;
+      if (byte != '\n') return Found::kBad;
       return go(left_ > 0 ? State::kData : State::kTrailer);
     case State::kDataReturn:
-      return byte == '\r' ? go(State::kDataEnd) : kBad;
+      return byte == '\r' ? go(State::kDataEnd) : Found::kBad;
     case State::kDataEnd:
-      return byte == '\n' ? go(State::kSize) : kBad;
+      return byte == '\n' ? go(State::kSize) : Found::kBad;
     case State::kTrailer:
-      if (byte == '\r') return go(State::kTrailerEnd);
-      ++trailerLine_;
-      return ++seen_ <= kLargestTrailers && clean({&byte, 1}) ? kMore : kBad;
+      if (byte != '\r') ++trailerLine_;
+      return stepText(byte, State::kTrailerEnd, kLargestTrailers);
     case State::kTrailerEnd:
-      if (byte != '\n') return kBad;
+      if (byte != '\n') return Found::kBad;
       state_ = trailerLine_ == 0 ? State::kDone : State::kTrailer;
       trailerLine_ = 0;
-      return kMore;
+      return Found::kMore;
     case State::kData:
     case State::kDone:
     case State::kBad:
       break;
   }
-  return kBad;
+  return Found::kBad;
 }
 
 }  // namespace peppergate
--- a/src/io/http_parse.h
+++ b/src/io/http_parse.h
@@ -94,7 +94,11 @@
     kDone,
     kBad
   };
+  Found go(State next);
   Found step(char byte);
+  Found stepSize(char byte);
+  /// A byte of an extension or a trailer; a carriage return leads to `end`.
+  Found stepText(char byte, State end, std::size_t largest);
   State state_ = State::kSize;
   std::uint64_t left_ = 0;  // of the present chunk
   std::size_t seen_ = 0;    // digits of a size, or bytes of an extension or of all trailers
--- a/src/standin/engine_process.cc
+++ b/src/standin/engine_process.cc
@@ -22,7 +22,7 @@
       model_(setup_.options, {setup_.id}, setup_.weights,
              static_cast<std::uint64_t>(bootNow().microseconds)),
       client_(loop),
-      server_(loop, [this](std::shared_ptr<WebRequest> request) { take(std::move(request)); }) {}
+      server_(loop, [this](const std::shared_ptr<WebRequest>& request) { take(request); }) {}
 
 absl::Status EngineProcess::open() {
   loop_.every(milliseconds(50), [this] { model_.tick(bootNow()); });
@@ -41,11 +41,11 @@
           {"weights", model_.weights().value}};
 }
 
-void EngineProcess::take(std::shared_ptr<WebRequest> request) {
+void EngineProcess::take(const std::shared_ptr<WebRequest>& request) {
   const std::string& path = request->path;
   Json body = request->body.empty() ? Json() : Json::parse(request->body, nullptr, false);
   if (path == "/run") {
-    start(std::move(request));
+    start(request);
   } else if (path == "/health") {
     request->answer(200, kJson, model_.health().dump());
   } else if (path == "/kept") {
@@ -101,7 +101,7 @@
                      .dump());
 }
 
-void EngineProcess::start(std::shared_ptr<WebRequest> request) {
+void EngineProcess::start(const std::shared_ptr<WebRequest>& request) {
   auto run = std::make_shared<Run>();
   run->request = request;
   run->ask = parseRun(request->headers, request->body);
--- a/src/standin/engine_process.h
+++ b/src/standin/engine_process.h
@@ -32,8 +32,8 @@
     MonotonicTime began;
     Piece next;
   };
-  void take(std::shared_ptr<WebRequest> request);
-  void start(std::shared_ptr<WebRequest> request);
+  void take(const std::shared_ptr<WebRequest>& request);
+  void start(const std::shared_ptr<WebRequest>& request);
   void collect(const std::shared_ptr<Run>& run);
   void collected(const std::shared_ptr<Run>& run);
   void generate(const std::shared_ptr<Run>& run);
--- a/src/standin/platform_process.cc
+++ b/src/standin/platform_process.cc
@@ -3,11 +3,10 @@
 namespace peppergate {
 
 PlatformProcess::PlatformProcess(Loop& loop, Address listen, Json list)
-    : loop_(loop),
-      listen_(std::move(listen)),
+    : listen_(std::move(listen)),
       list_(std::move(list)),
       client_(loop),
-      server_(loop, [this](std::shared_ptr<WebRequest> request) { take(std::move(request)); }) {
+      server_(loop, [this](const std::shared_ptr<WebRequest>& request) { take(request); }) {
   if (!list_.contains("version")) list_["version"] = 1;
 }
 
@@ -39,7 +38,7 @@
   list_["version"] = list_["version"].get<std::uint64_t>() + 1;
 }
 
-void PlatformProcess::take(std::shared_ptr<WebRequest> request) {
+void PlatformProcess::take(const std::shared_ptr<WebRequest>& request) {
   const Headers json{{"Content-Type", "application/json"}};
   if (request->path == "/engines") {
     request->answer(200, json, list_.dump());
--- a/src/standin/platform_process.h
+++ b/src/standin/platform_process.h
@@ -13,10 +13,9 @@
   absl::Status open();
 
  private:
-  void take(std::shared_ptr<WebRequest> request);
+  void take(const std::shared_ptr<WebRequest>& request);
   void mark(const std::string& id, bool draining, bool listed);
 
-  Loop& loop_;
   Address listen_;
   Json list_;
   Json away_ = Json::object();  // entries that are off the list for now
--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -95,6 +95,19 @@
   }
 };
 
+template <class T>
+bool takeVector(avro_value_t* source, std::vector<T>& field) {
+  std::size_t count = 0;
+  if (avro_value_get_size(source, &count) != 0) return false;
+  field.clear();
+  for (std::size_t index = 0; index < count; ++index) {
+    avro_value_t slot;
+    if (avro_value_get_by_index(source, index, &slot, nullptr) != 0) return false;
+    if (!takeValue(&slot, field.emplace_back())) return false;
+  }
+  return true;
+}
+
 template <class T>
 bool takeValue(avro_value_t* source, T& field) {
   if constexpr (kIsTagged<T>) return takeValue(source, field.value);
@@ -119,15 +132,7 @@
     field = static_cast<T>(raw);
     return true;
   } else if constexpr (kIsVector<T>) {
-    std::size_t count = 0;
-    if (avro_value_get_size(source, &count) != 0) return false;
-    field.clear();
-    for (std::size_t index = 0; index < count; ++index) {
-      avro_value_t slot;
-      if (avro_value_get_by_index(source, index, &slot, nullptr) != 0) return false;
-      if (!takeValue(&slot, field.emplace_back())) return false;
-    }
-    return true;
+    return takeVector(source, field);
   } else {
     AvroReader reader{source};
     T::visit(field, reader);
@@ -159,8 +164,8 @@
 bool decodeKind(std::size_t kind, avro_value_t* value, Message& message,
                 std::index_sequence<Indexes...>) {
   using Decoder = bool (*)(avro_value_t*, Message&);
-  constexpr std::array<Decoder, kKinds> decoders{&decodeInto<Indexes>...};
-  return decoders[kind](value, message);
+  constexpr std::array<Decoder, kKinds> kDecoders{&decodeInto<Indexes>...};
+  return kDecoders[kind](value, message);
 }
 
 template <std::size_t... Indexes>
@@ -188,8 +193,8 @@
 }
 
 const ValueClass& classOf(std::size_t kind) {
-  static const std::array<ValueClass, kKinds> classes = makeClasses();
-  return classes[kind];
+  static const std::array<ValueClass, kKinds> kClasses = makeClasses();
+  return kClasses[kind];
 }
 
 struct AvroValue {
