A checker decides whether a history of operators' calls is linearizable

A history holds what callers saw of each call: start, end, base, version, digest of the contents, and the outcome or none.

--- /dev/null
+++ b/src/app/check_history_command.cc
@@ -0,0 +1,54 @@
+// `peppergate check-history FILE`: decides whether a recorded history is linearizable.
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "app/commands.h"
+#include "history/check_history.h"
+
+namespace peppergate {
+namespace {
+
+namespace po = boost::program_options;
+
+std::string readAll(std::istream& stream) {
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+int report(const std::string& file, const std::vector<history::OperatorCall>& calls) {
+  const history::Verdict verdict = history::checkHistory(calls);
+  for (const auto& violation : verdict)
+    std::printf("%s: %s: %s\n", violation.registerName.c_str(),
+                std::string(history::kindName(violation.kind)).c_str(), violation.detail.c_str());
+  std::printf("%s: %zu calls, %s\n", file.c_str(), calls.size(),
+              verdict.empty() ? "linearizable" : "NOT linearizable");
+  return verdict.empty() ? kExitGood : kExitFailed;
+}
+
+}  // namespace
+
+int checkHistoryCommand(const Words& words) {
+  std::string file;
+  po::options_description options("check-history FILE");
+  options.add_options()("help", "show this")("file", po::value(&file)->required(),
+                                             "JSON lines, one call each; - for standard input");
+  po::variables_map values;
+  if (int code = parseWords(words, options, values, {"file"}); code >= 0) return code;
+  std::ifstream opened(file);
+  if (file != "-" && !opened) {
+    std::fprintf(stderr, "%s: cannot be read\n", file.c_str());
+    return kExitUsage;
+  }
+  const history::ReadResult read = history::readHistory(readAll(file == "-" ? std::cin : opened));
+  if (const auto* wrong = std::get_if<history::ReadError>(&read)) {
+    std::fprintf(stderr, "%s:%zu: [%s]: %s\n", file.c_str(), wrong->line, wrong->field.c_str(),
+                 wrong->detail.c_str());
+    return kExitUsage;
+  }
+  return report(file, std::get<std::vector<history::OperatorCall>>(read));
+}
+
+}  // namespace peppergate
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -44,6 +44,8 @@
 
 /// Example: `hollowCommand({"--fronts", "40", "--seed", "2"})`.
 int hollowCommand(const Words& words);
+/// Example: `checkHistoryCommand({"history.jsonl"})`.
+int checkHistoryCommand(const Words& words);
 
 /// Parses words by the options; a wrong one prints why and gives kExitUsage. Example:
 /// `if (int code = parseWords(words, options, values); code >= 0) return code;`
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -39,6 +39,8 @@
     CommandRow{"hollow", &hollowCommand, "measure a hollow fleet's slopes on simulated time"},
     CommandRow{"standin", &standinCommand,
                "run a stand-in: engine, store, desk, platform, requester"},
+    CommandRow{"check-history", &checkHistoryCommand,
+               "decide whether a recorded history of operators' calls is linearizable"},
 #endif
     CommandRow{"version", &versionCommand, "print the version"},
 };
--- /dev/null
+++ b/tests/history_checker_test.cc
@@ -0,0 +1,342 @@
+// The history checker on histories made by hand, good and bad.
+#include "history/check_history.h"
+
+#include <algorithm>
+
+#include "tests/testing.h"
+
+namespace peppergate::history {
+namespace {
+
+/// A history under construction; times are in milliseconds.
+class HandMade {
+ public:
+  HandMade& change(const std::string& order, std::uint64_t base, std::uint64_t version, int start,
+                   int end, Outcome outcome = Outcome::kDone) {
+    return changeTo(order, base, version, "contents-" + order, start, end, outcome);
+  }
+  HandMade& changeTo(const std::string& order, std::uint64_t base, std::uint64_t version,
+                     const std::string& digest, int start, int end, Outcome outcome) {
+    OperatorCall call;
+    call.registerName = "configuration";
+    call.operatorName = "operator1";
+    call.order = order;
+    call.base = Version{0, base};
+    call.version = Version{0, version};
+    call.digest = digest;
+    finish(call, start, end, outcome);
+    return *this;
+  }
+  HandMade& read(std::uint64_t version, const std::string& digest, int start, int end) {
+    OperatorCall call;
+    call.registerName = "configuration";
+    call.operatorName = "operator2";
+    call.kind = CallKind::kRead;
+    call.version = Version{0, version};
+    call.digest = digest;
+    finish(call, start, end, Outcome::kDone);
+    return *this;
+  }
+  HandMade& final() {
+    calls_.back().final = true;
+    return *this;
+  }
+  HandMade& improper() {
+    calls_.back().proper = false;
+    return *this;
+  }
+  std::vector<ViolationKind> kinds() const {
+    std::vector<ViolationKind> kinds;
+    for (const auto& violation : checkHistory(calls_)) kinds.push_back(violation.kind);
+    return kinds;
+  }
+  bool good() const { return kinds().empty(); }
+  bool finds(ViolationKind kind) const {
+    const auto found = kinds();
+    return std::ranges::find(found, kind) != found.end();
+  }
+
+ private:
+  void finish(OperatorCall& call, int start, int end, Outcome outcome) {
+    call.outcome = outcome;
+    call.start = start * 1000;
+    call.end = outcome == Outcome::kUnknown ? kNoEnd : end * 1000;
+    calls_.push_back(call);
+  }
+  std::vector<OperatorCall> calls_;
+};
+
+constexpr int kOpen = 0;  // the end of a call without an answer is not looked at
+
+}  // namespace
+
+TEST_GROUP(HistoryChecker){};
+
+TEST(HistoryChecker, TakesChangesAndReadsInOrder) {
+  HandMade history;
+  history.change("a", 0, 3, 0, 10).read(3, "contents-a", 11, 12);
+  history.change("b", 3, 5, 20, 30).read(5, "contents-b", 31, 32).final();
+  CHECK(history.good());
+}
+
+TEST(HistoryChecker, TakesAReadOfEitherVersionDuringAChange) {
+  HandMade older, newer;
+  older.change("a", 0, 3, 0, 10).change("b", 3, 5, 20, 30).read(3, "contents-a", 22, 25);
+  newer.change("a", 0, 3, 0, 10).change("b", 3, 5, 20, 30).read(5, "contents-b", 22, 25);
+  CHECK(older.good());
+  CHECK(newer.good());
+}
+
+TEST(HistoryChecker, RejectsReadsThatGoBackDuringAChange) {
+  HandMade history;
+  history.change("a", 0, 3, 0, 10).change("b", 3, 5, 20, 90);
+  history.read(5, "contents-b", 22, 25).read(3, "contents-a", 30, 35);
+  CHECK(history.finds(ViolationKind::kStaleRead));
+}
+
+TEST(HistoryChecker, RejectsAStaleRead) {
+  HandMade history;
+  history.change("a", 0, 3, 0, 10).change("b", 3, 5, 20, 30).read(3, "contents-a", 31, 40);
+  CHECK(history.finds(ViolationKind::kStaleRead));
+}
+
+TEST(HistoryChecker, RejectsAReadOfNothingAfterTheFirstChange) {
+  HandMade history;
+  history.change("a", 0, 3, 0, 10).read(0, "", 11, 12);
+  CHECK(history.finds(ViolationKind::kStaleRead));
+}
+
+TEST(HistoryChecker, LeavesAChangeWithoutAnswerOpen) {
+  HandMade lost, taken;
+  lost.change("a", 0, 3, 0, 10).change("b", 3, 5, 20, kOpen, Outcome::kUnknown);
+  lost.change("c", 3, 6, 40, 50).read(6, "contents-c", 60, 61).final();
+  taken.change("a", 0, 3, 0, 10).change("b", 3, 5, 20, kOpen, Outcome::kUnknown);
+  taken.change("c", 5, 6, 40, 50).read(6, "contents-c", 60, 61).final();
+  CHECK(lost.good());
+  CHECK(taken.good());
+}
+
+TEST(HistoryChecker, LetsAChangeWithoutAnswerTakeEffectLate) {
+  HandMade history;
+  history.change("a", 0, 3, 0, 10).change("b", 3, 5, 20, kOpen, Outcome::kUnknown);
+  history.read(3, "contents-a", 500, 501).read(5, "contents-b", 600, 601);
+  CHECK(history.good());
+}
+
+TEST(HistoryChecker, RejectsAReadBeforeItsChangeBegan) {
+  HandMade history;
+  history.change("a", 0, 3, 0, 10).read(5, "contents-b", 12, 15);
+  history.change("b", 3, 5, 20, 30);
+  CHECK(history.finds(ViolationKind::kNotLinearizable));
+}
+
+TEST(HistoryChecker, TakesTheLoserOfARace) {
+  HandMade history;
+  history.change("a", 0, 3, 0, 10);
+  history.change("b", 3, 5, 20, 30).change("c", 3, 6, 20, 29, Outcome::kRefused);
+  CHECK(history.good());
+}
+
+TEST(HistoryChecker, RejectsTwoConfirmedOnOneBase) {
+  HandMade history;
+  history.change("a", 0, 3, 0, 10).change("b", 3, 5, 20, 30).change("c", 3, 6, 20, 40);
+  CHECK(history.finds(ViolationKind::kTwoOnOneBase));
+}
+
+TEST(HistoryChecker, RejectsOneNumberConfirmedWithTwoContents) {
+  HandMade history;
+  history.change("a", 0, 3, 0, 10).change("b", 3, 5, 20, 30).change("c", 3, 5, 20, 40);
+  CHECK(history.finds(ViolationKind::kTwoContents));
+}
+
+TEST(HistoryChecker, RejectsAReadOfOtherContentsThanWereSent) {
+  HandMade history;
+  history.change("a", 0, 3, 0, 10).read(3, "contents-z", 11, 12);
+  CHECK(history.finds(ViolationKind::kTwoContents));
+}
+
+TEST(HistoryChecker, RejectsAReadOfContentsThatNobodySent) {
+  HandMade history;
+  history.change("a", 0, 3, 0, 10).read(9, "contents-z", 11, 12);
+  CHECK(history.finds(ViolationKind::kUnknownContents));
+}
+
+TEST(HistoryChecker, TakesTheRepeatOfATakenOrder) {
+  HandMade history;
+  history.change("a", 0, 3, 0, kOpen, Outcome::kUnknown).change("b", 3, 5, 20, 30);
+  history.change("a", 0, 3, 40, 50);
+  CHECK(history.good());
+}
+
+TEST(HistoryChecker, RejectsTheRefusedRepeatOfATakenOrder) {
+  HandMade acknowledged, readBack;
+  acknowledged.change("a", 0, 3, 0, 10).change("b", 3, 5, 20, 30);
+  acknowledged.change("a", 0, 3, 40, 50, Outcome::kRefused);
+  CHECK(acknowledged.finds(ViolationKind::kRefusedRepeat));
+  readBack.change("a", 0, 3, 0, kOpen, Outcome::kUnknown).read(3, "contents-a", 10, 11);
+  readBack.change("a", 0, 3, 20, 30, Outcome::kRefused);
+  CHECK(readBack.finds(ViolationKind::kRefusedRepeat));
+}
+
+TEST(HistoryChecker, RejectsARefusalThatOnlyTheOrderItselfExplains) {
+  // "a" is built on by "b", so it was taken; nothing else can have been in its way.
+  HandMade history;
+  history.change("a", 0, 3, 0, kOpen, Outcome::kUnknown);
+  history.change("a", 0, 3, 20, 30, Outcome::kRefused).change("b", 3, 5, 40, 50);
+  CHECK_FALSE(history.good());
+}
+
+TEST(HistoryChecker, RejectsTheRefusalOfAChangeOnTheNewestVersion) {
+  HandMade history;
+  history.change("a", 0, 3, 0, 10).change("b", 3, 5, 20, 30, Outcome::kRefused);
+  CHECK(history.finds(ViolationKind::kRefusedOnNewest));
+}
+
+TEST(HistoryChecker, TakesTheRefusalOfAnInvalidChange) {
+  HandMade history;
+  history.change("a", 0, 3, 0, 10).change("b", 3, 5, 20, 30, Outcome::kRefused).improper();
+  history.change("c", 3, 2, 40, 50, Outcome::kRefused);  // its number is not above its base
+  CHECK(history.good());
+}
+
+TEST(HistoryChecker, RejectsAnAcknowledgedInvalidChange) {
+  HandMade improper, low;
+  improper.change("a", 0, 3, 0, 10).change("b", 3, 5, 20, 30).improper();
+  CHECK(improper.finds(ViolationKind::kImproperAcknowledged));
+  low.change("a", 0, 3, 0, 10).change("b", 3, 3, 20, 30);
+  CHECK(low.finds(ViolationKind::kImproperAcknowledged));
+}
+
+TEST(HistoryChecker, RejectsALostAcknowledgedChange) {
+  HandMade atEnd, builtOver;
+  atEnd.change("a", 0, 3, 0, 10).change("b", 3, 5, 20, 30).read(3, "contents-a", 90, 91).final();
+  CHECK(atEnd.finds(ViolationKind::kLostChange));
+  builtOver.change("a", 0, 3, 0, 10).change("b", 3, 5, 20, 30).change("c", 3, 7, 40, 50);
+  CHECK(builtOver.finds(ViolationKind::kTwoOnOneBase));
+}
+
+TEST(HistoryChecker, RejectsAReadOfARefusedChange) {
+  HandMade history;
+  history.change("a", 0, 3, 0, 10).change("b", 3, 5, 20, 30);
+  history.change("c", 3, 6, 20, 30, Outcome::kRefused).read(6, "contents-c", 40, 41);
+  CHECK(history.finds(ViolationKind::kRefusedContents));
+}
+
+TEST(HistoryChecker, TakesOneConfigurationOfTwoOperators) {
+  // Both send the very same contents under the same number: there is nothing to tell apart.
+  HandMade history;
+  history.change("a", 0, 3, 0, 10);
+  history.changeTo("b", 3, 5, "same", 20, 30, Outcome::kDone);
+  history.changeTo("c", 3, 5, "same", 20, 40, Outcome::kDone);
+  CHECK(history.good());
+}
+
+TEST(HistoryChecker, ChoosesAmongChangesWithoutAnswerAsLaterAnswersDemand) {
+  HandMade history;
+  history.change("a", 0, 1, 0, 10);
+  // Of each pair of rivals one has to be in the chain; only the last read tells which.
+  const int kPairs = 200;
+  std::uint64_t base = 1;
+  for (int pair = 0; pair < kPairs; ++pair) {
+    const std::uint64_t version = base + 1;
+    const std::string name = std::to_string(pair);
+    history.change("left" + name, base, version, 20 + pair, kOpen, Outcome::kUnknown);
+    history.change("right" + name, base, version, 20 + pair, kOpen, Outcome::kUnknown);
+    base = version;
+  }
+  HandMade good = history;
+  good.read(base, "contents-right199", 900, 901);
+  CHECK(good.good());
+  HandMade bad = history;
+  bad.read(base, "contents-right199", 900, 901).read(base - 1, "contents-left198", 902, 903);
+  CHECK(bad.finds(ViolationKind::kStaleRead));
+}
+
+TEST(HistoryChecker, ChecksEachRegisterAlone) {
+  HandMade one;
+  one.change("a", 0, 3, 0, 10);
+  OperatorCall other;
+  other.registerName = "setup";
+  other.operatorName = "operator1";
+  other.order = "a";
+  other.assigned = true;
+  other.outcome = Outcome::kDone;
+  other.start = 20;
+  other.end = 30;
+  other.version = Version{1, 3};
+  std::vector<OperatorCall> calls{other};
+  CHECK(checkHistory(calls).empty());
+  other.start = 40;
+  other.end = 50;
+  other.order = "b";
+  other.version = Version{1, 2};  // later in time, yet an earlier version
+  calls.push_back(other);
+  const Verdict verdict = checkHistory(calls);
+  LONGS_EQUAL(1, verdict.size());
+  CHECK(verdict[0].kind == ViolationKind::kOrder);
+  STRCMP_EQUAL("setup", verdict[0].registerName.c_str());
+}
+
+TEST_GROUP(HistoryFile){
+    static ReadError errorOf(const std::string& text){const ReadResult read = readHistory(text);
+const auto* error = std::get_if<ReadError>(&read);
+return error == nullptr ? ReadError{} : *error;
+}  // namespace peppergate::history
+}
+;
+
+TEST(HistoryFile, ReadsWhatItWrote) {
+  OperatorCall call;
+  call.registerName = "configuration";
+  call.operatorName = "operator1";
+  call.machine = "core2";
+  call.order = "order-1";
+  call.outcome = Outcome::kDone;
+  call.start = 5;
+  call.end = 9;
+  call.base = Version{0, 3};
+  call.version = Version{0, 7};
+  call.digest = "abc";
+  const std::string line = writeCall(call);
+  const ReadResult read = readHistory(line + "\n\n" + line);
+  const auto* calls = std::get_if<std::vector<OperatorCall>>(&read);
+  CHECK(calls != nullptr);
+  LONGS_EQUAL(2, calls->size());
+  STRCMP_EQUAL(line.c_str(), writeCall(calls->at(1)).c_str());
+}
+
+TEST(HistoryFile, NamesTheLineAndTheFieldThatIsWrong) {
+  const std::string good =
+      R"({"register":"r","operator":"o","call":"read","outcome":"unknown","start":1})";
+  LONGS_EQUAL(0, errorOf(good).line);
+  LONGS_EQUAL(2, errorOf(good + "\nnothing").line);
+  STRCMP_EQUAL("<root>", errorOf("[]").field.c_str());
+  STRCMP_EQUAL("register", errorOf(R"({"operator":"o"})").field.c_str());
+  struct Row {
+    const char* fields;
+    const char* wrong;
+  };
+  const Row rows[] = {
+      {R"("call":"write","outcome":"done","start":1)", "call"},
+      {R"("call":"read","outcome":"perhaps","start":1)", "outcome"},
+      {R"("call":"read","outcome":"unknown")", "start"},
+      {R"("call":"read","outcome":"unknown","start":1.5)", "start"},
+      {R"("call":"read","outcome":"done","start":1,"version":1)", "end"},
+      {R"("call":"read","outcome":"done","start":5,"end":1,"version":1)", "end"},
+      {R"("call":"read","outcome":"done","start":1,"end":2)", "version"},
+      {R"("call":"read","outcome":"refused","start":1,"end":2)", "outcome"},
+      {R"("call":"change","outcome":"done","start":1,"end":2)", "order"},
+      {R"("call":"change","order":"a","outcome":"done","start":1,"end":2)", "base"},
+      {R"("call":"change","order":"a","outcome":"done","start":1,"end":2,"base":-1)", "base"},
+      {R"("call":"change","order":"a","outcome":"done","start":1,"end":2,"base":0)", "version"},
+      {R"("call":"change","order":"a","outcome":"done","start":1,"end":2,"assigned":true)",
+       "version"},
+      {R"("call":"change","order":"a","outcome":"done","start":1,"end":2,"proper":1)", "proper"},
+  };
+  for (const auto& row : rows) {
+    const std::string line = std::string(R"({"register":"r","operator":"o",)") + row.fields + "}";
+    STRCMP_EQUAL(row.wrong, errorOf(line).field.c_str());
+  }
+}
+
+}  // namespace peppergate::history
