An answer to an order of a daemon's earlier life is not passed on

Cause: tickets begin anew with each life of a daemon, and the reply of a primary named only the ticket. A daemon that forwarded order X, was killed and came back while X waited for its acknowledgement could give X's answer to the caller of a new order Y under the same ticket: Y was confirmed, or refused, without having been looked at. Ruled out: the address of the member, which stays the same over a restart. Change: the reply echoes the order's id, and whoever forwarded another order under that ticket drops it. Desk.AnAnswerToAnOrderOfAnEarlierLifeIsNotPassedOn fails without the check.

--- a/src/core/leadership.h
+++ b/src/core/leadership.h
@@ -158,7 +158,9 @@
   void startBatch(MonotonicTime now, Outbox& outbox);
   void finishBatch(MonotonicTime now, Outbox& outbox);
   void refuseWaiting(ChangeOutcome outcome, Outbox& outbox);
+  static ChangeReply replyTo(const ChangeRequest& ask, ChangeOutcome outcome);
   void answerChange(const Address& to, ChangeReply answer, Outbox& outbox);
+  void refuseOfBatch(Outbox& outbox);
   // Backups and seats, see leadership_reconfiguration.cc.
   void observePeers(MonotonicTime now);
   Duration silent(CoreId core, MonotonicTime now) const;
--- a/src/core/leadership_replication.cc
+++ b/src/core/leadership_replication.cc
@@ -166,33 +166,33 @@
   propose(now, outbox);
 }
 
+ChangeReply Leadership::replyTo(const ChangeRequest& ask, ChangeOutcome outcome) {
+  ChangeReply answer;
+  answer.ticket = ask.ticket;
+  answer.changeId = ask.changeId;
+  answer.outcome = outcome;
+  return answer;
+}
+
 void Leadership::answerChange(const Address& to, ChangeReply answer, Outbox& outbox) {
   outbox.count(answer.outcome == ChangeOutcome::kDone ? "changes.done" : "changes.declined");
   outbox.send(to, std::move(answer));
 }
 
 void Leadership::refuseWaiting(ChangeOutcome outcome, Outbox& outbox) {
-  for (const auto& change : waiting_) {
-    ChangeReply answer;
-    answer.ticket = change.ask.ticket;
-    answer.outcome = outcome;
-    answerChange(change.from, answer, outbox);
-  }
+  for (const auto& change : waiting_)
+    answerChange(change.from, replyTo(change.ask, outcome), outbox);
   waiting_.clear();
 }
 
 void Leadership::take(const Address& from, const ChangeRequest& ask, MonotonicTime now,
                       Outbox& outbox) {
-  ChangeReply answer;
-  answer.ticket = ask.ticket;
   if (!leads(now) || leavingSince_ != kForever) {
-    answer.outcome = ChangeOutcome::kNotPrimary;
-    answerChange(from, answer, outbox);
+    answerChange(from, replyTo(ask, ChangeOutcome::kNotPrimary), outbox);
     return;
   }
   if (waiting_.size() >= 1000) {
-    answer.outcome = ChangeOutcome::kBusy;
-    answerChange(from, answer, outbox);
+    answerChange(from, replyTo(ask, ChangeOutcome::kBusy), outbox);
     return;
   }
   waiting_.push_back({from, ask, now});
@@ -204,10 +204,7 @@
   if (unconfirmed_) {  // changes wait a moment for a backup, then are declined, typed
     std::erase_if(waiting_, [&](const WaitingChange& change) {
       if (now - change.since < options_.replicateTimeout) return false;
-      ChangeReply answer;
-      answer.ticket = change.ask.ticket;
-      answer.outcome = ChangeOutcome::kNoBackup;
-      answerChange(change.from, answer, outbox);
+      answerChange(change.from, replyTo(change.ask, ChangeOutcome::kNoBackup), outbox);
       return true;
     });
     return;
@@ -223,7 +220,11 @@
     waiting_.pop_front();
     ChangeReply answer = draft.apply(change.ask.change, change.ask.changeId, view_.epoch, options_);
     answer.ticket = change.ask.ticket;
-    if (answer.outcome != ChangeOutcome::kDone) answerChange(change.from, answer, outbox);
+    answer.changeId = change.ask.changeId;
+    // What was judged on a draft holds only once the draft is published.
+    const bool onPublished = draft.version() == before;
+    if (answer.outcome != ChangeOutcome::kDone && onPublished)
+      answerChange(change.from, answer, outbox);
     else batch_.emplace_back(change.from, answer);
   }
   if (draft.version() == before) {  // only repeats of what was acknowledged before
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -222,14 +222,16 @@
 };
 
 struct ChangeReply {
-  TicketId ticket;
+  TicketId ticket;  // of the daemon that asked; it may belong to an earlier life of that daemon
+  std::string changeId;  // the order that this answers
   ChangeOutcome outcome = ChangeOutcome::kLost;
   SectionVersion version;
   std::string field;  // which field was wrong, if one was
   std::string detail;
   std::uint64_t newest = 0;  // of the fleet's configuration, when a change built on another one
-  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(ticket) PEPPERGATE_FIELD(outcome) PEPPERGATE_FIELD(version)
-                        PEPPERGATE_FIELD(field) PEPPERGATE_FIELD(detail) PEPPERGATE_FIELD(newest))
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(ticket) PEPPERGATE_FIELD(changeId) PEPPERGATE_FIELD(outcome)
+                        PEPPERGATE_FIELD(version) PEPPERGATE_FIELD(field) PEPPERGATE_FIELD(detail)
+                            PEPPERGATE_FIELD(newest))
 };
 
 struct EngineLeaseRequest {
--- a/src/core/operator_handler.cc
+++ b/src/core/operator_handler.cc
@@ -241,6 +241,11 @@
 void OperatorHandler::hear(const ChangeReply& change, MonotonicTime now, Outbox& outbox) {
   auto found = forwarded_.find(change.ticket);
   if (found == forwarded_.end()) return;
+  // Tickets begin anew with each life of a daemon; the answer may be to an earlier life's order.
+  if (found->second.ask.changeId != change.changeId) {
+    outbox.count("changes.strayAnswers");
+    return;
+  }
   // A primary may have gone, or wait for its backup: the change is tried again for a while.
   Forwarded& waiting = found->second;
   if (rowOf(change.outcome).retry && now - waiting.since < kRefusedFor) {
--- a/tests/config_desk_test.cc
+++ b/tests/config_desk_test.cc
@@ -74,6 +74,7 @@
   void answer(TicketId ticket, ChangeOutcome outcome, double second) {
     ChangeReply change;
     change.ticket = ticket;
+    change.changeId = "c1";  // as the primary echoes it
     change.outcome = outcome;
     desk.hear(change, when(second), outbox);
   }
@@ -121,6 +122,23 @@
   answered(outbox.take(), 200, "done");
 }
 
+TEST(Desk, AnAnswerToAnOrderOfAnEarlierLifeIsNotPassedOn) {
+  // Tickets begin anew with each life, so the answer to a lost order may bear a new one's ticket.
+  knowPrimary();
+  TicketId ticket = post(kChange, 1);
+  outbox.take();
+  for (ChangeOutcome outcome : {ChangeOutcome::kDone, ChangeOutcome::kStale}) {
+    ChangeReply stray;
+    stray.ticket = ticket;
+    stray.changeId = "another-order";
+    stray.outcome = outcome;
+    desk.hear(stray, when(1.1), outbox);
+    CHECK(taken<AnswerWeb>(outbox.take()).empty());
+  }
+  answer(ticket, ChangeOutcome::kDone, 1.2);
+  answered(outbox.take(), 200, "done");
+}
+
 TEST(Desk, AnUnansweredChangeIsRepeatedAndANewPrimaryAskedAtOnce) {
   knowPrimary();
   post(kChange, 1);
@@ -167,6 +185,7 @@
   TicketId ticket = post(kChange, 1);
   outbox.take();
   ChangeReply stale;
+  stale.changeId = "c1";
   stale.ticket = ticket;
   stale.outcome = ChangeOutcome::kStale;
   stale.field = "[basedOnVersion]";
