No refusal is given on a draft that may be lost

Cause: all waiting orders are applied to one draft. An order that was stale or invalid because of an earlier one in the same draft was refused at once, before the draft was synced anywhere; when the draft is lost, the version that it was refused for never existed. Change: what was judged on a draft leaves with the draft: refusals when it is published, acknowledgements when the fronts follow it; if it is given up, all of them are left open. The tests of cores share their machines, whose disks may now hold writes back. OrdersOfCores.NoRefusalIsGivenOnADraftThatMayBeLost fails without it.

--- a/src/core/leadership_replication.cc
+++ b/src/core/leadership_replication.cc
@@ -254,10 +254,21 @@
   named_ = true;
   publishedAt_ = now;
   batchState_.reset();
+  refuseOfBatch(outbox);
   pendingAcknowledgements_.push_back({published_.sections(), now, std::exchange(batch_, {})});
   startBatch(now, outbox);
 }
 
+void Leadership::refuseOfBatch(Outbox& outbox) {
+  // Acknowledgements wait for the fronts; a refusal changes nothing there.
+  std::erase_if(batch_, [&](const auto& entry) {
+    const auto& [to, answer] = entry;
+    if (answer.outcome == ChangeOutcome::kDone) return false;
+    answerChange(to, answer, outbox);
+    return true;
+  });
+}
+
 void Leadership::acknowledge(const std::function<bool(const SectionVersions&)>& inForce,
                              MonotonicTime now, Outbox& outbox) {
   // A front without this news may still allow streams on a proof from before it. Its proof runs
--- /dev/null
+++ b/tests/config_machines.h
@@ -0,0 +1,134 @@
+#pragma once
+// Three cores and a front that talk without delay, for tests of orders through whole machines.
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/core_node.h"
+#include "core/front_node.h"
+#include "tests/testing.h"
+
+namespace peppergate {
+
+inline constexpr int kCores = 3;
+inline constexpr int kFront = kCores;  // the index of the front
+
+inline Address addressOf(int index) { return {"10.0.0." + std::to_string(index + 1) + ":1"}; }
+
+/// Machines, their disks and the messages between them, on a clock of its own.
+class Machines {
+ public:
+  Machines() {
+    for (int index = 0; index <= kFront; ++index) {
+      MemberRecord self;
+      self.member = {static_cast<std::uint64_t>(100 + index)};
+      self.address = self.pages = addressOf(index);
+      self.role = index == kFront ? Role::kFront : Role::kCore;
+      DiskFound disk;
+      disk.files["identity"] = identityFile({static_cast<std::uint64_t>(1 + index)});
+      std::vector<Address> seeds{addressOf(0)};
+      Bootstrap bootstrap;
+      if (index == 0) bootstrap.cores = kCores;
+      if (index == kFront)
+        nodes_.push_back(std::make_unique<FrontNode>(options_, self, seeds, Address{}, 9));
+      else
+        nodes_.push_back(
+            std::make_unique<CoreNode>(options_, self, seeds, disk, 5 + index, now_, bootstrap));
+    }
+  }
+
+  void run(double length) {
+    MonotonicTime end = now_ + seconds(length);
+    for (; now_ < end; now_ = now_ + milliseconds(50))
+      for (int index = 0; index <= kFront; ++index) step(index, Ticked{});
+  }
+
+  /// Asks a page of one machine and waits for the answer. Example: `ask(0, "GET", "/config")`.
+  AnswerWeb ask(int index, const std::string& method, const std::string& path,
+                const std::string& body = "") {
+    TicketId ticket = send(index, method, path, body);
+    for (int turn = 0; turn < 200 && !answers_.contains(ticket); ++turn) run(0.05);
+    return answers_.contains(ticket) ? answers_.at(ticket) : AnswerWeb{ticket, 0, {}, ""};
+  }
+  TicketId send(int index, const std::string& method, const std::string& path,
+                const std::string& body = "") {
+    TicketId ticket{++lastTicket_};
+    now_ = now_ + milliseconds(1);  // a request takes some time to come
+    step(index, OperatorRequest{ticket, method, path, body});
+    return ticket;
+  }
+  const AnswerWeb* answerTo(TicketId ticket) const {
+    auto found = answers_.find(ticket);
+    return found == answers_.end() ? nullptr : &found->second;
+  }
+
+  std::optional<int> primary() const {
+    for (int index = 0; index < kCores; ++index)
+      if (!dead_.contains(index) &&
+          static_cast<CoreNode&>(*nodes_[static_cast<std::size_t>(index)]).leadership().names(now_))
+        return index;
+    return std::nullopt;
+  }
+  void kill(int index) { dead_.insert(index); }
+  /// From now on this machine's disk ends no write until it is released.
+  void holdWrites(int index) { holding_.insert(index); }
+  /// Ends the writes that are held; further ones are held again unless `andLater`.
+  void releaseWrites(int index, bool andLater) {
+    if (andLater) holding_.erase(index);
+    auto held = std::exchange(held_[index], {});
+    for (const auto& written : held) step(index, written);
+  }
+
+ private:
+  void step(int index, const Event& event) {
+    queue_.push_back({index, event});
+    while (!queue_.empty()) {
+      auto [to, next] = std::move(queue_.front());
+      queue_.pop_front();
+      if (dead_.contains(to)) continue;
+      Node& node = *nodes_[static_cast<std::size_t>(to)];
+      node.step(next, now_);
+      for (auto& command : node.outbox().take()) carryOut(to, command);
+    }
+  }
+  void carryOut(int from, Command& command) {
+    if (auto* send = std::get_if<Send>(&command)) {
+      for (int index = 0; index <= kFront; ++index)
+        if (addressOf(index) == send->to)
+          queue_.push_back({index, Arrived{addressOf(from), std::move(send->message)}});
+    } else if (auto* write = std::get_if<WriteFile>(&command)) {
+      FileWritten written{write->ticket, true};
+      if (holding_.contains(from)) held_[from].push_back(written);
+      else queue_.push_back({from, written});
+    } else if (auto* web = std::get_if<AnswerWeb>(&command)) {
+      answers_[web->ticket] = *web;
+    }
+  }
+
+  Options options_;
+  MonotonicTime now_ = at(100);
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::set<int> dead_, holding_;
+  std::map<int, std::vector<FileWritten>> held_;
+  std::deque<std::pair<int, Event>> queue_;
+  std::map<TicketId, AnswerWeb> answers_;
+  std::uint64_t lastTicket_ = 0;
+};
+
+/// An order that brings a configuration with only its number and its sender's id.
+inline std::string change(const char* id, int base, int version) {
+  return Json{{"changeId", id},
+              {"kind", "replace"},
+              {"basedOnVersion", base},
+              {"config", {{"version", version}, {"by", id}}}}
+      .dump();
+}
+
+inline Json bodyOf(const AnswerWeb& web) { return Json::parse(web.body, nullptr, false); }
+
+}  // namespace peppergate
