A taken order is acknowledged again or left open, whatever its age

Cause: the last 1,000 orders were remembered by id; an older one that was sent again was refused as stale. An order that changed nothing was acknowledged and not remembered at all, so the same order was refused after the next change. Change: remembered orders stand in a module of their own, in blocks that copies of the state share. The bound is by count, and by age in versions: two marks tell up to which version and configuration orders were forgotten, and an order that they cover is answered as lost (open), never refused; the loser of a race lies above the marks and is refused as before. An order that changed nothing is remembered and replicated, unless it can never be refused.

--- a/src/core/control_state.cc
+++ b/src/core/control_state.cc
@@ -12,6 +12,21 @@
 
 bool changesFleet(std::string_view kind) { return kind == "replace" || kind == "amend"; }
 
+/// Whether a change of this kind that was taken once is taken at any later time as well.
+bool neverRefused(std::string_view kind) {
+  return kind == "model-version" || kind == "key-withdraw";
+}
+
+/// The number of the configuration that an order brings; none if it brings none.
+std::optional<ConfigVersion> numberOf(std::string_view kind, const Json& change) {
+  if (!changesFleet(kind)) return std::nullopt;
+  auto part = change.find(kind == "replace" ? "config" : "amendment");
+  if (part == change.end() || !part->is_object()) return std::nullopt;
+  auto version = part->find("version");
+  if (version == part->end() || !version->is_number_unsigned()) return std::nullopt;
+  return ConfigVersion{version->get<std::uint64_t>()};
+}
+
 ChangeReply done(const SectionVersion& version) {
   ChangeReply answer;
   answer.outcome = ChangeOutcome::kDone;
@@ -25,10 +40,6 @@
   return SectionVersion{{std::stoull(text.substr(0, dot))}, {std::stoull(text.substr(dot + 1))}};
 }
 
-std::string quoted(const std::string& text) {
-  return Json(text).dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 /// How many items of a list a configuration has. Example: `countOf(config, "routes")`.
 std::size_t countOf(const std::shared_ptr<const Json>& config, const char* list) {
   if (!config) return 0;
@@ -38,32 +49,6 @@
 
 }  // namespace
 
-const SectionVersion* RememberedChanges::find(const std::string& changeId) const {
-  auto found = versions_.find(changeId);
-  return found == versions_.end() ? nullptr : &found->second;
-}
-
-void RememberedChanges::add(const std::string& changeId, const SectionVersion& version,
-                            std::size_t limit) {
-  if (versions_.insert_or_assign(changeId, version).second) order_.push_back(changeId);
-  while (order_.size() > limit) {
-    versions_.erase(order_.front());
-    order_.pop_front();
-  }
-}
-
-std::string RememberedChanges::text() const {
-  std::string text = "[";
-  for (const auto& changeId : order_) {
-    const SectionVersion& version = versions_.at(changeId);
-    if (text.size() > 1) text += ',';
-    text += "{\"id\":" + quoted(changeId) +
-            ",\"version\":{\"epoch\":" + std::to_string(version.epoch.value) +
-            ",\"sequence\":" + std::to_string(version.sequence.value) + "}}";
-  }
-  return text + "]";
-}
-
 ControlState::ControlState() {
   static const auto kNoBody = std::make_shared<const Json>(Json::object());
   static const auto kNoText = std::make_shared<const std::string>();
@@ -125,11 +110,8 @@
     fromJson(document.at("version"), state.version_);
     fromJson(document.at("sections"), state.sections_);
     Json& body = document.at("body");
-    for (const auto& change : body.at("changes")) {
-      SectionVersion version;
-      fromJson(change.at("version"), version);
-      state.remembered_->add(change.at("id"), version, SIZE_MAX);
-    }
+    *state.remembered_ =
+        RememberedChanges::read(body.at("changes"), body.value("forgotten", Json()));
     for (const auto& earlier : body.value("earlier", Json::array()))
       if (auto version = parseVersion(earlier.at("version")))
         state.earlier_.push_back({*version, state.write(earlier.at("setup"))});
@@ -150,7 +132,8 @@
 }
 
 std::string ControlState::text() const {
-  std::string text = "{\"body\":{\"changes\":" + remembered_->text() + ",\"earlier\":[";
+  std::string text = "{\"body\":{\"changes\":" + remembered_->text() +
+                     ",\"forgotten\":" + remembered_->forgottenText() + ",\"earlier\":[";
   for (const auto& earlier : earlier_) {
     if (text.back() != '[') text += ',';
     text +=
@@ -173,6 +156,11 @@
   return size;
 }
 
+const SectionVersion& ControlState::baseOf(const std::string& kind) const {
+  if (kind == "weights" || kind == "model-version") return sections_.weights;
+  return kind.starts_with("key") ? sections_.keys : sections_.setup;
+}
+
 std::optional<ChangeReply> ControlState::checkBase(const std::string& kind,
                                                    const Json& change) const {
   bool namesBase = change.contains("basedOn");
@@ -182,10 +170,7 @@
   if (needsBase && !namesBase) return invalid("[basedOn]", "is needed for kind " + kind);
   if (!namesBase) return std::nullopt;
   auto base = parseVersion(change["basedOn"]);
-  bool ofWeights = kind == "weights" || kind == "model-version";
-  const SectionVersion& current = ofWeights                 ? sections_.weights
-                                  : kind.starts_with("key") ? sections_.keys
-                                                            : sections_.setup;
+  const SectionVersion& current = baseOf(kind);
   if (base && *base == current) return std::nullopt;
   return faultAnswer(ChangeOutcome::kStale, "[basedOn]", "the newest is " + versionText(current));
 }
@@ -259,37 +244,71 @@
   if (auto wrong = checkSchema(SchemaName::kChange, document))
     return invalid(wrong->field, wrong->detail);
   std::string kind = document["kind"];
-  if (auto wrong = checkBase(kind, document)) return *wrong;
+  if (auto wrong = checkBase(kind, document)) return judged(kind, document, std::move(*wrong));
+  const std::optional<ConfigVersion> number = numberOf(kind, document);
   ControlState next = *this;
   auto wrong =
       changesFleet(kind) ? next.changeFleet(kind, document) : next.changeSections(kind, document);
   bytesWritten_ = next.bytesWritten_;
-  if (wrong) return *wrong;
+  if (wrong) return judged(kind, document, std::move(*wrong));
   if (document.value("dryRun", false))
     return faultAnswer(ChangeOutcome::kWould, {}, wouldBecome(next));
-  return adopt(std::move(next), changeId, epoch, options);
+  const bool needsNoMemory = neverRefused(kind) && !document.contains("basedOn");
+  if (needsNoMemory && next.sameSections(*this)) return done(inForce());
+  return adopt(std::move(next), {changeId, {}, number.value_or(ConfigVersion{})}, epoch, options);
+}
+
+ChangeReply ControlState::judged(const std::string& kind, const Json& change,
+                                 ChangeReply refusal) const {
+  if (!mayBeForgotten(kind, change)) return refusal;
+  return faultAnswer(ChangeOutcome::kLost, refusal.field,
+                     "it may have been taken before what is remembered; " + refusal.detail);
+}
+
+bool ControlState::mayBeForgotten(const std::string& kind, const Json& change) const {
+  const ForgottenChanges& forgotten = remembered_->forgotten();
+  if (forgotten.version == SectionVersion{}) return false;
+  if (auto number = numberOf(kind, change)) {
+    // An order on the newest configuration was never taken: the versions never come back to it.
+    const bool onNewest = change.value("basedOnVersion", std::uint64_t{0}) == fleetVersion_.value;
+    return !onNewest && *number <= forgotten.config;
+  }
+  if (kind == "key-add") {  // only a key that was live once may have been added by a taken order
+    const Json& withdrawn = body_->at("keys").at("withdrawn");
+    return withdrawn.contains(change.value("digest", ""));
+  }
+  const auto base = parseVersion(change.value("basedOn", ""));
+  return base && *base < forgotten.version && *base != baseOf(kind);
 }
 
-ChangeReply ControlState::adopt(ControlState next, const std::string& changeId, Epoch epoch,
+ChangeReply ControlState::adopt(ControlState next, RememberedChange change, Epoch epoch,
                                 const Options& options) {
   const std::size_t limit = 2 * static_cast<std::size_t>(options.largestSetup);
   while (!next.earlier_.empty() && next.size() > limit) next.earlier_.erase(next.earlier_.begin());
   if (next.size() > limit)
     return faultAnswer(ChangeOutcome::kTooLarge, "<root>", "the state would be above the limit");
-  SectionVersion newVersion{epoch, {version_.sequence.value + 1}};
-  bool setup = *next.setupText_ != *setupText_;
-  bool keys = *next.keysText_ != *keysText_;
-  bool weights = *next.weightsText_ != *weightsText_;
-  if (!setup && !keys && !weights)  // the yes names the version that is in force already
-    return done(std::max({sections_.setup, sections_.keys, sections_.weights}));
-  if (setup) next.sections_.setup = newVersion;
-  if (keys) next.sections_.keys = newVersion;
-  if (weights) next.sections_.weights = newVersion;
+  const SectionVersion newVersion{epoch, {version_.sequence.value + 1}};
+  if (*next.setupText_ != *setupText_) next.sections_.setup = newVersion;
+  if (*next.keysText_ != *keysText_) next.sections_.keys = newVersion;
+  if (*next.weightsText_ != *weightsText_) next.sections_.weights = newVersion;
   next.version_ = newVersion;
+  // An order that changed no section is remembered all the same, for it was acknowledged; its
+  // acknowledgement names the version that is in force already.
+  change.version = next.sameSections(*this) ? inForce() : newVersion;
   *this = std::move(next);
   if (remembered_.use_count() > 1) remembered_ = std::make_shared<RememberedChanges>(*remembered_);
-  remembered_->add(changeId, newVersion, static_cast<std::size_t>(options.rememberedChanges));
-  return done(newVersion);
+  ChangeReply answer = done(change.version);
+  remembered_->add(std::move(change), static_cast<std::size_t>(options.rememberedChanges));
+  return answer;
+}
+
+bool ControlState::sameSections(const ControlState& other) const {
+  return *setupText_ == *other.setupText_ && *keysText_ == *other.keysText_ &&
+         *weightsText_ == *other.weightsText_;
+}
+
+SectionVersion ControlState::inForce() const {
+  return std::max({sections_.setup, sections_.keys, sections_.weights});
 }
 
 bool ControlState::stampOver(const SectionVersions& seen, Epoch epoch) {
--- a/src/core/control_state.h
+++ b/src/core/control_state.h
@@ -2,18 +2,17 @@
 // The fleet's control state: setup, keys, weights; changed only through checked changes.
 #include <absl/status/statusor.h>
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "config/fleet_config.h"
 #include "core/messages.h"
 #include "core/options.h"
+#include "core/remembered_changes.h"
 #include "wire/json_fields.h"
 
 namespace peppergate {
@@ -75,21 +74,6 @@
   std::shared_ptr<const std::string> text;
 };
 
-/// The changes that were taken last, by their ids. Example: `remembered.find("c1")`.
-class RememberedChanges {
- public:
-  /// The version that a change made; none if it isn't remembered. Example: see the class.
-  const SectionVersion* find(const std::string& changeId) const;
-  /// Adds one and forgets the oldest beyond the limit. Example: `add("c1", version, 1000)`.
-  void add(const std::string& changeId, const SectionVersion& version, std::size_t limit);
-  /// All of them as a JSON list, oldest first. Example: in the state's text.
-  std::string text() const;
-
- private:
-  std::deque<std::string> order_;
-  std::unordered_map<std::string, SectionVersion> versions_;
-};
-
 /// The whole state with the versions of its sections. A copy shares all parts with its original,
 /// and a change makes anew, and writes out once, only what it changes.
 /// Example: `state.apply(change, "id-1", Epoch{3}, options)` gives the outcome.
@@ -137,8 +121,16 @@
   Fault changeFleet(const std::string& kind, Json& change);
   std::string wouldBecome(const ControlState& next) const;
   std::size_t size() const;
-  ChangeReply adopt(ControlState next, const std::string& changeId, Epoch epoch,
+  ChangeReply adopt(ControlState next, RememberedChange change, Epoch epoch,
                     const Options& options);
+  /// A refusal, or no clear answer if the order may have been taken and forgotten.
+  ChangeReply judged(const std::string& kind, const Json& change, ChangeReply refusal) const;
+  bool mayBeForgotten(const std::string& kind, const Json& change) const;
+  /// The version that a change of this kind has to build on.
+  const SectionVersion& baseOf(const std::string& kind) const;
+  bool sameSections(const ControlState& other) const;
+  /// The highest version of a section.
+  SectionVersion inForce() const;
 
   std::shared_ptr<const Json> body_;   // setup without the fleet's configuration, keys, weights
   std::shared_ptr<const Json> fleet_;  // the configuration as it was sent; null: none yet
