Model checker: a bounded search over the schedules of real core machines

Change: `peppergate model-check` and the library peppergate_model drive CoreNode itself: messages lost, kept back, doubled and delayed, writes late, failed or lost, crashes, restarts, wiped and replaced machines, joins, leaves, cuts, lost answers, two operators that compare and set on one base. It covers all schedules with 0, 1, 2 ... departures from a default order, counts distinct states, and prints the shortest failing schedule, which replays. Random schedules go deep. Seams in the core: CoreNode::clone (parts keep their references in core/collaborators.h, so that assignment copies state alone), ControlState::takenVersion, and ControlFaultInjection in Options, which no flag or settings file of a daemon reaches.

Ruled out: replaying each prefix from the start, since clones make a branch cost one machine's copy; hashing a summary of fields, which goes wrong silently when a field is added: inputs are hashed instead.

One real fault was found and is not mended here: two leaders in one epoch when a replaced voter slot was accepted but not chosen (4 machines, 3 voters, two cut off).

--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -34,6 +34,8 @@
 int rehearseCommand(const Words& words);
 /// Example: `routerRehearseCommand({"scenarios/routers", "--seeds", "1-20"})`.
 int routerRehearseCommand(const Words& words);
+/// Example: `modelCheckCommand({"--machines", "3", "--departures", "2"})`.
+int modelCheckCommand(const Words& words);
 /// Runs random schedules of every trouble. Example: `scheduleRehearseCommand({"routers", "--seeds",
 /// "1-9"})`.
 int scheduleRehearseCommand(const Words& words);
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -33,6 +33,8 @@
     CommandRow{"rehearse", &rehearseCommand, "run scenarios on simulated time, over seeds"},
     CommandRow{"rehearse-routers", &routerRehearseCommand,
                "run scenarios of fleets of routers on simulated time"},
+    CommandRow{"model-check", &modelCheckCommand,
+               "search the schedules of a modelled fleet of control machines"},
     CommandRow{"rehearse-schedules", &scheduleRehearseCommand,
                "run random schedules of every trouble on simulated time"},
     CommandRow{"place", &placeCommand, "solve placements in districts from constraints in a file"},
--- /dev/null
+++ b/src/app/model_check_command.cc
@@ -0,0 +1,223 @@
+// Searches the schedules of a modelled fleet of real control machines, or replays one of them.
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+#include "app/commands.h"
+#include "core/control_fault_injection.h"
+#include "model/suite.h"
+
+namespace peppergate {
+namespace {
+
+namespace po = boost::program_options;
+using model::ModelOptions;
+
+struct CommandOptions {
+  ModelOptions model;
+  model::SearchBounds search;
+  model::WalkBounds walk;
+  std::string replayFile, failingFile;
+  bool walks = false;
+  bool suite = false;
+  bool quiet = false;
+};
+
+po::options_description flags() {
+  po::options_description options("peppergate model-check");
+  options.add_options()("help", "this text")("machines", po::value<int>()->default_value(3),
+                                             "core machines, 3 to 9")(
+      "voters", po::value<int>()->default_value(0), "voter slots; 0: one for each machine")(
+      "tolerate", po::value<int>()->default_value(1), "disks that may be lost at once")(
+      "orders", po::value<int>()->default_value(3), "of two operators together, 1 to 8")(
+      "seed", po::value<std::uint64_t>()->default_value(1), "of the machines' random numbers")(
+      "tick-ms", po::value<int>()->default_value(300), "time between two ticks")(
+      "horizon-ms", po::value<int>()->default_value(4500), "modelled time of a schedule")(
+      "recovery-ms", po::value<int>()->default_value(0),
+      "a leader must be there so long after the horizon; 0: not checked")(
+      "granularity", po::value<std::string>()->default_value("fine"),
+      "where a schedule may depart from the default order: coarse, fine or full")(
+      "departures", po::value<int>()->default_value(2), "in one schedule, at most")(
+      "limit", po::value<std::vector<std::string>>()->composing(),
+      "ACTION=COUNT: how often in one schedule; '*=0' first forbids all")(
+      "rule", po::value<std::vector<std::string>>()->composing(),
+      "judge by this rule alone, or by these; else by all")(
+      "fault", po::value<std::vector<std::string>>()->composing(),
+      "switch a fault on in the control code, to see that it is found")(
+      "suite", po::bool_switch(), "the fixed searches of every test run; other flags are ignored")(
+      "walks", po::value<std::string>(),
+      "random schedules of seeds FIRST-LAST instead of a search")(
+      "share", po::value<double>()->default_value(0.05), "of places where a walk departs")(
+      "threads", po::value<unsigned>()->default_value(2), "how many at a time")(
+      "seconds", po::value<double>()->default_value(600), "real time, at most")(
+      "most-states", po::value<std::uint64_t>()->default_value(50'000'000), "remembered, at most")(
+      "failing-to", po::value<std::string>()->default_value(""), "file for a failing schedule")(
+      "replay", po::value<std::string>()->default_value(""), "run this schedule, show its steps")(
+      "quiet", po::bool_switch(), "only the verdict of a replay");
+  return options;
+}
+
+absl::Status readLimit(const std::string& text, ModelOptions& options) {
+  auto sign = text.find('=');
+  if (sign == std::string::npos) return absl::InvalidArgumentError("--limit wants ACTION=COUNT");
+  char* end = nullptr;
+  long count = std::strtol(text.c_str() + sign + 1, &end, 10);
+  if (end == text.c_str() + sign + 1 || *end != '\0' || count < 0 || count > 1'000'000)
+    return absl::InvalidArgumentError("--limit wants ACTION=COUNT");
+  if (text.substr(0, sign) == "*") {
+    options.limits.fill(static_cast<int>(count));
+    options.limit(model::ActionKind::kRelease) = 1'000'000;
+    return absl::OkStatus();
+  }
+  auto kind = model::actionKind(text.substr(0, sign));
+  if (!kind.ok()) return kind.status();
+  options.limit(*kind) = static_cast<int>(count);
+  return absl::OkStatus();
+}
+
+absl::Status readSeeds(const std::string& text, model::WalkBounds& bounds) {
+  unsigned long long first = 0, last = 0;
+  char rest = 0;
+  int read = std::sscanf(text.c_str(), "%llu-%llu%c", &first, &last, &rest);
+  if (read == 1) last = first;
+  if (read < 1 || read > 2 || first < 1 || last < first)
+    return absl::InvalidArgumentError("--walks wants FIRST-LAST with 1 <= FIRST <= LAST");
+  bounds.firstSeed = first;
+  bounds.lastSeed = last;
+  return absl::OkStatus();
+}
+
+absl::Status readModel(const po::variables_map& values, ModelOptions& options) {
+  options.machines = values["machines"].as<int>();
+  options.voters = values["voters"].as<int>();
+  options.tolerate = values["tolerate"].as<int>();
+  options.orders = values["orders"].as<int>();
+  options.seed = values["seed"].as<std::uint64_t>();
+  options.tick = milliseconds(values["tick-ms"].as<int>());
+  options.horizon = milliseconds(values["horizon-ms"].as<int>());
+  options.recovery = milliseconds(values["recovery-ms"].as<int>());
+  auto granularity = model::granularityNamed(values["granularity"].as<std::string>());
+  if (!granularity.ok()) return granularity.status();
+  options.granularity = *granularity;
+  if (values.count("limit") > 0)
+    for (const auto& text : values["limit"].as<std::vector<std::string>>())
+      if (auto status = readLimit(text, options); !status.ok()) return status;
+  if (values.count("rule") > 0)
+    for (const auto& name : values["rule"].as<std::vector<std::string>>()) {
+      auto rule = model::ruleNamed(name);
+      if (!rule.ok()) return rule.status();
+      options.rules.add(*rule);
+    }
+  if (values.count("fault") > 0)
+    for (const auto& name : values["fault"].as<std::vector<std::string>>()) {
+      auto fault = controlFaultNamed(name);
+      if (!fault.ok()) return fault.status();
+      options.faults.set(*fault);
+    }
+  return model::checkOptions(options);
+}
+
+absl::StatusOr<CommandOptions> readOptions(const po::variables_map& values) {
+  CommandOptions options;
+  if (auto status = readModel(values, options.model); !status.ok()) return status;
+  double time = values["seconds"].as<double>(), share = values["share"].as<double>();
+  if (!(time > 0) || time > 1e6) return absl::InvalidArgumentError("--seconds: above 0");
+  if (!(share >= 0) || share > 1) return absl::InvalidArgumentError("--share: 0 to 1");
+  options.search.departures = values["departures"].as<int>();
+  if (options.search.departures < 0 || options.search.departures > 100)
+    return absl::InvalidArgumentError("--departures: 0 to 100");
+  options.search.threads = options.walk.threads = values["threads"].as<unsigned>();
+  if (options.search.threads < 1 || options.search.threads > 256)
+    return absl::InvalidArgumentError("--threads: 1 to 256");
+  options.search.time = options.walk.time = seconds(time);
+  options.search.mostStates = values["most-states"].as<std::uint64_t>();
+  options.walk.departureShare = share;
+  options.suite = values["suite"].as<bool>();
+  options.walks = values.count("walks") > 0;
+  if (options.walks)
+    if (auto status = readSeeds(values["walks"].as<std::string>(), options.walk); !status.ok())
+      return status;
+  options.replayFile = values["replay"].as<std::string>();
+  options.failingFile = values["failing-to"].as<std::string>();
+  options.quiet = values["quiet"].as<bool>();
+  return options;
+}
+
+int usage(const absl::Status& status) {
+  std::fprintf(stderr, "%s\n", std::string(status.message()).c_str());
+  return kExitUsage;
+}
+
+int verdict(const std::string& violation) {
+  if (violation.empty()) return kExitGood;
+  std::printf("FAILED: %s\n", violation.c_str());
+  return kExitFailed;
+}
+
+void showFailing(const CommandOptions& options, const std::optional<model::Schedule>& failing) {
+  if (!failing) return;
+  std::string text = model::scheduleText(*failing);
+  std::printf("---- replay with peppergate model-check --replay FILE ----\n%s----\n", text.c_str());
+  if (!options.failingFile.empty()) std::ofstream(options.failingFile) << text;
+}
+
+int replayCommand(const CommandOptions& options) {
+  std::ifstream file(options.replayFile);
+  if (!file) return usage(absl::NotFoundError("can't read " + options.replayFile));
+  std::stringstream text;
+  text << file.rdbuf();
+  auto schedule = model::parseSchedule(text.str());
+  if (!schedule.ok()) return usage(schedule.status());
+  auto report = model::replay(*schedule);
+  if (!report.ok()) return usage(report.status());
+  if (!options.quiet)
+    for (const auto& step : report->steps) std::printf("%s\n", step.c_str());
+  std::printf("%d places with a choice\n", report->positions);
+  return verdict(report->violation);
+}
+
+int searchCommand(const CommandOptions& options) {
+  auto report = model::search(options.model, options.search);
+  if (!report.ok()) return usage(report.status());
+  std::printf("%s\n", model::reportLine(*report).c_str());
+  showFailing(options, report->failing);
+  return verdict(report->violation);
+}
+
+int walkCommand(const CommandOptions& options) {
+  auto report = model::walk(options.model, options.walk);
+  if (!report.ok()) return usage(report.status());
+  std::printf("%s\n", model::reportLine(*report).c_str());
+  for (const auto& [rule, count] : report->violations)
+    std::printf("%6llu walks: %s\n", static_cast<unsigned long long>(count), rule.c_str());
+  showFailing(options, report->failing);
+  return verdict(report->violation);
+}
+
+int suiteCommand(const CommandOptions& options) {
+  std::size_t failed = 0;
+  auto results = model::runSuite(options.search.threads);
+  for (const auto& result : results) {
+    std::printf("%s%s: %s\n", result.passed ? "" : "FAILED ", result.name.c_str(),
+                result.line.c_str());
+    if (!result.passed) ++failed;
+    showFailing(options, result.failing);
+  }
+  std::printf("%zu passed, %zu failed\n", results.size() - failed, failed);
+  return failed == 0 ? kExitGood : kExitFailed;
+}
+
+}  // namespace
+
+int modelCheckCommand(const Words& words) {
+  po::options_description options = flags();
+  po::variables_map values;
+  if (int code = parseWords(words, options, values); code >= 0) return code;
+  auto read = readOptions(values);
+  if (!read.ok()) return usage(read.status());
+  if (!read->replayFile.empty()) return replayCommand(*read);
+  if (read->suite) return suiteCommand(*read);
+  return read->walks ? walkCommand(*read) : searchCommand(*read);
+}
+
+}  // namespace peppergate
--- a/src/core/acceptor.cc
+++ b/src/core/acceptor.cc
@@ -41,6 +41,7 @@
 }
 
 bool Acceptor::grantedToOther(CoreId core, MonotonicTime now) const {
+  if (options_.faults.has(ControlFault::kLeaseNotWaitedOut)) return false;
   if (grantIsReadLease_ && !options_.guards(Guard::kOneGrant)) return false;
   return now < grantsNothingUntil_ || (grantedTo_ != core && now < grantedUntil_);
 }
@@ -92,12 +93,13 @@
         durable_.accepted.epoch == ask.view.epoch && durable_.accepted.primary == ask.view.primary;
     return untouched || again;
   }
-  if (grantedTo_ != ask.view.primary && now < grantedUntil_) return false;
+  bool waits = !options_.faults.has(ControlFault::kLeaseNotWaitedOut);
+  if (waits && grantedTo_ != ask.view.primary && now < grantedUntil_) return false;
   if (ask.view.epoch == durable_.promised) return durable_.promisedTo == ask.view.primary;
   return ask.view.epoch > durable_.promised;
 }
 
-void Acceptor::write(AcceptorRecord next, Waiting waiting, Outbox& outbox) {
+void Acceptor::write(AcceptorRecord next, Waiting waiting, MonotonicTime now, Outbox& outbox) {
   writing_ = std::move(next);
   inFlight_ = std::move(waiting);
   ticket_ = outbox.ticket();
@@ -105,6 +107,7 @@
   bool accepting = writing_.accepted.epoch == writing_.promised;
   outbox.push(WriteFile{ticket_, numbered("voter", writing_.promised.value * 2 + accepting),
                         sealed(toJson(writing_).dump())});
+  if (options_.faults.has(ControlFault::kSyncSkipped)) written({ticket_, true}, now, outbox);
 }
 
 void Acceptor::replyToPrepare(const Address& to, const PrepareRequest& ask, bool granted,
@@ -159,7 +162,7 @@
   AcceptorRecord next = durable_;
   next.promised = ask.epoch;
   next.promisedTo = ask.candidate;
-  write(std::move(next), {from, ask}, outbox);
+  write(std::move(next), {from, ask}, now, outbox);
 }
 
 void Acceptor::ask(const Address& from, const AcceptRequest& ask, MonotonicTime now,
@@ -180,7 +183,7 @@
   next.promised = ask.view.epoch;
   next.promisedTo = ask.view.primary;
   next.accepted = ask.view;
-  write(std::move(next), {from, ask}, outbox);
+  write(std::move(next), {from, ask}, now, outbox);
 }
 
 bool Acceptor::written(const FileWritten& event, MonotonicTime now, Outbox& outbox) {
--- a/src/core/acceptor.h
+++ b/src/core/acceptor.h
@@ -83,7 +83,7 @@
   bool bootstraps() const { return bootstrapper_ || !options_.guards(Guard::kBootstrappers); }
   bool mayPromise(const PrepareRequest& ask, MonotonicTime now) const;
   bool mayAccept(const AcceptRequest& ask, MonotonicTime now) const;
-  void write(AcceptorRecord next, Waiting waiting, Outbox& outbox);
+  void write(AcceptorRecord next, Waiting waiting, MonotonicTime now, Outbox& outbox);
   void replyToPrepare(const Address& to, const PrepareRequest& ask, bool granted, Outbox& outbox);
   void replyToAccept(const Address& to, const AcceptRequest& ask, bool accepted, Outbox& outbox);
   void grant(CoreId core, MonotonicTime now);
--- /dev/null
+++ b/src/core/collaborators.h
@@ -0,0 +1,69 @@
+#pragma once
+/// What each part of a control machine refers to. An assignment of a part copies its state and
+/// keeps these references, so that a machine's state can be copied into another machine.
+#include <functional>
+
+#include "core/random.h"
+
+namespace peppergate {
+
+class Acceptor;
+class Follower;
+class Leadership;
+class Membership;
+struct Shuffle;
+
+struct MembershipCollaborators {
+  Random& random_;
+  std::function<void(Shuffle&)> carrier_{};
+  explicit MembershipCollaborators(Random& random) : random_(random) {}
+  MembershipCollaborators(const MembershipCollaborators&) = delete;
+  MembershipCollaborators& operator=(const MembershipCollaborators&) { return *this; }
+};
+
+struct LeadershipCollaborators {
+  Acceptor& acceptor_;
+  Membership& membership_;
+  Random& random_;
+  LeadershipCollaborators(Acceptor& acceptor, Membership& membership, Random& random)
+      : acceptor_(acceptor), membership_(membership), random_(random) {}
+  LeadershipCollaborators(const LeadershipCollaborators&) = delete;
+  LeadershipCollaborators& operator=(const LeadershipCollaborators&) { return *this; }
+};
+
+struct FollowerCollaborators {
+  Membership& membership_;
+  Random& random_;
+  FollowerCollaborators(Membership& membership, Random& random)
+      : membership_(membership), random_(random) {}
+  FollowerCollaborators(const FollowerCollaborators&) = delete;
+  FollowerCollaborators& operator=(const FollowerCollaborators&) { return *this; }
+};
+
+struct ReadOnlyLeaderCollaborators {
+  Acceptor& acceptor_;
+  Leadership& leadership_;
+  Membership& membership_;
+  Follower& follower_;
+  Random& random_;
+  ReadOnlyLeaderCollaborators(Acceptor& acceptor, Leadership& leadership, Membership& membership,
+                              Follower& follower, Random& random)
+      : acceptor_(acceptor),
+        leadership_(leadership),
+        membership_(membership),
+        follower_(follower),
+        random_(random) {}
+  ReadOnlyLeaderCollaborators(const ReadOnlyLeaderCollaborators&) = delete;
+  ReadOnlyLeaderCollaborators& operator=(const ReadOnlyLeaderCollaborators&) { return *this; }
+};
+
+struct OperatorHandlerCollaborators {
+  Membership& membership_;
+  Follower& follower_;
+  OperatorHandlerCollaborators(Membership& membership, Follower& follower)
+      : membership_(membership), follower_(follower) {}
+  OperatorHandlerCollaborators(const OperatorHandlerCollaborators&) = delete;
+  OperatorHandlerCollaborators& operator=(const OperatorHandlerCollaborators&) { return *this; }
+};
+
+}  // namespace peppergate
--- a/src/core/control_state.h
+++ b/src/core/control_state.h
@@ -120,6 +120,12 @@
   const std::string& weightsText() const { return *weightsText_; }
   /// The version of the fleet's configuration; 0: none yet. Example: `configVersion().value`.
   ConfigVersion configVersion() const { return fleetVersion_; }
+  /// The version that an order was taken under; null if it wasn't, or is forgotten.
+  const SectionVersion* takenVersion(const std::string& changeId) const {
+    return remembered_->find(changeId);
+  }
+  /// Forgets all orders that were taken; only for ControlFault::kRememberedOrdersDropped.
+  void forgetTakenOrders() { remembered_ = std::make_shared<RememberedChanges>(); }
   /// Everything, for files and copies. Example: `ControlState::parse(state.text())`.
   std::string text() const;
   /// How much JSON was written out for this state and those it came from; tests bound it.
--- a/src/core/core_node.cc
+++ b/src/core/core_node.cc
@@ -105,6 +105,27 @@
       [this](Shuffle& shuffle) { shuffle.withdrawn = follower_->recentWithdrawn(); });
 }
 
+std::unique_ptr<CoreNode> CoreNode::clone() const {
+  auto copy = std::make_unique<CoreNode>(options_, membership_->self(), std::vector<Address>{},
+                                         DiskFound{}, 0, started_);
+  copy->random_ = random_;
+  copy->outbox_ = outbox_;
+  *copy->membership_ = *membership_;
+  *copy->acceptor_ = *acceptor_;
+  *copy->leadership_ = *leadership_;
+  *copy->follower_ = *follower_;
+  *copy->readOnlyLeader_ = *readOnlyLeader_;
+  *copy->operatorHandler_ = *operatorHandler_;
+  copy->requesters_ = requesters_;
+  copy->engineGrants_ = engineGrants_;
+  copy->told_ = told_;
+  copy->toldView_ = toldView_;
+  copy->lastNotice_ = lastNotice_;
+  copy->frontsHave_ = frontsHave_;
+  copy->draining_ = draining_;
+  return copy;
+}
+
 void CoreNode::step(const Event& event, MonotonicTime now) {
   if (std::holds_alternative<Ticked>(event)) {
     tick(now);
--- a/src/core/core_node.h
+++ b/src/core/core_node.h
@@ -46,6 +46,8 @@
   Outbox& outbox() override { return outbox_; }
   Json status(MonotonicTime now) const override;
   void reload(const Options& options) override { options_ = options; }
+  /// An independent machine in the same state, for searches that branch; without engine duties.
+  std::unique_ptr<CoreNode> clone() const;
   bool drained(MonotonicTime now) const override { return draining_ && leadership_->gone(now); }
   /// From now on the one in charge lists engines and orders weights. Example: in a fleet whose
   /// routers are told of engines by the core.
--- a/src/core/follower.cc
+++ b/src/core/follower.cc
@@ -13,7 +13,7 @@
 }  // namespace
 
 Follower::Follower(const Options& options, Membership& membership, Random& random)
-    : options_(options), membership_(membership), random_(random) {}
+    : FollowerCollaborators(membership, random), options_(options) {}
 
 MonotonicTime Follower::ask(const Address& to, Responder responder, bool relayed, MonotonicTime now,
                             Outbox& outbox) {
--- a/src/core/follower.h
+++ b/src/core/follower.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/collaborators.h"
 #include "core/control_state.h"
 #include "core/membership.h"
 
@@ -20,7 +21,7 @@
 };
 
 /// Example: `if (!follower.fresh(now)) decline("stale");` before each shot.
-class Follower {
+class Follower : private FollowerCollaborators {
  public:
   Follower(const Options& options, Membership& membership, Random& random);
 
@@ -139,8 +140,6 @@
               Outbox& outbox);
 
   Options options_;
-  Membership& membership_;
-  Random& random_;
   View view_, chosenView_;
   SectionVersions have_;
   SectionVersions named_;  // by the leader's newest proof
--- a/src/core/leadership.cc
+++ b/src/core/leadership.cc
@@ -13,19 +13,19 @@
 
 Leadership::Leadership(const Options& options, Acceptor& acceptor, Membership& membership,
                        Random& random, ReplicaOnDisk copy)
-    : options_(options),
-      acceptor_(acceptor),
-      membership_(membership),
-      random_(random),
+    : LeadershipCollaborators(acceptor, membership, random),
+      options_(options),
       replica_(std::move(copy)),
       view_(acceptor.record().accepted) {
   // The replica's tag is an epoch that some leader used; this core may have been that leader.
   seen_ = std::max({acceptor.record().promised, view_.epoch, replica_.tag});
 }
 
-bool Leadership::majority(const std::set<CoreId>& yes, const std::vector<CoreId>& voters) {
-  auto count = std::ranges::count_if(voters, [&](CoreId core) { return yes.contains(core); });
-  return static_cast<std::size_t>(count) * 2 > voters.size();
+bool Leadership::majority(const std::set<CoreId>& yes, const std::vector<CoreId>& voters) const {
+  auto count = static_cast<std::size_t>(
+      std::ranges::count_if(voters, [&](CoreId core) { return yes.contains(core); }));
+  if (options_.faults.has(ControlFault::kMajorityOffByOne)) return count * 2 >= voters.size();
+  return count * 2 > voters.size();
 }
 
 bool Leadership::leads(MonotonicTime now) const {
@@ -173,7 +173,7 @@
   bool eligible =
       replica_.tag.value != 0 &&
       ((isMember(view_, self()) && replica_.tag >= view_.base) || replica_.tag > view_.epoch);
-  if (!eligible) return;
+  if (!eligible && !(replica_.tag.value != 0 && ignoresReplicaTag())) return;
   if (acceptor_.grantedToOther(self(), now)) {
     freeSince_ = now;
     return;
@@ -281,7 +281,8 @@
 }
 
 void Leadership::prepared(MonotonicTime now, Outbox& outbox) {
-  if (!isMember(old_, self()) || replica_.tag < old_.base) {
+  bool entitled = isMember(old_, self()) && replica_.tag >= old_.base;
+  if (!entitled && !ignoresReplicaTag()) {
     outbox.push(NoteState{"core: no intact member of the last view, stands down"});
     if (leading_) phase_ = LeaderPhase::kLeading;
     else yieldVotes(outbox);  // an eligible candidate finds them free
--- a/src/core/leadership.h
+++ b/src/core/leadership.h
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "core/acceptor.h"
+#include "core/collaborators.h"
 #include "core/control_state.h"
 #include "core/membership.h"
 #include "core/random.h"
@@ -36,7 +37,7 @@
 };
 
 /// Example: `leadership.tick(now, outbox); if (leadership.leads(now)) replyToStateRequests();`
-class Leadership {
+class Leadership : private LeadershipCollaborators {
  public:
   Leadership(const Options& options, Acceptor& acceptor, Membership& membership, Random& random,
              ReplicaOnDisk copy);
@@ -91,7 +92,7 @@
   bool leadsHere() const { return leading_; }
   bool idle() const { return phase_ == LeaderPhase::kFollowing && !leading_; }
   /// Whether so many of these voters are a majority. Example: `majority(granted, view.voters)`.
-  static bool majority(const std::set<CoreId>& yes, const std::vector<CoreId>& voters);
+  bool majority(const std::set<CoreId>& yes, const std::vector<CoreId>& voters) const;
   /// What was acknowledged, for fronts. Example: `published().sections()`.
   const ControlState& published() const { return published_; }
   /// The newest view that this core knows of. Example: `view().primary`.
@@ -172,11 +173,9 @@
   void updateWitnesses(bool whole, Outbox& outbox);
   bool witnessed(const ControlState& state) const;
   CoreId self() const { return acceptor_.record().identity; }
+  bool ignoresReplicaTag() const { return options_.faults.has(ControlFault::kCopyTagIgnored); }
 
   Options options_;
-  Acceptor& acceptor_;
-  Membership& membership_;
-  Random& random_;
   ReplicaOnDisk replica_;
   ControlState published_;
   bool hasPublished_ = false;
--- a/src/core/leadership_acceptance.cc
+++ b/src/core/leadership_acceptance.cc
@@ -41,7 +41,9 @@
   bool enough = bootstrapping_ ? accepted_.size() >= bootstrapQuorum()
                 : phase_ == LeaderPhase::kBootstrapping
                     ? all
-                    : majority(accepted_, wanted_.voters) && majority(accepted_, old_.voters);
+                    : majority(accepted_, wanted_.voters) &&
+                          (majority(accepted_, old_.voters) ||
+                           options_.faults.has(ControlFault::kOneMajorityOfVoters));
   if (enough) settled(now, outbox);
 }
 
--- a/src/core/leadership_replication.cc
+++ b/src/core/leadership_replication.cc
@@ -120,6 +120,7 @@
     outbox.count("copies.unreadable");
     return;
   }
+  if (options_.faults.has(ControlFault::kRememberedOrdersDropped)) state->forgetTakenOrders();
   bool sameVersion = ask.epoch == replica_.tag && replica_.state.version() == state->version();
   if (sameVersion && replica_.state.text() != state->text()) {
     outbox.count("copies.forked");  // never call another content the same state
@@ -132,6 +133,8 @@
   }
   if (leading_) stepDown(now, outbox, "another core leads a newer view");
   writeReplica({ask.epoch, std::move(*state), now, from, ask, false}, outbox);
+  if (options_.faults.has(ControlFault::kSyncSkipped))
+    written({writes_.begin()->first, true}, now, outbox);
 }
 
 void Leadership::hear(const ReplicateReply& answer, MonotonicTime now, Outbox& outbox) {
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -6,7 +6,10 @@
 
 Membership::Membership(const Options& options, MemberRecord self, std::vector<Address> seeds,
                        Random& random)
-    : options_(options), self_(std::move(self)), seeds_(std::move(seeds)), random_(random) {}
+    : MembershipCollaborators(random),
+      options_(options),
+      self_(std::move(self)),
+      seeds_(std::move(seeds)) {}
 
 Shuffle Membership::makeShuffle(bool wantsAnswer) {
   Shuffle shuffle;
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <vector>
 
+#include "core/collaborators.h"
 #include "core/options.h"
 #include "core/outbox.h"
 #include "core/random.h"
@@ -13,7 +14,7 @@
 
 /// Keeps a small view of neighbours and a directory of heard members.
 /// Example: `membership.tick(now, outbox);` each 50 ms.
-class Membership {
+class Membership : private MembershipCollaborators {
  public:
   Membership(const Options& options, MemberRecord self, std::vector<Address> seeds, Random& random);
 
@@ -62,7 +63,6 @@
   Options options_;
   MemberRecord self_;
   std::vector<Address> seeds_;
-  Random& random_;
   std::map<MemberId, Known> known_;
   struct Grave {
     MonotonicTime since;
@@ -73,7 +73,6 @@
   std::vector<MemberId> view_;        // the neighbours to shuffle with, oldest first
   MonotonicTime nextShuffle_{};
   std::size_t nextSeed_ = 0;  // of those that aren't known
-  std::function<void(Shuffle&)> carrier_;
 };
 
 }  // namespace peppergate
--- a/src/core/operator_handler.h
+++ b/src/core/operator_handler.h
@@ -4,16 +4,17 @@
 #include <optional>
 #include <string>
 
+#include "core/collaborators.h"
 #include "core/follower.h"
 #include "core/membership.h"
 
 namespace peppergate {
 
 /// Example: `desk.take(asked, now, outbox)` is false for pages that the node makes itself.
-class OperatorHandler {
+class OperatorHandler : private OperatorHandlerCollaborators {
  public:
   OperatorHandler(const Options& options, Membership& membership, Follower& follower)
-      : options_(options), membership_(membership), follower_(follower) {}
+      : OperatorHandlerCollaborators(membership, follower), options_(options) {}
 
   /// Takes a change, /config, /setup or /trace. Example: see the class.
   bool take(const OperatorRequest& asked, MonotonicTime now, Outbox& outbox);
@@ -45,8 +46,6 @@
   void answer(TicketId ticket, int status, const Json& body, Outbox& outbox, bool retry = false);
 
   Options options_;
-  Membership& membership_;
-  Follower& follower_;
   std::map<TicketId, Forwarded> forwarded_;
   std::size_t forwardedBytes_ = 0;
   std::map<TicketId, MonotonicTime> readers_;  // of the configuration, since when
--- a/src/core/options.h
+++ b/src/core/options.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/control_fault_injection.h"
 #include "core/types.h"
 
 namespace peppergate {
@@ -45,6 +46,7 @@
 
 struct Options {
   std::uint32_t guardsOff = 0;
+  ControlFaultInjection faults;  // none, outside tests and the model checker
   /// Whether a guard stands; always, outside the simulator. Example: `guards(Guard::kBudget)`.
   bool guards(Guard guard) const { return ((guardsOff >> static_cast<unsigned>(guard)) & 1U) == 0; }
   // Holds of the primary.
--- a/src/core/read_only_leader.cc
+++ b/src/core/read_only_leader.cc
@@ -12,12 +12,8 @@
 ReadOnlyLeader::ReadOnlyLeader(const Options& options, Acceptor& acceptor, Leadership& leadership,
                                Membership& membership, Follower& follower, Random& random,
                                MonotonicTime started)
-    : options_(options),
-      acceptor_(acceptor),
-      leadership_(leadership),
-      membership_(membership),
-      follower_(follower),
-      random_(random),
+    : ReadOnlyLeaderCollaborators(acceptor, leadership, membership, follower, random),
+      options_(options),
       started_(started),
       yieldFor_(options.readLeaseYield) {}
 
@@ -122,7 +118,7 @@
   const auto& voters = acceptor_.record().accepted.voters;
   auto count = static_cast<std::size_t>(
       std::ranges::count_if(voters, [&](CoreId core) { return sight.contains(core); }));
-  if (Leadership::majority(sight, voters)) {
+  if (leadership_.majority(sight, voters)) {
     // Enough voters for a primary: room for an election, but not for ever.
     if (sightSince_ == kForever) sightSince_ = now;
     bool patient = now - sightSince_ < options_.readLeaseYield;
--- a/src/core/read_only_leader.h
+++ b/src/core/read_only_leader.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 
+#include "core/collaborators.h"
 #include "core/follower.h"
 #include "core/leadership.h"
 
@@ -11,7 +12,7 @@
 
 /// Example: `read-only leader.tick(now, outbox); if (read-only leader.vouches(now))
 /// follower.vouch(now);`
-class ReadOnlyLeader {
+class ReadOnlyLeader : private ReadOnlyLeaderCollaborators {
  public:
   ReadOnlyLeader(const Options& options, Acceptor& acceptor, Leadership& leadership,
                  Membership& membership, Follower& follower, Random& random, MonotonicTime started);
@@ -59,11 +60,6 @@
   CoreId self() const { return acceptor_.record().identity; }
 
   Options options_;
-  Acceptor& acceptor_;
-  Leadership& leadership_;
-  Membership& membership_;
-  Follower& follower_;
-  Random& random_;
   MonotonicTime started_;
   MonotonicTime lookingSince_ = kForever, nextAsk_{}, nextNote_{}, yieldUntil_ = kNever;
   MonotonicTime sightSince_ = kForever, mayYieldAgain_ = kNever;
--- /dev/null
+++ b/src/model/model_options.cc
@@ -0,0 +1,63 @@
+#include "model/model_options.h"
+
+#include <algorithm>
+#include <string>
+
+namespace peppergate::model {
+namespace {
+
+constexpr int kFewestMachines = 3;
+constexpr int kMostMachines = 9;
+constexpr int kMostOrders = 8;
+constexpr std::array<std::string_view, 3> kGranularities{"coarse", "fine", "full"};
+
+}  // namespace
+
+std::string_view granularityName(Granularity granularity) {
+  return kGranularities.at(static_cast<std::size_t>(granularity));
+}
+
+absl::StatusOr<Granularity> granularityNamed(std::string_view name) {
+  auto found = std::ranges::find(kGranularities, name);
+  if (found == kGranularities.end())
+    return absl::NotFoundError("unknown granularity '" + std::string(name) + "'");
+  return static_cast<Granularity>(found - kGranularities.begin());
+}
+
+std::array<int, kActionKinds> ModelOptions::defaultLimits() {
+  std::array<int, kActionKinds> limits;
+  limits.fill(2);
+  auto limit = [&](ActionKind kind) -> int& { return limits.at(static_cast<std::size_t>(kind)); };
+  limit(ActionKind::kContinue) = 1'000'000;
+  limit(ActionKind::kRelease) = 1'000'000;  // as many as were kept back
+  limit(ActionKind::kFailSync) = 1;
+  limit(ActionKind::kLeave) = 1;
+  limit(ActionKind::kStallDisk) = 1;
+  limit(ActionKind::kJoin) = 1;
+  return limits;
+}
+
+absl::Status checkOptions(const ModelOptions& options) {
+  if (options.machines < kFewestMachines || options.machines > kMostMachines)
+    return absl::InvalidArgumentError("machines: 3 to 9 can be modelled");
+  int voters = options.voters == 0 ? options.machines : options.voters;
+  if (voters < kFewestMachines || voters > options.machines)
+    return absl::InvalidArgumentError("voters: 3 to the number of machines, or 0 for one each");
+  if (options.tolerate < 1 || 2 * options.tolerate + 1 > voters)
+    return absl::InvalidArgumentError("tolerate: at least 1, and 2 * tolerate + 1 <= voters");
+  if (options.orders < 1 || options.orders > kMostOrders)
+    return absl::InvalidArgumentError("orders: 1 to 8 can be modelled");
+  if (options.tick < milliseconds(10) || options.tick > milliseconds(300))
+    return absl::InvalidArgumentError(
+        "tick: 10 to 300 ms; longer ones count as a leap of the clock");
+  if (options.horizon < options.tick || options.horizon > seconds(600))
+    return absl::InvalidArgumentError("horizon: one tick to 600 s");
+  for (std::size_t kind = 0; kind < kActionKinds; ++kind)
+    if (options.limits.at(kind) < 0)
+      return absl::InvalidArgumentError("limit of " +
+                                        std::string(actionName(static_cast<ActionKind>(kind))) +
+                                        ": must not be negative");
+  return absl::OkStatus();
+}
+
+}  // namespace peppergate::model
--- /dev/null
+++ b/src/model/suite.cc
@@ -0,0 +1,107 @@
+#include "model/suite.h"
+
+#include <array>
+#include <cstdio>
+
+namespace peppergate::model {
+namespace {
+
+constexpr Duration kPartWithin = seconds(120);  // a part that isn't done by then has failed
+
+/// One part; with walks it runs random schedules instead of a search.
+struct Part {
+  const char* name;
+  int machines, voters, tolerate, orders;
+  double horizon;  // seconds
+  Granularity granularity;
+  int departures;
+  std::uint64_t walks;
+};
+
+// Walks don't judge `told-lasts` and `recovery` yet: docs/model-checking.md says why.
+constexpr std::array<Part, 8> kParts{{
+    {"three machines, one departure", 3, 0, 1, 3, 3.6, Granularity::kFine, 1, 0},
+    {"three machines, one departure, each message", 3, 0, 1, 3, 1.8, Granularity::kFull, 1, 0},
+    {"four machines, one departure", 4, 0, 1, 4, 3, Granularity::kFine, 1, 0},
+    {"four machines, three voters, one departure", 4, 3, 1, 3, 3, Granularity::kFine, 1, 0},
+    {"five machines, two may be lost, one departure", 5, 0, 2, 4, 2.4, Granularity::kFine, 1, 0},
+    {"three machines, two departures between calls", 3, 0, 1, 3, 1.5, Granularity::kCoarse, 2, 0},
+    {"three machines, random", 3, 0, 1, 6, 9, Granularity::kFine, 0, 400},
+    {"five machines, two may be lost, random", 5, 0, 2, 6, 9, Granularity::kFine, 0, 120},
+}};
+
+ModelOptions optionsOf(const Part& part) {
+  ModelOptions options;
+  options.machines = part.machines;
+  options.voters = part.voters;
+  options.tolerate = part.tolerate;
+  options.orders = part.orders;
+  options.horizon = seconds(part.horizon);
+  options.granularity = part.granularity;
+  if (part.walks == 0) return options;
+  using enum Rule;
+  for (Rule rule : {kOneLeader, kAcknowledgedLasts, kOneAcknowledgement, kTakenNotRefused,
+                    kLeaverNotOnlyHolder, kFreshReads})
+    options.rules.add(rule);
+  return options;
+}
+
+SuiteResult searchPart(const Part& part, unsigned threads) {
+  SearchBounds bounds;
+  bounds.departures = part.departures;
+  bounds.threads = threads;
+  bounds.time = kPartWithin;
+  auto report = search(optionsOf(part), bounds);
+  if (!report.ok()) return {part.name, std::string(report.status().message()), false, {}};
+  return {part.name,
+          reportLine(*report) + (report->violation.empty() ? "" : " ") + report->violation,
+          report->finished && report->violation.empty(), report->failing};
+}
+
+SuiteResult walkPart(const Part& part, unsigned threads) {
+  WalkBounds bounds;
+  bounds.lastSeed = part.walks;
+  bounds.threads = threads;
+  bounds.time = kPartWithin;
+  auto report = walk(optionsOf(part), bounds);
+  if (!report.ok()) return {part.name, std::string(report.status().message()), false, {}};
+  return {part.name,
+          reportLine(*report) + (report->violation.empty() ? "" : " ") + report->violation,
+          report->walks == part.walks && report->failed == 0, report->failing};
+}
+
+template <class... Values>
+std::string formatted(const char* format, Values... values) {
+  std::array<char, 256> text{};
+  std::snprintf(text.data(), text.size(), format, values...);
+  return text.data();
+}
+
+}  // namespace
+
+std::vector<SuiteResult> runSuite(unsigned threads) {
+  std::vector<SuiteResult> results;
+  for (const auto& part : kParts)
+    results.push_back(part.walks == 0 ? searchPart(part, threads) : walkPart(part, threads));
+  return results;
+}
+
+std::string reportLine(const SearchReport& report) {
+  return formatted(
+      "%llu states, %llu transitions, %llu schedules, depth %d, %.1f s; all schedules "
+      "with up to %d departures%s",
+      static_cast<unsigned long long>(report.states),
+      static_cast<unsigned long long>(report.transitions),
+      static_cast<unsigned long long>(report.schedules), report.depth, report.seconds,
+      report.departures, report.finished ? "" : " finished, more begun");
+}
+
+std::string reportLine(const WalkReport& report) {
+  return formatted(
+      "%llu walks, %llu failed, %llu states, %llu transitions, depth %d, %.1f s",
+      static_cast<unsigned long long>(report.walks), static_cast<unsigned long long>(report.failed),
+      static_cast<unsigned long long>(report.states),
+      static_cast<unsigned long long>(report.transitions), report.depth, report.seconds);
+}
+
+}  // namespace peppergate::model
--- /dev/null
+++ b/tests/model_check_test.cc
@@ -0,0 +1,204 @@
+// The model checker: it finds each fault that is put into the control code, its schedules replay,
+// and the control code as it is breaks no rule within a small bound.
+#include <string>
+#include <vector>
+
+#include "model/search.h"
+#include "tests/testing.h"
+
+using namespace peppergate;
+using namespace peppergate::model;
+
+namespace {
+
+struct AllowedAction {
+  ActionKind kind;
+  int most;
+};
+
+/// A fault and the smallest search that finds it.
+struct MutantRow {
+  ControlFault fault;
+  Rule rule;  // that it breaks
+  int machines;
+  int voters;
+  double horizon;  // seconds
+  Granularity granularity;
+  int departures;
+  std::vector<AllowedAction> allowed;  // none: all kinds within their limits
+};
+
+ModelOptions optionsFor(const MutantRow& row) {
+  ModelOptions options;
+  options.machines = row.machines;
+  options.voters = row.voters;
+  options.horizon = seconds(row.horizon);
+  options.granularity = row.granularity;
+  options.orders = 1;
+  options.rules.add(row.rule);
+  if (!row.allowed.empty()) options.limits.fill(0);
+  for (const auto& allowed : row.allowed) options.limit(allowed.kind) = allowed.most;
+  return options;
+}
+
+SearchReport searched(const ModelOptions& options, int departures) {
+  SearchBounds bounds;
+  bounds.departures = departures;
+  bounds.threads = 2;
+  auto report = search(options, bounds);
+  CHECK_TEXT(report.ok(), "the fleet can't be founded");
+  return *report;
+}
+
+/// The fault is found, and the schedule that shows it replays from its text.
+void found(const MutantRow& row) {
+  ModelOptions options = optionsFor(row);
+  options.faults.set(row.fault);
+  SearchReport with = searched(options, row.departures);
+  CHECK_TEXT(!with.violation.empty(), "the fault was not found");
+  auto read = parseSchedule(scheduleText(*with.failing));
+  CHECK(read.ok());
+  auto replayed = replay(*read);
+  CHECK(replayed.ok());
+  STRCMP_EQUAL(with.violation.c_str(), replayed->violation.c_str());
+}
+
+/// The same search without the fault finds nothing.
+void cleanWithout(const MutantRow& row) {
+  SearchReport without = searched(optionsFor(row), row.departures);
+  CHECK_TEXT(without.violation.empty(), without.violation.c_str());
+  CHECK(without.finished);
+}
+
+void foundAndCleanWithout(const MutantRow& row) {
+  found(row);
+  cleanWithout(row);
+}
+
+}  // namespace
+
+TEST_GROUP(ModelCheck){};
+
+TEST(ModelCheck, AMajorityThatIsOffByOneIsFound) {
+  using enum ActionKind;
+  foundAndCleanWithout({ControlFault::kMajorityOffByOne,
+                        Rule::kOneLeader,
+                        4,
+                        0,
+                        4.5,
+                        Granularity::kCoarse,
+                        2,
+                        {{kCutOff, 2}}});
+}
+
+TEST(ModelCheck, ALeaseThatIsNotWaitedOutIsFound) {
+  foundAndCleanWithout(
+      {ControlFault::kLeaseNotWaitedOut, Rule::kOneLeader, 3, 0, 3, Granularity::kFine, 1, {}});
+}
+
+TEST(ModelCheck, AnAnswerBeforeItsWriteIsFound) {
+  using enum ActionKind;
+  foundAndCleanWithout({ControlFault::kSyncSkipped,
+                        Rule::kAcknowledgedLasts,
+                        3,
+                        0,
+                        2.4,
+                        Granularity::kFine,
+                        2,
+                        {{kBounce, 1}, {kCrash, 1}}});
+}
+
+TEST(ModelCheck, AnIgnoredReplicaTagIsFound) {
+  using enum ActionKind;
+  foundAndCleanWithout({ControlFault::kCopyTagIgnored,
+                        Rule::kAcknowledgedLasts,
+                        3,
+                        0,
+                        3.3,
+                        Granularity::kCoarse,
+                        3,
+                        {{kCrash, 2}, {kRestart, 1}}});
+}
+
+TEST(ModelCheck, ForgottenOrdersAreFound) {
+  using enum ActionKind;
+  foundAndCleanWithout({ControlFault::kRememberedOrdersDropped,
+                        Rule::kAcknowledgedLasts,
+                        3,
+                        0,
+                        4.5,
+                        Granularity::kCoarse,
+                        1,
+                        {{kCrash, 1}}});
+}
+
+TEST(ModelCheck, NewVotersWithoutAMajorityOfTheOldOnesAreFound) {
+  using enum ActionKind;
+  found({ControlFault::kOneMajorityOfVoters,
+         Rule::kOneLeader,
+         4,
+         3,
+         4.5,
+         Granularity::kFine,
+         2,
+         {{kCutOff, 2}}});
+}
+
+TEST(ModelCheck, NoRuleBreaksWithOneDeparture) {
+  for (int machines : {3, 5}) {
+    ModelOptions options;
+    options.machines = machines;
+    options.tolerate = machines / 2;
+    options.horizon = seconds(3);
+    SearchReport report = searched(options, 1);
+    CHECK_TEXT(report.violation.empty(), report.violation.c_str());
+    CHECK(report.finished);
+    CHECK(report.states > 1000);
+  }
+}
+
+TEST(ModelCheck, ACopyOfAFleetGoesItsOwnWay) {
+  ModelOptions options;
+  auto settled = ModelWorld::founded(options);
+  CHECK(settled.ok());
+  ModelWorld plain = *settled, branched = *settled;
+  for (int turn = 0; turn < 30; ++turn) {
+    ModelWorld other = branched;
+    auto choices = other.choices();
+    if (!choices.empty()) other.apply(choices[static_cast<std::size_t>(turn) % choices.size()]);
+    for (int step = 0; step < 5; ++step) other.apply({});
+    plain.apply({});
+    branched.apply({});
+    CHECK(plain.fingerprint() == branched.fingerprint());
+  }
+}
+
+TEST(ModelCheck, AReplayIsTheSameEachTime) {
+  Schedule schedule;
+  schedule.departures = {{4, {ActionKind::kHold, 0}}, {9, {ActionKind::kBounce, 1}}};
+  auto first = replay(schedule), second = replay(schedule);
+  CHECK(first.ok() && second.ok());
+  CHECK(first->steps == second->steps);
+  CHECK(first->positions > 20);
+}
+
+TEST(ModelCheck, WrongSchedulesAreRefusedWithTheLine) {
+  for (const char* text :
+       {"machines", "machines x", "machines 2", "at 1", "at x drop 0", "at 1 nothing 0",
+        "at 1 crash -1", "limit drop", "limit no 1", "granularity some", "fault none", "colour 3",
+        "at 5 drop 0\nat 4 drop 0", "tolerate 2", "tick-ms 900"})
+    CHECK_TEXT(!parseSchedule(text).ok(), text);
+  CHECK(parseSchedule("# a remark\nmachines 4\nat 1 crash 2\n").ok());
+}
+
+TEST(ModelCheck, RandomSchedulesAreTheSameForASeed) {
+  WalkBounds bounds;
+  bounds.lastSeed = 20;
+  ModelOptions options;
+  options.horizon = seconds(3);
+  auto first = walk(options, bounds), second = walk(options, bounds);
+  CHECK(first.ok() && second.ok());
+  LONGS_EQUAL(20, first->walks);
+  LONGS_EQUAL(first->transitions, second->transitions);
+  LONGS_EQUAL(first->failed, second->failed);
+}
