--- a/src/sim/router_attempts.cc
+++ b/src/sim/router_attempts.cc
@@ -71,6 +71,7 @@
     return checker_->fail("attempt-nowhere", command.address.value);
   run->asked = request->asked;
   request->engineBroke = false;  // from now on this attempt decides how the request ends
+  request->attempt = run;
   run->engineLife = run->engine->life;
   runs_[{&process, command.attempt.value}] = run;
   allRuns_.push_back(run);
--- a/src/sim/router_checker.cc
+++ b/src/sim/router_checker.cc
@@ -11,9 +11,10 @@
 
 constexpr Duration kConfigBound = seconds(2);   // for machines in touch, from the yes on
 constexpr Duration kBackSlack = seconds(0.25);  // between a newer configuration's use and a request
-constexpr Duration kReloadBound = seconds(2);   // after a reload, for requests sent by then
-constexpr Duration kTouch = seconds(6);         // undisturbed for so long
-constexpr Duration kSettled = seconds(12);      // after the last fault
+constexpr Duration kTakenAfterStop = seconds(3);  // requests sent later have to end in time
+constexpr Duration kReloadBound = seconds(2);     // after a reload, for requests sent by then
+constexpr Duration kTouch = seconds(6);           // undisturbed for so long
+constexpr Duration kSettled = seconds(12);        // after the last fault
 
 std::string at(MonotonicTime time) {
   return "at " + std::to_string(inSeconds(time - MonotonicTime{})).substr(0, 7) + "s ";
@@ -160,7 +161,13 @@
   bool planned = request.router->stopping || reloaded;
   bool calm = request.sent - request.router->disturbed > kTouch &&
               request.sent - world_.coreDisturbed() > kTouch;
-  if (planned && !overdue && !request.engineBroke && calm)
+  // At the end of a grace time an engine may still be at work on what came early enough.
+  auto run = request.attempt.lock();
+  Duration leaving = now - request.router->stoppedAt;
+  bool atWork = request.router->stopping && run && run->taken &&
+                leaving >= world_.options().graceTime * 0.5 &&
+                request.sent - request.router->stoppedAt <= kTakenAfterStop;
+  if (planned && !overdue && !request.engineBroke && !atWork && calm)
     fail("lost", request.asked.clientId + " at " + request.router->host);
 }
 
--- a/src/sim/router_clients.h
+++ b/src/sim/router_clients.h
@@ -34,8 +34,9 @@
   std::string body;      // of one that is no stream
   std::string lastRun;   // whose events came last
   std::uint64_t lastEvent = 0;
-  int takes = 0, writes = 0;  // by engines, by routers
-  bool engineBroke = false;   // an engine's end was the reason of its own
+  int takes = 0, writes = 0;         // by engines, by routers
+  bool engineBroke = false;          // an engine's end was the reason of its own
+  std::weak_ptr<RouterRun> attempt;  // the last one
 };
 
 struct ClientRoute {
--- a/src/sim/router_faults.cc
+++ b/src/sim/router_faults.cc
@@ -10,9 +10,8 @@
 namespace peppergate {
 namespace {
 
-constexpr Duration kGrace = seconds(8);           // a leaving engine's, from its draining on
-constexpr Duration kTakenAfterStop = seconds(3);  // requests sent later have to end in time
-constexpr Duration kCrashListed = seconds(3);     // so long a crashed one stays on the list
+constexpr Duration kGrace = seconds(8);        // a leaving engine's, from its draining on
+constexpr Duration kCrashListed = seconds(3);  // so long a crashed one stays on the list
 
 int numberOf(const std::string& word) { return std::atoi(word.c_str()); }
 
@@ -29,13 +28,6 @@
     coreDisturbed_ = now_;
     return;
   }
-  // At the end of a grace time an engine may still be at work: that is no fault of the router if
-  // the request came soon after the word to leave.
-  for (auto& [attempt, run] : runs_) {
-    if (!planned || attempt.first != &process || !run->taken) continue;
-    ClientRequest* request = clients_->find(run->open.clientId);
-    if (request->sent - process.stoppedAt <= kTakenAfterStop) request->engineBroke = true;
-  }
   clients_->lost(process);
   std::vector<RunPointer> gone;
   for (auto entry = runs_.begin(); entry != runs_.end();) {
