A voter slot is replaced in two steps; an even set drops its silent voter

Cause, found by the model checker (4 machines, 3 voters, two cut off: two leaders in one epoch): replacing a voter of an odd set in one step gives sets whose majorities need not meet ({1,2,3} and {1,2,4}: {2,3}, {1,4}). A view that was accepted but not chosen is followed by a majority of its own voters, so each side of a cut could have a leader.

Change: an odd set first gains the newcomer; a voter that is silent for longer than replaceVoterAfter leaves an even set, which bears no more losses than the odd one below it. Sets of two views in a row now always have majorities that meet. A lost disk counts in the model checker for a catch-up time only, so that a second loss after a repair is searched.

Ruled out: a view that carries its former voters, which needs a field on the wire and a second write once it is chosen.

--- a/src/core/leadership.h
+++ b/src/core/leadership.h
@@ -167,6 +167,8 @@
   Duration silent(CoreId core, MonotonicTime now) const;
   std::vector<CoreId> wantedBackups(MonotonicTime now) const;
   std::vector<CoreId> wantedVoters(MonotonicTime now) const;
+  std::vector<CoreId> replacedVoter(CoreId voter, CoreId newcomer) const;
+  std::vector<CoreId> withoutSilentVoter(MonotonicTime now) const;
   View wantedView(MonotonicTime now) const;
   bool changeDue(const View& wanted, MonotonicTime now) const;
   void considerViewChange(MonotonicTime now, Outbox& outbox);
--- a/src/core/leadership_reconfiguration.cc
+++ b/src/core/leadership_reconfiguration.cc
@@ -88,21 +88,17 @@
     if (sight.known && !sight.leaving && !seated && now - sight.last < seconds(1))
       newcomers.emplace_back(core, &sight);
   }
-  if (newcomers.empty()) return voters;
+  if (newcomers.empty()) return withoutSilentVoter(now);
   // One seat at a time. The first to go is one whose machine came back with another disk.
   for (CoreId& seat : voters)
     for (const auto& [core, sight] : newcomers)
-      if (sight->address == peers_.at(seat).address && silent(seat, now) > kFresh) {
-        seat = core;
-        return voters;
-      }
+      if (sight->address == peers_.at(seat).address && silent(seat, now) > kFresh)
+        return replacedVoter(seat, core);
   auto longest =
       std::ranges::max_element(voters, {}, [&](CoreId core) { return silent(core, now); });
   if (longest == voters.end()) return voters;
-  if (silent(*longest, now) > options_.replaceVoterAfter) {
-    *longest = newcomers.front().first;
-    return voters;
-  }
+  if (silent(*longest, now) > options_.replaceVoterAfter)
+    return replacedVoter(*longest, newcomers.front().first);
   // A new seat only while all are held: a newcomer may stand for one that is just being missed.
   if (voters.size() >= static_cast<std::size_t>(options_.voterSlots)) return voters;
   if (silent(*longest, now) > kFresh) return voters;
@@ -114,6 +110,30 @@
   return voters;
 }
 
+std::vector<CoreId> Leadership::replacedVoter(CoreId voter, CoreId newcomer) const {
+  // Majorities of two sets that differ by one voter always meet; those of two odd sets that differ
+  // by a replaced voter don't ({1,2,3} and {1,2,4}: {2,3} and {1,4}), and a view that was accepted
+  // but not chosen would split the fleet. So an odd set first gains the newcomer.
+  std::vector<CoreId> voters = view_.voters;
+  bool twoSteps =
+      voters.size() % 2 == 1 && !options_.faults.has(ControlFault::kOneMajorityOfVoters);
+  if (twoSteps) voters.push_back(newcomer);
+  else std::ranges::replace(voters, voter, newcomer);
+  return voters;
+}
+
+std::vector<CoreId> Leadership::withoutSilentVoter(MonotonicTime now) const {
+  // The second step of a replacement: the voter that the newcomer came for goes. An even set bears
+  // the loss of no more voters than the odd one below it, so a silent voter in it only costs.
+  std::vector<CoreId> voters = view_.voters;
+  bool even = voters.size() % 2 == 0;
+  if (!even || voters.size() <= 2 * static_cast<std::size_t>(options_.backups) + 1) return voters;
+  auto longest =
+      std::ranges::max_element(voters, {}, [&](CoreId core) { return silent(core, now); });
+  if (silent(*longest, now) > options_.replaceVoterAfter) voters.erase(longest);
+  return voters;
+}
+
 View Leadership::wantedView(MonotonicTime now) const {
   View wanted = view_;
   wanted.voters = wantedVoters(now);
--- a/src/model/model_options.h
+++ b/src/model/model_options.h
@@ -33,6 +33,7 @@
   Duration horizon = seconds(4.5);  ///< modelled time of one schedule after the fleet is settled
   /// After the horizon all trouble ends; so long later there must be a leader. 0: not checked.
   Duration recovery{};
+  Duration catchUp = seconds(4);  ///< so long a lost disk counts against `tolerate`
   Granularity granularity = Granularity::kFine;
   /// How often each kind of action may occur in one schedule.
   std::array<int, kActionKinds> limits = defaultLimits();
--- a/src/model/model_world.cc
+++ b/src/model/model_world.cc
@@ -144,13 +144,20 @@
       each.broken(now_ + options_.tick);
 }
 
+int ModelWorld::lostDisks() const {
+  return static_cast<int>(std::ranges::count_if(
+      losses_, [&](MonotonicTime lost) { return now_ - lost < options_.catchUp; }));
+}
+
 void ModelWorld::wipeMachine(int index) {
+  losses_.push_back(now_);
   stopMachine(index, false);
   machines_.at(static_cast<std::size_t>(index)).disk.clear();
   startMachine(index, false);
 }
 
 void ModelWorld::replaceMachine(int index) {
+  losses_.push_back(now_);
   stopMachine(index, false);
   ModelMachine& gone = machines_.at(static_cast<std::size_t>(index));
   gone.removed = true;
@@ -226,6 +233,7 @@
   stopMachine(index, false);
   machine.removed = true;
   machine.disk.clear();
+  losses_.push_back(now_);
   std::vector<ControlState> states;
   for (const auto& other : machines_) states.push_back(stateOn(other));
   std::vector<const ControlState*> others;
@@ -266,6 +274,7 @@
   for (const auto& item : held_) words.push_back(item.digest);
   for (const auto& each : operators_) each.hashInto(words);
   for (int count : used_) words.push_back(static_cast<std::uint64_t>(count));
+  for (MonotonicTime lost : losses_) words.push_back(static_cast<std::uint64_t>(lost.microseconds));
   judge_.hashInto(words);
   return XXH64(words.data(), words.size() * sizeof words[0], 0);
 }
--- a/src/model/schedule.cc
+++ b/src/model/schedule.cc
@@ -73,6 +73,7 @@
   else if (name == "seed") options.seed = static_cast<std::uint64_t>(number);
   else if (name == "tick-ms") options.tick = milliseconds(number);
   else if (name == "horizon-ms") options.horizon = milliseconds(number);
+  else if (name == "catch-up-ms") options.catchUp = milliseconds(number);
   else if (name == "recovery-ms") options.recovery = milliseconds(number);
   else return wrongLine(line, "unknown option");
   return absl::OkStatus();
@@ -116,8 +117,9 @@
   text << "machines " << options.machines << "\nvoters " << options.voters << "\ntolerate "
        << options.tolerate << "\norders " << options.orders << "\nseed " << options.seed
        << "\ntick-ms " << inMilliseconds(options.tick) << "\nhorizon-ms "
-       << inMilliseconds(options.horizon) << "\nrecovery-ms " << inMilliseconds(options.recovery)
-       << "\ngranularity " << granularityName(options.granularity) << "\n";
+       << inMilliseconds(options.horizon) << "\ncatch-up-ms " << inMilliseconds(options.catchUp)
+       << "\nrecovery-ms " << inMilliseconds(options.recovery) << "\ngranularity "
+       << granularityName(options.granularity) << "\n";
   for (std::string_view name : options.faults.names()) text << "fault " << name << "\n";
   for (std::size_t rule = 0; rule < kRuleNames.size() && !options.rules.all(); ++rule)
     if (options.rules.has(static_cast<Rule>(rule))) text << "rule " << kRuleNames.at(rule) << "\n";
