--- a/tests/fuzz/main.cc
+++ b/tests/fuzz/main.cc
@@ -17,8 +17,13 @@
 #include "tests/fuzz/targets.h"
 
 #if defined(__SANITIZE_ADDRESS__)
-#include <sanitizer/allocator_interface.h>
 #include <sanitizer/common_interface_defs.h>
+// g++ comes without the header of these, though its sanitizer has them.
+extern "C" {
+std::size_t __sanitizer_get_current_allocated_bytes();
+int __sanitizer_install_malloc_and_free_hooks(void (*onMalloc)(const volatile void*, std::size_t),
+                                              void (*onFree)(const volatile void*));
+}
 #endif
 
 namespace peppergate::fuzz {
