Two tests' functions of one name are told apart: each linked file has its own

Cause: addressOf(int) stood inline in two test headers; the linker kept one, so listeners were asked for an address of no machine (six MemberSchedules tests and one of HttpSchedules failed in the merged program). Renamed in config_machines.h.

--- a/tests/config_machines.h
+++ b/tests/config_machines.h
@@ -18,7 +18,7 @@
 inline constexpr int kCores = 3;
 inline constexpr int kFront = kCores;  // the index of the front
 
-inline Address addressOf(int index) { return {"10.0.0." + std::to_string(index + 1) + ":1"}; }
+inline Address machineAddress(int index) { return {"10.0.0." + std::to_string(index + 1) + ":1"}; }
 
 /// Machines, their disks and the messages between them, on a clock of its own.
 class Machines {
@@ -27,11 +27,11 @@
     for (int index = 0; index <= kFront; ++index) {
       MemberRecord self;
       self.member = {static_cast<std::uint64_t>(100 + index)};
-      self.address = self.pages = addressOf(index);
+      self.address = self.pages = machineAddress(index);
       self.role = index == kFront ? Role::kFront : Role::kCore;
       DiskFound disk;
       disk.files["identity"] = identityFile({static_cast<std::uint64_t>(1 + index)});
-      std::vector<Address> seeds{addressOf(0)};
+      std::vector<Address> seeds{machineAddress(0)};
       Bootstrap bootstrap;
       if (index == 0) bootstrap.cores = kCores;
       if (index == kFront)
@@ -99,8 +99,8 @@
   void carryOut(int from, Command& command) {
     if (auto* send = std::get_if<Send>(&command)) {
       for (int index = 0; index <= kFront; ++index)
-        if (addressOf(index) == send->to)
-          queue_.push_back({index, Arrived{addressOf(from), std::move(send->message)}});
+        if (machineAddress(index) == send->to)
+          queue_.push_back({index, Arrived{machineAddress(from), std::move(send->message)}});
     } else if (auto* write = std::get_if<WriteFile>(&command)) {
       FileWritten written{write->ticket, true};
       if (holding_.contains(from)) held_[from].push_back(written);
