--- /dev/null
+++ b/tests/fetch_desk_scale_test.cc
@@ -0,0 +1,88 @@
+// What one rerun of the fetch plan costs by the number of routers that note their use of links.
+#include <time.h>
+
+#include <algorithm>
+#include <string>
+
+#include "core/fetch_desk.h"
+#include "core/random.h"
+#include "tests/testing.h"
+
+using namespace peppergate;
+
+namespace {
+
+constexpr std::size_t kEngines = 140;
+constexpr std::size_t kMixesOfARouter = 30;  // paths that a router has used within some seconds
+constexpr int kRounds = 5;
+
+double threadSeconds() {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
+LinkId linkOf(std::size_t engine) {
+  return FetchDesk::linkOf({"i-" + std::to_string(1000000 + engine)});
+}
+
+/// One router's note: moves between engines drawn at random.
+UsageNotification noteOf(std::uint64_t router, Random& random) {
+  UsageNotification note;
+  note.front = {router};
+  std::map<LinkId, LinkUsage> links;
+  for (std::size_t index = 0; index < kMixesOfARouter; ++index) {
+    StreamMix mix;
+    mix.className = "normal";
+    mix.topRung = 3;
+    mix.path = {linkOf(random.below(kEngines)), linkOf(random.below(kEngines))};
+    mix.count = 0.1;
+    for (const auto& link : mix.path) links[link].fraction = 0.75;
+    note.mixes.push_back(std::move(mix));
+  }
+  for (auto& [link, usage] : links) {
+    usage.link = link;
+    note.links.push_back(usage);
+  }
+  return note;
+}
+
+/// Processor seconds of one round: every router's note is heard, and the plan is found anew. The
+/// least of some rounds, so that a busy machine doesn't matter.
+double secondsOfARound(std::uint64_t routers) {
+  Options options;
+  Outbox outbox;
+  Random random(routers);
+  FetchDesk desk(options);
+  std::map<LinkId, LinkTold> told;
+  for (std::size_t engine = 0; engine < kEngines; ++engine) told[linkOf(engine)] = {46000, {}};
+  desk.links(told);
+  Setup setup;
+  setup.rungs = {{"least", 1000}, {"some", 4000}, {"more", 16000}, {"most", 46000}};
+  setup.classes["normal"] = {};
+  std::vector<UsageNotification> notes;
+  for (std::uint64_t router = 1; router <= routers; ++router)
+    notes.push_back(noteOf(router, random));
+  double least = 1e9;
+  MonotonicTime now = at(100);
+  for (int round = 0; round < kRounds; ++round, now = now + seconds(1)) {
+    double began = threadSeconds();
+    for (const auto& note : notes) desk.hear(note, now);
+    desk.tick(setup, now, outbox);
+    least = std::min(least, threadSeconds() - began);
+  }
+  CHECK_EQUAL(kRounds, outbox.counters().at("fetch.reruns"));
+  return least;
+}
+
+}  // namespace
+
+TEST_GROUP(FetchDeskScale){};
+
+TEST(FetchDeskScale, ARoundCostsInProportionToTheRoutersThatNote) {
+  // Four times the routers are four times the notes; a little more for look-ups in larger tables.
+  constexpr double kMostGrowth = 7;
+  double few = secondsOfARound(20), many = secondsOfARound(80);
+  std::printf("\na round: %.2f ms of 20 routers, %.2f ms of 80\n", few * 1e3, many * 1e3);
+  CHECK(many < few * kMostGrowth);
+}
