--- a/src/io/dialect_endpoints.cc
+++ b/src/io/dialect_endpoints.cc
@@ -14,7 +14,9 @@
 absl::Status DialectEndpoints::listen(const Address& address) { return listener_.listen(address); }
 
 void DialectEndpoints::carryOut(const OpenAttempt& command) {
-  client_.attempt(command, [this](AttemptTurned turned) { step_(std::move(turned)); });
+  client_.attempt(
+      command, [this](AttemptTurned turned) { step_(std::move(turned)); },
+      [this, request = command.request] { return listener_.clientPresent(request); });
 }
 
 template <class Command, class Reader>
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -64,12 +64,14 @@
  public:
   using Table = std::unordered_map<std::uint64_t, std::shared_ptr<Exchange>>;
   AttemptExchange(ConnectionPool& pool, Table& table, OpenAttempt command,
-                  HttpClient::AttemptTaker taker)
+                  HttpClient::AttemptTaker taker, HttpClient::StillWanted stillWanted)
       : Exchange(pool, command.wire && command.wire->method == "HEAD"),
         table_(table),
         command_(std::move(command)),
-        taker_(std::move(taker)) {}
+        taker_(std::move(taker)),
+        stillWanted_(std::move(stillWanted)) {}
 
+  bool stillWanted() override { return !stillWanted_ || stillWanted_(); }
   void tellWritten() override { tell(AttemptTurn::kWritten); }
   void failed() override { tell(written ? AttemptTurn::kBroken : AttemptTurn::kNotWritten); }
   void whole() override { tell(AttemptTurn::kEnded); }
@@ -130,6 +132,7 @@
   Table& table_;
   OpenAttempt command_;
   HttpClient::AttemptTaker taker_;
+  HttpClient::StillWanted stillWanted_;
   bool events_ = false;
   EventSplitter splitter_;
 };
@@ -183,9 +186,9 @@
 
 HttpClient::~HttpClient() = default;
 
-void HttpClient::attempt(const OpenAttempt& command, AttemptTaker taker) {
-  auto exchange =
-      std::make_shared<AttemptExchange>(state_->pool, state_->attempts, command, std::move(taker));
+void HttpClient::attempt(const OpenAttempt& command, AttemptTaker taker, StillWanted stillWanted) {
+  auto exchange = std::make_shared<AttemptExchange>(state_->pool, state_->attempts, command,
+                                                    std::move(taker), std::move(stillWanted));
   exchange->address = command.address;
   exchange->text = state_->pool.dialect.attemptText(command);
   exchange->writeBefore = command.writeBefore;
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -16,10 +16,13 @@
  public:
   using AttemptTaker = std::function<void(AttemptTurned)>;
   using CallTaker = std::function<void(const HttpAnswer&)>;
+  /// Whether an attempt is still wanted; asked right before its first byte is written.
+  using StillWanted = std::function<bool()>;
   HttpClient(Loop& loop, const Dialect& dialect);
   ~HttpClient();
-  /// Sends one attempt; its turns are told as they come, never from inside this call.
-  void attempt(const OpenAttempt& command, AttemptTaker taker);
+  /// Sends one attempt; its turns are told as they come, never from inside this call. One that
+  /// isn't wanted any more is not written; `stillWanted` may cancel it from inside.
+  void attempt(const OpenAttempt& command, AttemptTaker taker, StillWanted stillWanted = nullptr);
   /// Ends an attempt and its connection; nothing of it is told any more.
   void cancel(AttemptId attempt);
   /// Stops or goes on reading an attempt's answer. Example: for a client that reads slowly.
--- a/src/io/http_client_connection.cc
+++ b/src/io/http_client_connection.cc
@@ -80,11 +80,11 @@
 }
 
 bool ClientConnection::write(std::shared_ptr<Exchange> exchange) {
-  // The last moment at which it can still be kept back.
-  if (bootNow() >= exchange->writeBefore) {
+  // The last moment at which it can still be kept back. Asking may cancel it and close the socket.
+  if (bootNow() >= exchange->writeBefore || !exchange->stillWanted()) {
     exchange->doomed = true;
     exchange->connection.reset();
-    if (exchange->ownConnection) close();
+    if (exchange->ownConnection || !socket_.open()) close();
     else pool_.keep(shared_from_this(), kKeptUnused);
     pool_.tellSoon(std::move(exchange));
     return true;
--- a/src/io/http_client_connection.h
+++ b/src/io/http_client_connection.h
@@ -27,6 +27,8 @@
   virtual void whole() = 0;
   /// Nothing further comes; `written` tells whether a byte of it had left.
   virtual void failed() = 0;
+  /// Whether it shall still be sent; asked right before its first byte is written.
+  virtual bool stillWanted() { return true; }
   /// From now on it may run. Example: an attempt tells it.
   virtual void tellWritten() = 0;
   /// Takes it out of the tables; nothing is told after it.
--- a/src/io/http_listener.cc
+++ b/src/io/http_listener.cc
@@ -15,7 +15,6 @@
 constexpr Duration kTick = milliseconds(100);
 constexpr Duration kLeavingIdle = milliseconds(300);  // a request may be on its way
 constexpr Duration kLinger = seconds(1);
-constexpr Duration kHalfClosedLook = milliseconds(500);
 
 }  // namespace
 
@@ -92,8 +91,6 @@
     case ConnectionWait::kBody:
     case ConnectionWait::kWrite:
       return limits.idle;
-    case ConnectionWait::kHalfClosed:
-      return kHalfClosedLook;
     case ConnectionWait::kLinger:
     case ConnectionWait::kNothing:
       break;
@@ -144,6 +141,11 @@
   if (auto* connection = state_->of(command.request)) connection->refuse(command);
 }
 
+bool HttpListener::clientPresent(RequestId request) {
+  auto* connection = state_->of(request);
+  return connection != nullptr && connection->clientPresent();
+}
+
 void HttpListener::leave() { state_->context.leaving = true; }
 
 void HttpListener::close() {
--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -28,6 +28,9 @@
   void answer(const AnswerBody& command);
   void answer(const AnswerDone& command);
   void answer(const RefuseRequest& command);
+  /// Whether the client of a request without its answer is still there, as far as its socket tells.
+  /// If it has left, `onGone` is called from inside. For use before more work is begun for it.
+  bool clientPresent(RequestId request);
   /// From now on each answer ends its connection, and idle ones end. Example: on SIGTERM.
   void leave();
   /// Takes no new connections any more; open ones go on. Example: once none are sent here.
--- a/src/io/http_listener_connection.cc
+++ b/src/io/http_listener_connection.cc
@@ -42,7 +42,6 @@
   else if (phase_ == Phase::kHead)
     wait = rest_.empty() ? ConnectionWait::kIdle : ConnectionWait::kHead;
   else if (phase_ == Phase::kBody) wait = ConnectionWait::kBody;
-  else if (phase_ == Phase::kAnswering && readEnded_) wait = ConnectionWait::kHalfClosed;
   if (wait != waiting_) waitFor(wait);
 }
 
@@ -57,7 +56,7 @@
   // Behind an answer that was not written yet, what came ahead is taken first.
   if (phase_ == Phase::kAnswering || (phase_ == Phase::kHead && dirty_ && !rest_.empty())) {
     rest_ += bytes;
-    if (rest_.size() >= kMostAhead) socket_.watchRead(false);
+    if (rest_.size() >= kMostAhead) pauseReading();
     return;
   }
   if (phase_ == Phase::kBody) waitFor(ConnectionWait::kBody);  // a body is bound by its pauses
@@ -65,12 +64,43 @@
   chooseWait();
 }
 
+// No more is read for now; that the client leaves must be seen all the same.
+void ListenerConnection::pauseReading() {
+  socket_.watchRead(false);
+  socket_.watchClose(true);
+}
+
+void ListenerConnection::peerClosed() {
+  auto keep = shared_from_this();
+  ended();
+}
+
+// The client's FIN. A client that closed sends the same as one that ended its sending side only,
+// and while its request has no answer nothing is written by which the two could be told apart. So
+// both are taken as having left: no engine works for a client that may be gone.
 void ListenerConnection::ended() {
   readEnded_ = true;
   socket_.watchRead(false);
-  // A client may end its side and still wait for its answer.
-  if (phase_ == Phase::kAnswering || phase_ == Phase::kEnding) return chooseWait();
-  drop();
+  socket_.watchClose(false);
+  if (phase_ == Phase::kEnding) return chooseWait();
+  failed();
+}
+
+bool ListenerConnection::clientPresent() {
+  if (phase_ != Phase::kAnswering) return false;
+  auto keep = shared_from_this();
+  switch (socket_.peek()) {
+    case HttpSocket::ReadOutcome::kBytes:
+    case HttpSocket::ReadOutcome::kNothing:
+      return true;
+    case HttpSocket::ReadOutcome::kEnd:
+      ended();
+      return false;
+    case HttpSocket::ReadOutcome::kFailed:
+      failed();
+      return false;
+  }
+  return true;
 }
 
 void ListenerConnection::failed() {
@@ -112,8 +142,8 @@
     take(ahead);
   }
   if (phase_ == Phase::kHead || phase_ == Phase::kBody) {
-    if (readEnded_) closeAfterOutput(false);  // no further request can come
-    else socket_.watchRead(true);
+    socket_.watchClose(false);
+    socket_.watchRead(true);
   }
   watchOutput();
 }
@@ -145,10 +175,6 @@
     case ConnectionWait::kHead:
     case ConnectionWait::kBody:
       return turnAway(408, "the request did not come in time");
-    case ConnectionWait::kHalfClosed:
-      waitFor(ConnectionWait::kHalfClosed);
-      if (socket_.takeError() != 0) failed();
-      return;
     case ConnectionWait::kWrite:
       return failed();
     case ConnectionWait::kLinger:
--- a/src/io/http_listener_connection.h
+++ b/src/io/http_listener_connection.h
@@ -14,15 +14,7 @@
 namespace peppergate {
 
 /// What a connection waits for; each kind of wait has one length, so its list is in order of age.
-enum class ConnectionWait : std::uint8_t {
-  kIdle = 0,
-  kHead,
-  kBody,
-  kWrite,
-  kLinger,
-  kHalfClosed,
-  kNothing
-};
+enum class ConnectionWait : std::uint8_t { kIdle = 0, kHead, kBody, kWrite, kLinger, kNothing };
 
 class ListenerConnection;
 
@@ -71,11 +63,15 @@
   void start();
   void readable() override;
   void writable() override;
+  void peerClosed() override;
 
   void answerHead(const WireHead& head);
   void answerBody(std::string_view bytes);
   void answerDone(bool whole);
   void refuse(const RefuseRequest& refusal);
+  /// Whether the client is known to be still there. If it isn't, its request ends as `ended` ends
+  /// it. Sees a close that was received and not read yet.
+  bool clientPresent();
   /// Writes what was answered; then the next request is read. Called by the context only.
   void flush();
   /// False: its output is already asked to be written. Called by the context only.
@@ -89,6 +85,7 @@
   bool takeBody(std::string_view& bytes);
   bool headDone(std::string_view text);
   void askForBody();
+  void pauseReading();
   void arrived();
   void fillEvent(RequestArrived& event) const;
   void turnAway(int status, std::string_view kind);
--- a/src/io/http_socket.cc
+++ b/src/io/http_socket.cc
@@ -33,6 +33,7 @@
     : descriptor_(descriptor), owner_(owner) {
   event_assign(&readEvent_, base, descriptor, EV_READ | EV_PERSIST, &HttpSocket::onRead, this);
   event_assign(&writeEvent_, base, descriptor, EV_WRITE | EV_PERSIST, &HttpSocket::onWrite, this);
+  event_assign(&closeEvent_, base, descriptor, EV_CLOSED | EV_PERSIST, &HttpSocket::onClose, this);
 }
 
 HttpSocket::~HttpSocket() {
@@ -71,6 +72,9 @@
 void HttpSocket::onWrite(evutil_socket_t, short, void* socket) {
   static_cast<HttpSocket*>(socket)->owner_.writable();
 }
+void HttpSocket::onClose(evutil_socket_t, short, void* socket) {
+  static_cast<HttpSocket*>(socket)->owner_.peerClosed();
+}
 
 void HttpSocket::watchRead(bool wanted) {
   if (!open() || wanted == reading_) return;
@@ -86,6 +90,15 @@
   else event_del(&writeEvent_);
 }
 
+void HttpSocket::watchClose(bool wanted) {
+  if (!open() || wanted == awaitingClose_) return;
+  int features = event_base_get_features(event_get_base(&closeEvent_));
+  if ((features & EV_FEATURE_EARLY_CLOSE) == 0) return;
+  awaitingClose_ = wanted;
+  if (wanted) event_add(&closeEvent_, nullptr);
+  else event_del(&closeEvent_);
+}
+
 HttpSocket::ReadResult HttpSocket::read(std::span<char> into) {
   if (!open()) return {ReadOutcome::kFailed, 0};
   ssize_t size = recv(descriptor_, into.data(), into.size(), 0);
@@ -138,11 +151,17 @@
   return output_ == nullptr ? 0 : evbuffer_get_length(output_);
 }
 
-bool HttpSocket::quiet() const {
+HttpSocket::ReadOutcome HttpSocket::peek() const {
+  if (!open()) return ReadOutcome::kFailed;
   char byte = 0;
-  return open() && recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && again(errno);
+  ssize_t size = recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (size > 0) return ReadOutcome::kBytes;
+  if (size == 0) return ReadOutcome::kEnd;
+  return again(errno) ? ReadOutcome::kNothing : ReadOutcome::kFailed;
 }
 
+bool HttpSocket::quiet() const { return peek() == ReadOutcome::kNothing; }
+
 int HttpSocket::takeError() const {
   int error = 0;
   socklen_t size = sizeof error;
@@ -158,6 +177,7 @@
   if (!open()) return;
   watchRead(false);
   watchWrite(false);
+  watchClose(false);
   if (reset) {
     linger hard{1, 0};
     setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
--- a/src/io/http_socket.h
+++ b/src/io/http_socket.h
@@ -19,6 +19,8 @@
  public:
   virtual void readable() = 0;
   virtual void writable() = 0;
+  /// The other end closed; told only while `watchClose` is on.
+  virtual void peerClosed() {}
 
  protected:
   ~HttpSocketOwner() = default;
@@ -45,6 +47,8 @@
 
   void watchRead(bool wanted);
   void watchWrite(bool wanted);
+  /// Tells of the other end's close while nothing is read, where the system can (EPOLLRDHUP).
+  void watchClose(bool wanted);
   /// Reads once. Example: `auto result = socket.read(buffer);`
   ReadResult read(std::span<char> into);
   /// Writes in order, as much as the kernel takes now; the rest follows. False: the connection
@@ -58,6 +62,8 @@
   std::size_t waiting() const;
   /// Bytes handed to the kernel so far. Example: 0 means that nothing can have arrived.
   std::uint64_t handed() const { return handed_; }
+  /// What a read would find now; takes nothing.
+  ReadOutcome peek() const;
   /// Open, and nothing to read. Example: before a kept connection is used again.
   bool quiet() const;
   /// The pending error, 0 if there is none. Example: once a connect has come to an end.
@@ -71,11 +77,12 @@
  private:
   static void onRead(evutil_socket_t, short, void* socket);
   static void onWrite(evutil_socket_t, short, void* socket);
+  static void onClose(evutil_socket_t, short, void* socket);
 
   int descriptor_;
   HttpSocketOwner& owner_;
-  event readEvent_, writeEvent_;
-  bool reading_ = false, writing_ = false;
+  event readEvent_, writeEvent_, closeEvent_;
+  bool reading_ = false, writing_ = false, awaitingClose_ = false;
   std::uint64_t handed_ = 0;
   evbuffer* output_ = nullptr;  // made when first needed
 };
