Notes of link use are numbered and added up once a rerun; the plan takes time by the streams

Change: LinkNotes numbers links and classes and adds the notes up in one pass; settle lists each link's streams once and searches levels over kinds of stream. Equal notes still give equal levels; links of equal ratio go by name.

--- a/src/core/fetch_desk.cc
+++ b/src/core/fetch_desk.cc
@@ -6,7 +6,7 @@
 namespace peppergate {
 namespace {
 
-constexpr std::uint64_t kNotedStreams = 1ULL << 62;  // ids above it stand for many streams
+constexpr std::uint64_t kNotedStreams = 1ULL << 62;  // ids from it on stand for many streams
 
 LinkId rackLink(const std::string& rack) { return {"rack:" + rack}; }
 
@@ -66,14 +66,9 @@
 }
 
 double FetchDesk::othersUse(const LinkId& link, double room, double own, MonotonicTime now) const {
-  double rate = 0, demand = 0;
-  for (const auto& [member, others] : noted_) {
-    if (member == self_ || now - others.heard > seconds(3)) continue;
-    auto usage = others.links.find(link);
-    if (usage == others.links.end()) continue;
-    rate += usage->second.rate;
-    demand += usage->second.demand;
-  }
+  const LinkTotal* total = notes_.total(link, now);
+  if (total == nullptr) return 0;
+  double rate = total->othersRate, demand = total->othersDemand;
   // On a crowded link everybody counts on the same share of it, so that fronts with unequal
   // pictures come to one level; elsewhere the others' noted rates are theirs.
   if (own + demand > room && demand > 0) return room * demand / (own + demand);
@@ -150,66 +145,97 @@
   std::erase_if(mixes_, [](const auto& entry) { return entry.second < 0.002; });
 }
 
+// What everybody noted of the link, so that all come to the same: the mean of the fractions, and
+// the deepest cut that anybody saw.
+double FetchDesk::capacityOf(const LinkBook& book, const LinkTotal* total) const {
+  if (total == nullptr) return book.told * options_.capacityStart;
+  return book.told * total->meanFraction(options_.capacityStart) * (1 - total->cut);
+}
+
 double FetchDesk::commonCapacity(const LinkId& link, MonotonicTime now) const {
-  // What everybody noted of the link, so that all come to the same: the mean of the fractions, and
-  // the deepest cut that anybody saw.
   auto book = books_.find(link);
-  if (book == books_.end()) return 0;
-  double fractions = 0, count = 0, cut = 0;
-  for (const auto& [member, noted] : noted_) {
-    auto usage = noted.links.find(link);
-    if (usage == noted.links.end() || now - noted.heard > seconds(3)) continue;
-    if (usage->second.fraction > 0) {
-      fractions += usage->second.fraction;
-      ++count;
-    }
-    cut = std::max(cut, usage->second.cut);
-  }
-  double fraction = count > 0 ? fractions / count : options_.capacityStart;
-  return book->second.told * fraction * (1 - cut);
+  return book == books_.end() ? 0 : capacityOf(book->second, notes_.total(link, now));
 }
 
-Plan FetchDesk::settleNow(const Setup& setup, const Fetch* joining, MonotonicTime now) const {
-  // One search over the streams of all fronts, as they were noted: equal notes give equal levels.
-  std::map<MixKey, double> counts;
-  for (const auto& [member, noted] : noted_) {
-    if (now - noted.heard > seconds(3)) continue;
-    for (const auto& mix : noted.mixes)
-      counts[{mix.path, mix.className, mix.floorRung, mix.topRung}] += mix.count;
+FetchDesk::NumberedLinks FetchDesk::numberedLinks(MonotonicTime now) const {
+  NumberedLinks links;
+  links.books.resize(notes_.linkCount());
+  links.capacities.resize(notes_.linkCount());
+  for (std::uint32_t number = 0; number < notes_.linkCount(); ++number) {
+    auto book = books_.find({notes_.linkName(number)});
+    if (book == books_.end()) continue;
+    links.books[number] = &book->second;
+    links.capacities[number] = capacityOf(book->second, &notes_.total(number, now));
   }
-  // Noted counts are means over time. Whoever joins finds them there and comes on top, so each
-  // count is raised as if one more stream were on its most crowded link.
-  std::map<LinkId, double> crowd;
-  for (const auto& [key, count] : counts)
-    for (const auto& link : std::get<0>(key)) crowd[link] += count;
-  for (auto& [key, count] : counts) {
+  return links;
+}
+
+double FetchDesk::crossingOf(const NumberedLinks& links, const MixNumbers& mix) const {
+  if (mix.linkCount < 2) return 1;
+  const LinkBook* source = links.books[mix.links[0]];
+  const LinkBook* engine = links.books[mix.links[1]];
+  return source == nullptr || engine == nullptr ? 1 : crossing(source->zone, engine->zone);
+}
+
+// Noted counts are means over time. Whoever joins finds them there and comes on top, so each count
+// is raised as if one more stream were on its most crowded link.
+std::vector<NotedMix> FetchDesk::raisedMixes(MonotonicTime now) const {
+  std::vector<NotedMix> mixes = notes_.mixes(now);
+  std::vector<double> crowd(notes_.linkCount());
+  for (const auto& mix : mixes)
+    for (std::uint32_t link : mix.numbers.path()) crowd[link] += mix.count;
+  for (auto& mix : mixes) {
     double most = 0;
-    for (const auto& link : std::get<0>(key)) most = std::max(most, crowd[link]);
-    count *= (most + 1 + std::sqrt(most)) / most;
+    for (std::uint32_t link : mix.numbers.path()) most = std::max(most, crowd[link]);
+    if (most > 0) mix.count *= (most + 1 + std::sqrt(most)) / most;
   }
+  return mixes;
+}
+
+PlanStream FetchDesk::streamOf(const Setup& setup, const std::string& className,
+                               std::int64_t floorRung, std::int64_t topRung) const {
+  auto last = static_cast<std::int64_t>(setup.rungs.size()) - 1;
+  PlanStream stream;
+  if (auto found = setup.classes.find(className); found != setup.classes.end())
+    stream.tenantClass = found->second;
+  stream.topRung = std::clamp<std::int64_t>(topRung, 0, last);
+  stream.floorRung = std::clamp<std::int64_t>(floorRung, 0, stream.topRung);
+  return stream;
+}
+
+// One search over the streams of all fronts, as they were noted: equal notes give equal levels.
+Plan FetchDesk::settleNow(const Setup& setup, const Fetch* joining, MonotonicTime now) const {
+  NumberedLinks links = numberedLinks(now);
+  std::optional<MixNumbers> joiningMix;
+  if (joining != nullptr)
+    joiningMix = notes_.find(joining->want.links, joining->className, joining->want.floorRung,
+                             joining->want.topRung);
   std::vector<PlanStream> streams;
   std::map<LinkId, double> capacities;
-  auto last = static_cast<std::int64_t>(setup.rungs.size()) - 1;
-  auto push = [&](const MixKey& key, double count, StreamId id) {
-    const auto& [path, className, floor, top] = key;
-    auto tenantClass = setup.classes.find(className);
-    PlanStream stream;
-    stream.stream = id;
-    stream.links = path;
-    if (tenantClass != setup.classes.end()) stream.tenantClass = tenantClass->second;
-    stream.topRung = std::clamp<std::int64_t>(top, 0, last);
-    stream.floorRung = std::clamp<std::int64_t>(floor, 0, stream.topRung);
-    stream.count = count * pathCrossing(path);  // as often as its moves count
-    for (const auto& link : path) capacities[link] = commonCapacity(link, now);
+  bool joined = false;
+  for (const auto& mix : raisedMixes(now)) {
+    const MixNumbers& numbers = mix.numbers;
+    PlanStream stream =
+        streamOf(setup, notes_.className(numbers.className), numbers.floorRung, numbers.topRung);
+    bool joins = joiningMix == numbers;
+    joined = joined || joins;
+    stream.stream = joins ? joining->want.stream : StreamId{kNotedStreams + streams.size()};
+    for (std::uint32_t link : numbers.path()) stream.links.push_back({notes_.linkName(link)});
+    stream.count = mix.count * crossingOf(links, numbers);  // as often as its moves count
+    streams.push_back(std::move(stream));
+  }
+  for (std::uint32_t number = 0; number < links.books.size(); ++number)
+    if (links.books[number] != nullptr)
+      capacities[{notes_.linkName(number)}] = links.capacities[number];
+  if (joining != nullptr && !joined) {
+    const PlanStream& want = joining->want;
+    PlanStream stream = streamOf(setup, joining->className, want.floorRung, want.topRung);
+    stream.stream = want.stream;
+    stream.links = want.links;
+    stream.count = pathCrossing(want.links);
+    for (const auto& link : want.links) capacities[link] = commonCapacity(link, now);
     streams.push_back(std::move(stream));
-  };
-  std::uint64_t number = 0;
-  StreamId joiningId = joining != nullptr ? joining->want.stream : StreamId{};
-  for (const auto& [key, count] : counts) {
-    bool joins = joining != nullptr && key == keyOf(*joining);
-    push(key, count, joins ? joiningId : StreamId{kNotedStreams + ++number});
   }
-  if (joining != nullptr && !counts.contains(keyOf(*joining))) push(keyOf(*joining), 1, joiningId);
   return settle(streams, setup.rungs, capacities, options_);
 }
 
@@ -244,20 +270,17 @@
 }
 
 void FetchDesk::hear(const UsageNotification& note, MonotonicTime now) {
-  Others& others = noted_[note.front];
-  others.heard = now;
-  others.links.clear();
-  others.mixes = note.mixes;
+  notes_.hear(note, now);
   for (const auto& usage : note.links) {
-    others.links[usage.link] = usage;
-    auto book = books_.find(usage.link);
-    if (book != books_.end() && usage.missing > 0) book->second.shortSinceRun = true;
+    if (usage.missing <= 0) continue;
+    if (auto book = books_.find(usage.link); book != books_.end())
+      book->second.shortSinceRun = true;
   }
   touched_ = true;
 }
 
 void FetchDesk::tick(const Setup& setup, MonotonicTime now, Outbox& outbox) {
-  std::erase_if(noted_, [&](const auto& entry) { return now - entry.second.heard > seconds(6); });
+  notes_.expire(now);
   smooth(now);
   // Reruns come on notes, reports and the timer; notes of many fronts share one rerun.
   bool due = now >= nextRun_ || (touched_ && now - lastRun_ >= milliseconds(250));
@@ -314,7 +337,7 @@
 UsageNotification FetchDesk::note(MemberId self, const Setup&, MonotonicTime now) {
   UsageNotification note = makeNote(self, now);
   for (auto& [link, book] : books_) book.missing = 0;  // told once
-  self_ = self;
+  notes_.setSelf(self);
   hear(note, now);  // this front plans with just what it told the others
   return note;
 }
--- a/src/core/fetch_desk.h
+++ b/src/core/fetch_desk.h
@@ -6,6 +6,7 @@
 
 #include "core/engine_list.h"
 #include "core/fetch_plan.h"
+#include "core/link_notes.h"
 #include "core/outbox.h"
 
 namespace peppergate {
@@ -106,11 +107,6 @@
   void reload(const Options& options) { options_ = options; }
 
  private:
-  struct Others {
-    MonotonicTime heard;
-    std::map<LinkId, LinkUsage> links;
-    std::vector<StreamMix> mixes;
-  };
   struct Paced {
     std::int64_t rung = 0;
     MonotonicTime changed = kNever;
@@ -125,6 +121,17 @@
   void refreshBooks(MonotonicTime now);
   void smooth(MonotonicTime now);
   UsageNotification makeNote(MemberId self, MonotonicTime now) const;
+  /// The capacity of each numbered link and the book that it is kept in; null: not listed here.
+  struct NumberedLinks {
+    std::vector<const LinkBook*> books;
+    std::vector<double> capacities;
+  };
+  NumberedLinks numberedLinks(MonotonicTime now) const;
+  double crossingOf(const NumberedLinks& links, const MixNumbers& mix) const;
+  std::vector<NotedMix> raisedMixes(MonotonicTime now) const;
+  PlanStream streamOf(const Setup& setup, const std::string& className, std::int64_t floorRung,
+                      std::int64_t topRung) const;
+  double capacityOf(const LinkBook& book, const LinkTotal* total) const;
   Plan settleNow(const Setup& setup, const Fetch* joining, MonotonicTime now) const;
   double easedCut(const LinkBook& book, MonotonicTime now) const;
   double commonCapacity(const LinkId& link, MonotonicTime now) const;
@@ -137,8 +144,7 @@
   Options options_;
   std::map<LinkId, LinkBook> books_;
   std::map<StreamId, Fetch> fetches_;
-  std::map<MemberId, Others> noted_;  // by everybody, this front among them
-  MemberId self_;
+  LinkNotes notes_;  // by everybody, this front among them
   std::map<MixKey, double> mixes_;
   MonotonicTime smoothedAt_ = kNever;
   std::map<std::pair<TenantId, LinkId>, Paced> rungs_;
--- a/src/core/fetch_join.cc
+++ b/src/core/fetch_join.cc
@@ -132,19 +132,16 @@
   for (std::size_t place = 0; place < plan_.groups.size(); ++place)
     groups_[plan_.groups[place].link] = place;
   for (auto& [link, book] : books_) {
-    book.common = commonCapacity(link, now);
-    book.booked = book.waiting = book.others = 0;
+    const LinkTotal* total = notes_.total(link, now);
+    book.common = capacityOf(book, total);
+    book.others = total == nullptr ? 0 : total->othersRate;
+    book.booked = book.waiting = 0;
   }
   for (auto& [stream, fetch] : fetches_) {
     if (!fetch.joined) continue;
     fetch.arrived = fetch.arrived || now - fetch.sent > kUnderWay;
     book(fetch, 1);
   }
-  for (const auto& [member, noted] : noted_) {
-    if (member == self_ || now - noted.heard > seconds(3)) continue;
-    for (const auto& [link, usage] : noted.links)
-      if (auto found = books_.find(link); found != books_.end()) found->second.others += usage.rate;
-  }
 }
 
 }  // namespace peppergate
--- a/src/core/fetch_plan.cc
+++ b/src/core/fetch_plan.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <set>
+#include <numeric>
+#include <string_view>
+#include <unordered_map>
 
 namespace peppergate {
 namespace {
@@ -12,37 +14,90 @@
   return rungs[static_cast<std::size_t>(rung)].rate;
 }
 
-double totalAt(std::span<const PlanStream* const> streams, std::span<const Rung> rungs,
-               double level) {
-  double total = 0;
+/// Streams that the search can't tell apart, added up.
+struct RateKind {
+  TenantClass tenantClass;
+  double low = 0, high = 0;  // rates of the floor and of the top rung
+  double count = 0;
+};
+
+bool sameCurve(const TenantClass& one, const TenantClass& other) {
+  return one.a == other.a && one.b == other.b && one.c == other.c;
+}
+
+/// There are few kinds, however many streams: the search takes time by the kinds alone.
+std::vector<RateKind> kindsOf(std::span<const PlanStream* const> streams,
+                              std::span<const Rung> rungs) {
+  std::vector<RateKind> kinds;
   for (const PlanStream* stream : streams) {
-    double low = rungRate(rungs, stream->floorRung);
-    double high = rungRate(rungs, stream->topRung);
-    total += stream->count * std::clamp(rateAt(stream->tenantClass, level), low, high);
+    double low = rungRate(rungs, stream->floorRung), high = rungRate(rungs, stream->topRung);
+    auto found = std::ranges::find_if(kinds, [&](const RateKind& kind) {
+      return kind.low == low && kind.high == high &&
+             sameCurve(kind.tenantClass, stream->tenantClass);
+    });
+    if (found != kinds.end()) found->count += stream->count;
+    else kinds.push_back({stream->tenantClass, low, high, stream->count});
   }
+  return kinds;
+}
+
+double totalAt(std::span<const RateKind> kinds, double level) {
+  double total = 0;
+  for (const auto& kind : kinds)
+    total += kind.count * std::clamp(rateAt(kind.tenantClass, level), kind.low, kind.high);
   return total;
 }
 
-struct LinkRank {
-  LinkId link;
-  double ratio;
-};
+/// Links and streams by number, so that each stream is looked at once for each of its links.
+struct LinkTable {
+  std::vector<const LinkId*> names;
+  std::vector<double> wanted, room;
+  std::vector<std::vector<std::uint32_t>> streamsOf;  // by link; a stream once for each mention
+  std::vector<std::vector<std::uint32_t>> linksOf;    // by stream; each link once
 
-std::vector<LinkRank> rankLinks(std::span<const PlanStream> streams, std::span<const Rung> rungs,
-                                const std::map<LinkId, double>& capacities) {
-  std::map<LinkId, double> wanted;
-  for (const auto& stream : streams)
-    for (const auto& link : stream.links)
-      wanted[link] += stream.count * rungRate(rungs, stream.topRung);
-  std::vector<LinkRank> ranks;
-  for (const auto& [link, rate] : wanted) {
+  LinkTable(std::span<const PlanStream> streams, std::span<const Rung> rungs,
+            const std::map<LinkId, double>& capacities) {
+    std::unordered_map<std::string_view, std::uint32_t> numbers;
+    for (std::uint32_t number = 0; number < streams.size(); ++number) {
+      const PlanStream& stream = streams[number];
+      auto& links = linksOf.emplace_back();
+      for (const auto& link : stream.links) {
+        auto [found, fresh] =
+            numbers.try_emplace(link.value, static_cast<std::uint32_t>(names.size()));
+        if (fresh) add(link, capacities);
+        wanted[found->second] += stream.count * rungRate(rungs, stream.topRung);
+        if (std::ranges::find(links, found->second) != links.end()) continue;
+        links.push_back(found->second);
+        streamsOf[found->second].push_back(number);
+      }
+    }
+  }
+  /// Links by falling congestion ratio; those with equal ones by name.
+  std::vector<std::uint32_t> byRatio() const {
+    std::vector<std::uint32_t> order(names.size());
+    std::iota(order.begin(), order.end(), 0U);
+    std::ranges::sort(order, [&](std::uint32_t one, std::uint32_t other) {
+      double first = ratio(one), second = ratio(other);
+      return first != second ? first > second : *names[one] < *names[other];
+    });
+    return order;
+  }
+  double ratio(std::uint32_t link) const {
+    double capacity = told[link];
+    return capacity > 0 ? wanted[link] / capacity : std::numeric_limits<double>::infinity();
+  }
+
+ private:
+  std::vector<double> told;  // capacities as given; `room` is what groups have left of them
+  void add(const LinkId& link, const std::map<LinkId, double>& capacities) {
     auto capacity = capacities.find(link);
-    double room = capacity == capacities.end() ? 0 : capacity->second;
-    ranks.push_back({link, room > 0 ? rate / room : std::numeric_limits<double>::infinity()});
+    names.push_back(&link);
+    told.push_back(capacity == capacities.end() ? 0 : capacity->second);
+    room.push_back(told.back());
+    wanted.push_back(0);
+    streamsOf.emplace_back();
   }
-  std::ranges::stable_sort(ranks, std::greater{}, &LinkRank::ratio);
-  return ranks;
-}
+};
 
 }  // namespace
 
@@ -73,15 +128,16 @@
     lowest = std::min(lowest, worthOf(stream->tenantClass, rungRate(rungs, stream->floorRung)));
     highest = std::max(highest, worthOf(stream->tenantClass, rungRate(rungs, stream->topRung)));
   }
+  auto kinds = kindsOf(streams, rungs);
   LevelSearch search;
   search.level = lowest;  // where nothing fits, every stream is at its floor
-  search.total = totalAt(streams, rungs, lowest);
+  search.total = totalAt(kinds, lowest);
   double level = (lowest + highest) / 2;
   double step = (highest - lowest) / 2;
   double tolerance = options.levelTolerance / options.rateUnit;
   while (search.rounds < options.levelRounds) {
     ++search.rounds;
-    double total = totalAt(streams, rungs, level);
+    double total = totalAt(kinds, level);
     if (total <= capacity && (!search.fits || level > search.level)) {
       search.fits = true;
       search.level = level;
@@ -103,28 +159,32 @@
             const std::map<LinkId, double>& capacities, const Options& options) {
   Plan plan;
   if (rungs.empty()) return plan;
-  std::map<LinkId, double> room = capacities;
-  std::set<StreamId> grouped;
-  for (const LinkRank& rank : rankLinks(streams, rungs, capacities)) {
+  LinkTable table(streams, rungs, capacities);
+  std::vector<bool> grouped(streams.size(), false);
+  plan.shares.reserve(streams.size());
+  for (std::uint32_t link : table.byRatio()) {
+    std::vector<std::uint32_t> members;
     std::vector<const PlanStream*> group;
-    for (const auto& stream : streams)
-      if (!grouped.contains(stream.stream) &&
-          std::ranges::find(stream.links, rank.link) != stream.links.end())
-        group.push_back(&stream);
+    for (std::uint32_t number : table.streamsOf[link]) {
+      if (grouped[number]) continue;
+      members.push_back(number);
+      group.push_back(&streams[number]);
+    }
     if (group.empty()) continue;
-    LevelSearch search = searchLevel(group, rungs, room[rank.link], options);
-    for (const PlanStream* stream : group) {
-      std::int64_t rung = rungUnder(rungs, *stream, search.level);
-      plan.shares[stream->stream] = {rung, rank.link, search.level};
-      grouped.insert(stream->stream);
-      // A link crossed twice is counted once; its rate comes off all other links.
-      std::set<LinkId> crossed(stream->links.begin(), stream->links.end());
-      for (const auto& link : crossed)
-        if (link != rank.link)
-          room[link] = std::max(0.0, room[link] - stream->count * rungRate(rungs, rung));
+    LevelSearch search = searchLevel(group, rungs, table.room[link], options);
+    for (std::uint32_t number : members) {
+      const PlanStream& stream = streams[number];
+      std::int64_t rung = rungUnder(rungs, stream, search.level);
+      plan.shares[stream.stream] = {rung, *table.names[link], search.level};
+      grouped[number] = true;
+      // Its rate comes off all other links that it crosses.
+      for (std::uint32_t crossed : table.linksOf[number])
+        if (crossed != link)
+          table.room[crossed] =
+              std::max(0.0, table.room[crossed] - stream.count * rungRate(rungs, rung));
     }
-    plan.groups.push_back({rank.link, rank.ratio, room[rank.link], search.level, search.total,
-                           search.rounds, search.fits, group.size()});
+    plan.groups.push_back({*table.names[link], table.ratio(link), table.room[link], search.level,
+                           search.total, search.rounds, search.fits, group.size()});
   }
   return plan;
 }
--- a/src/core/fetch_plan.h
+++ b/src/core/fetch_plan.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 #include "core/control_state.h"
@@ -39,8 +40,13 @@
   std::size_t streams = 0;
 };
 
+/// Streams are looked up by their number.
+struct StreamIdHash {
+  std::size_t operator()(StreamId stream) const { return std::hash<std::uint64_t>{}(stream.value); }
+};
+
 struct Plan {
-  std::map<StreamId, PlanShare> shares;
+  std::unordered_map<StreamId, PlanShare, StreamIdHash> shares;
   std::vector<GroupResult> groups;  // in the order of their ratios
 };
 
