What all are told is coded once, and told less often in larger fleets

Each copy was coded anew, and what one router takes in grew with the square of the fleet's part in it: 840 messages a second of kept parts and 320 of use at 81 routers, by the sizes and paces in the sources. Change: a Broadcast command, coded once; FleetPace lets the time between two tells grow with the fleet (kept parts 5 ms a router from 100 ms to 500 ms, use 10 ms a router from 0.5 s to 0.95 s); what waits goes out together.

--- a/src/core/core_node.cc
+++ b/src/core/core_node.cc
@@ -340,8 +340,10 @@
   if (news.now.keys > told_.keys) news.keys = state.keysText();
   if (news.now.weights > told_.weights) news.weights = state.weightsText();
   told_ = news.now;
+  std::vector<Address> fronts;
   for (const auto& front : membership_->liveFronts())
-    if (!requesters_.contains(front.member)) outbox_.send(front.address, news);
+    if (!requesters_.contains(front.member)) fronts.push_back(front.address);
+  outbox_.broadcast(std::move(fronts), std::move(news));
 }
 
 void CoreNode::grantEngines(const Address& from, const EngineLeaseRequest& ask, MonotonicTime now) {
--- a/src/core/engine_watch.cc
+++ b/src/core/engine_watch.cc
@@ -193,8 +193,7 @@
     note.pictures.push_back(picture);
   }
   if (note.pictures.empty()) return;
-  for (const auto& front : membership_.liveFronts())
-    if (front.member != membership_.self().member) outbox.send(front.address, note);
+  outbox.broadcast(membership_.otherFronts(), std::move(note));
 }
 
 }  // namespace peppergate
--- a/src/core/front_node.cc
+++ b/src/core/front_node.cc
@@ -71,8 +71,7 @@
     return;
   }
   outbox_.count("usage.told");
-  for (const auto& front : membership_->liveFronts())
-    if (front.member != membership_->self().member) outbox_.send(front.address, note);
+  outbox_.broadcast(membership_->otherFronts(), std::move(note));
 }
 
 void FrontNode::takeList(const std::string& text, MonotonicTime now) {
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -151,12 +151,29 @@
 
 std::vector<MemberRecord> Membership::liveFronts() const {
   std::vector<MemberRecord> records = live();
-  std::erase_if(records, [](const MemberRecord& record) {
-    return record.role != Role::kFront || record.leaving;
-  });
+  std::erase_if(records, [this](const MemberRecord& record) { return !isFront(record); });
   return records;
 }
 
+std::vector<Address> Membership::otherFronts() const {
+  std::vector<Address> addresses;
+  for (const auto& [id, known] : known_)
+    if (isFront(known.record)) addresses.push_back(known.record.address);
+  return addresses;
+}
+
+std::vector<Address> Membership::otherMembers() const {
+  std::vector<Address> addresses;
+  for (const auto& [id, known] : known_) addresses.push_back(known.record.address);
+  return addresses;
+}
+
+std::size_t Membership::frontCount() const {
+  auto others = std::ranges::count_if(
+      known_, [this](const auto& entry) { return isFront(entry.second.record); });
+  return static_cast<std::size_t>(others) + (isFront(self_) ? 1 : 0);
+}
+
 std::vector<MemberRecord> Membership::liveCores() const {
   std::vector<MemberRecord> records;
   if (self_.role == Role::kCore) records.push_back(self_);
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -31,6 +31,12 @@
   std::vector<MemberRecord> liveFronts() const;
   /// The live core machines, self among them if one. Example: those that may keep a copy.
   std::vector<MemberRecord> liveCores() const;
+  /// Where the live fronts that stay are, without self. Example: for what every front is told.
+  std::vector<Address> otherFronts() const;
+  /// Where all live members are, without self.
+  std::vector<Address> otherMembers() const;
+  /// How many live fronts there are that stay, self among them if a front.
+  std::size_t frontCount() const;
   /// Which core lives at an address; 0 if none is known. Example: `coreAt(seed)`.
   CoreId coreAt(const Address& address) const;
   /// Where a core machine lives now. Example: `addressOf(view.primary)`; empty if unknown.
@@ -54,6 +60,9 @@
     MonotonicTime advanced;  // when its heartbeat last rose
     bool suspected = false;
   };
+  bool isFront(const MemberRecord& record) const {
+    return record.role == Role::kFront && !record.leaving;
+  }
   Shuffle makeShuffle(bool wantsAnswer);
   void note(const MemberRecord& record, bool direct, MonotonicTime now, Outbox& outbox);
   void age(MonotonicTime now, Outbox& outbox);
--- a/src/core/outbox.h
+++ b/src/core/outbox.h
@@ -1,6 +1,7 @@
 #pragma once
 // Events come to a machine; it answers with commands. Nothing here touches the outside.
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -21,6 +22,10 @@
   Address to;
   Message message;
 };
+struct Broadcast {  // one message to several members, coded once; each copy may be lost
+  std::vector<Address> to;
+  std::shared_ptr<const Message> message;
+};
 struct WriteFile {  // written aside, synced, renamed, folder synced; answered by FileWritten
   TicketId ticket;
   std::string name;
@@ -88,8 +93,8 @@
   std::string text;
 };
 using Command =
-    std::variant<Send, WriteFile, DropOlder, CallWeb, OpenShot, CancelShot, StartAnswer, SendPiece,
-                 EndAnswer, DeclineStream, AnswerWeb, NoteState, ListEngines, AskReport,
+    std::variant<Send, Broadcast, WriteFile, DropOlder, CallWeb, OpenShot, CancelShot, StartAnswer,
+                 SendPiece, EndAnswer, DeclineStream, AnswerWeb, NoteState, ListEngines, AskReport,
                  OrderWeights, PollParts, ListParts, OpenAttempt, CancelAttempt, PauseAttempt,
                  AnswerHead, AnswerBody, AnswerDone, RefuseRequest>;
 
@@ -151,6 +156,12 @@
   void send(const Address& to, T message) {
     if (!to.value.empty()) push(Send{to, Message{std::move(message)}});
   }
+  /// Queues one message to several members. Example: `outbox.broadcast(addresses, EngineUse{});`
+  template <class T>
+  void broadcast(std::vector<Address> to, T message) {
+    if (to.empty()) return;
+    push(Broadcast{std::move(to), std::make_shared<const Message>(std::move(message))});
+  }
   /// Raises a counter. Example: `outbox.count("shots.second");`
   void count(std::string_view name, std::uint64_t by = 1) {
     auto found = counters_.find(name);
--- a/src/engines/lister.cc
+++ b/src/engines/lister.cc
@@ -160,8 +160,7 @@
 }
 
 void Lister::tell(const DiscoveredEnginesUpdate& news, Outbox& outbox) {
-  for (const auto& member : membership_.live())
-    if (member.member != membership_.self().member) outbox.send(member.address, news);
+  outbox.broadcast(membership_.otherMembers(), news);
 }
 
 void Lister::askWhole(const Address& from, Outbox& outbox) {
--- a/src/io/daemon.cc
+++ b/src/io/daemon.cc
@@ -20,6 +20,9 @@
 struct DaemonRunner {
   Daemon& daemon;
   void operator()(const Send& command) const { daemon.hub_->send(command.to, command.message); }
+  void operator()(const Broadcast& command) const {
+    daemon.hub_->broadcast(command.to, *command.message);
+  }
   void operator()(const WriteFile& command) const { daemon.disk_->write(command); }
   void operator()(const DropOlder& command) const { daemon.disk_->dropOlder(command); }
   void operator()(const CallWeb& command) const {
--- a/src/io/member_hub.cc
+++ b/src/io/member_hub.cc
@@ -126,12 +126,8 @@
   }
 }
 
-void MemberHub::send(const Address& to, const Message& message) {
-  if (to == self_) {
-    loop_.soon([this, message] { taker_(self_, message); });
-    return;
-  }
-  if (cut_.contains(to.value)) return;
+// The connection to a member, begun if there is none; null: it can't be reached now.
+bufferevent* MemberHub::connectionTo(const Address& to) {
   auto& outgoing = outgoing_[to];
   if (!outgoing) {
     outgoing = std::make_unique<Outgoing>();
@@ -139,9 +135,9 @@
     outgoing->to = to;
   }
   if (outgoing->connection == nullptr) {
-    if (bootNow() < outgoing->notBefore) return;
+    if (bootNow() < outgoing->notBefore) return nullptr;
     sockaddr_in address{};
-    if (!parseAddress(to.value, address)) return;
+    if (!parseAddress(to.value, address)) return nullptr;
     outgoing->connection = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     static constexpr auto kEvent = [](bufferevent* connection, short what, void* out) {
       auto* one = static_cast<Outgoing*>(out);
@@ -165,20 +161,38 @@
       if (outgoing->connection != nullptr) bufferevent_free(outgoing->connection);
       outgoing->connection = nullptr;
       outgoing->notBefore = bootNow() + kPauseAfterFailure;
-      return;
+      return nullptr;
     }
-    if (outgoing->connection == nullptr) return;  // it failed at once and was told so
   }
-  evbuffer* output = bufferevent_get_output(outgoing->connection);
+  return outgoing->connection;  // null: it failed at once and was told so
+}
+
+void MemberHub::queue(const Address& to, const std::string& frame) {
+  if (cut_.contains(to.value)) return;
+  bufferevent* connection = connectionTo(to);
+  if (connection == nullptr) return;
+  evbuffer* output = bufferevent_get_output(connection);
   if (evbuffer_get_length(output) > kMostWaiting) {
     fault("member too slow");
     return;
   }
   std::string lead = self_.value.substr(0, kAddressField);
   lead.resize(kAddressField, '\0');
-  std::string frame = encodeFrame(mark_, message);
   evbuffer_add(output, lead.data(), lead.size());
   evbuffer_add(output, frame.data(), frame.size());
 }
 
+void MemberHub::send(const Address& to, const Message& message) {
+  if (to == self_) loop_.soon([this, message] { taker_(self_, message); });
+  else if (!cut_.contains(to.value)) queue(to, encodeFrame(mark_, message));
+}
+
+void MemberHub::broadcast(const std::vector<Address>& to, const Message& message) {
+  std::string frame = encodeFrame(mark_, message);
+  for (const auto& address : to) {
+    if (address == self_) loop_.soon([this, message] { taker_(self_, message); });
+    else queue(address, frame);
+  }
+}
+
 }  // namespace peppergate
--- a/src/io/member_hub.h
+++ b/src/io/member_hub.h
@@ -27,6 +27,8 @@
   absl::Status listen();
   /// Sends if there is room; a lost message is the machines' business.
   void send(const Address& to, const Message& message);
+  /// The same to several members; the message is coded once.
+  void broadcast(const std::vector<Address>& to, const Message& message);
   /// Hears and reaches none of these addresses from now on. Example: in a rehearsal.
   void cut(std::set<std::string> addresses) { cut_ = std::move(addresses); }
   /// Frames that were not taken, by fault. Example: `hub.faults().at("other fleet")`.
@@ -36,6 +38,8 @@
   struct Outgoing;
   struct Incoming;
   void takeFrames(Incoming& incoming);
+  bufferevent* connectionTo(const Address& to);
+  void queue(const Address& to, const std::string& frame);
   void close(Incoming& incoming);
   void fault(std::string_view what);
 
--- a/src/model/model_world.cc
+++ b/src/model/model_world.cc
@@ -193,6 +193,10 @@
     item.kind = UnderWay::Kind::kMessage;
     item.message = std::make_shared<const Message>(std::move(send->message));
     enqueue(std::move(item));
+  } else if (auto* broadcast = std::get_if<Broadcast>(&command)) {
+    std::uint64_t place = 0;
+    for (const auto& to : broadcast->to)
+      carryOut(index, Send{to, *broadcast->message}, combine(digest, ++place));
   } else if (auto* write = std::get_if<WriteFile>(&command)) {
     item.kind = UnderWay::Kind::kWrite;
     item.target = index;
--- a/src/prompts/part_watch.cc
+++ b/src/prompts/part_watch.cc
@@ -5,13 +5,14 @@
 #include <set>
 
 #include "core/engine_list.h"
+#include "core/fleet_pace.h"
 
 namespace peppergate {
 namespace {
 
-constexpr Duration kScanEvery = milliseconds(500);   // of the list for engines that came or went
-constexpr Duration kCoalesce = milliseconds(100);    // news waits so long for more
-constexpr Duration kPollPause = milliseconds(100);   // after an answer: more changes in one call
+constexpr Duration kScanEvery = milliseconds(500);  // of the list for engines that came or went
+// News waits so long for more, and so does the next poll after an answer.
+constexpr FleetPace kCoalesce{milliseconds(100), milliseconds(5), milliseconds(500)};
 constexpr Duration kListGap = seconds(10);           // between two dear calls to one engine
 constexpr Duration kAskGap = seconds(3);             // between two questions about one engine
 constexpr Duration kAnswerWait = milliseconds(400);  // for another front's picture, before a poll
@@ -47,6 +48,7 @@
 void PartWatch::assign(const std::vector<std::pair<EngineId, Address>>& keepers, MonotonicTime now,
                        Outbox& outbox) {
   nextScan_ = now + kScanEvery;
+  coalesce_ = kCoalesce.between(membership_.frontCount());
   auto fronts = membership_.liveFronts();
   if (!ring_.isFor(fronts)) ring_ = Ring(fronts);
   MemberId self = membership_.self().member;
@@ -136,7 +138,7 @@
     return true;
   }
   watched.failures = 0;
-  watched.next = now + kPollPause;
+  watched.next = now + coalesce_;
   auto known = index_.known(engine);
   if (known && known->epoch != answer.epoch && watched.since != 0) {
     // It began anew: asked from the start, it tells everything if it has not lost any of it.
@@ -262,16 +264,13 @@
 
 void PartWatch::flush(MonotonicTime now, Outbox& outbox) {
   if (pending_.empty()) return;
-  auto fronts = membership_.liveFronts();
-  for (auto entry = pending_.begin(); entry != pending_.end();) {
-    if (now - entry->second.since < kCoalesce) {
-      ++entry;
-      continue;
-    }
-    for (const auto& front : fronts)
-      if (front.member != membership_.self().member) outbox.send(front.address, entry->second.news);
-    entry = pending_.erase(entry);
-  }
+  bool due = std::ranges::any_of(
+      pending_, [&](const auto& entry) { return now - entry.second.since >= coalesce_; });
+  if (!due) return;
+  // What waits goes out together, so that it is one write to each front.
+  auto fronts = membership_.otherFronts();
+  for (auto& [engine, pending] : std::exchange(pending_, {}))
+    outbox.broadcast(fronts, std::move(pending.news));
 }
 
 }  // namespace peppergate
--- a/src/prompts/part_watch.h
+++ b/src/prompts/part_watch.h
@@ -62,6 +62,7 @@
   PartIndex& index_;
   Ring ring_;
   MonotonicTime nextScan_{};
+  Duration coalesce_ = milliseconds(100);  // by the number of fronts
   std::map<EngineId, Watched> watched_;
   std::map<TicketId, EngineId> open_;
   std::map<EngineId, Pending> pending_;
--- a/src/requests/router_node.cc
+++ b/src/requests/router_node.cc
@@ -1,8 +1,14 @@
 #include "requests/router_node.h"
 
+#include "core/fleet_pace.h"
+
 namespace peppergate {
 namespace {
 
+// Of the use of engines and links. What goes on unchanged is said every second time, and is
+// forgotten by those who hear it after two seconds (`EngineBook`), so twice the longest has to be
+// less.
+constexpr FleetPace kTell{seconds(0.5), milliseconds(10), seconds(0.95)};
 constexpr Duration kNoticed = seconds(3.2);  // from the word to leave until no client is sent here
 
 }  // namespace
@@ -99,17 +105,12 @@
 
 void RouterNode::tellOthers(MonotonicTime now) {
   if (now < nextTell_ || !follower_->installed()) return;
-  nextTell_ = now + seconds(0.5);
-  auto use = book_->use(membership_->self().member);
-  auto troubles = book_->troubles();
+  nextTell_ = now + kTell.between(membership_->frontCount());
+  auto fronts = membership_->otherFronts();
+  if (auto use = book_->use(membership_->self().member)) outbox_.broadcast(fronts, std::move(*use));
   UsageNotification note = placement_->note(membership_->self().member, now);
-  bool tellsLinks = !note.links.empty() || !note.mixes.empty();
-  for (const auto& front : membership_->liveFronts()) {
-    if (front.member == membership_->self().member) continue;
-    if (use) outbox_.send(front.address, *use);
-    if (tellsLinks) outbox_.send(front.address, note);
-    for (const auto& trouble : troubles) outbox_.send(front.address, trouble);
-  }
+  if (!note.links.empty() || !note.mixes.empty()) outbox_.broadcast(fronts, std::move(note));
+  for (auto& trouble : book_->troubles()) outbox_.broadcast(fronts, std::move(trouble));
 }
 
 void RouterNode::arrived(const Arrived& event, MonotonicTime now) {
--- a/src/sim/hollow_fleet.cc
+++ b/src/sim/hollow_fleet.cc
@@ -170,6 +170,7 @@
   HollowFleet& fleet;
   std::size_t index;
   void operator()(const Send& command) const { fleet.send(index, command); }
+  void operator()(const Broadcast& command) const { fleet.broadcast(index, command); }
   void operator()(const WriteFile& command) const { fleet.write(index, command); }
   void operator()(const DropOlder& command) const { fleet.drop(index, command); }
   void operator()(const CallWeb& command) const { fleet.callWeb(index, command); }
@@ -212,13 +213,27 @@
     push(Duration{1}, from, Arrived{member.address, command.message});
     return;
   }
-  std::size_t kind = command.message.index();
+  transmit(from, command.to, command.message.index(), encoded(from, command.message));
+}
+
+void HollowFleet::broadcast(std::size_t from, const Broadcast& command) {
+  std::string frame = encoded(from, *command.message);
+  for (const auto& to : command.to) transmit(from, to, command.message->index(), frame);
+}
+
+std::string HollowFleet::encoded(std::size_t from, const Message& message) {
   double before = threadMicros();
-  std::string frame = encodeFrame(1, command.message);
-  member.cost.sending[kind] += spent(before);
+  std::string frame = encodeFrame(1, message);
+  members_[from]->cost.sending[message.index()] += spent(before);
+  return frame;
+}
+
+void HollowFleet::transmit(std::size_t from, const Address& receiver, std::size_t kind,
+                           std::string frame) {
+  HollowMember& member = *members_[from];
   ++member.cost.messages[kind];
   member.cost.bytes[kind] += frame.size() + kAddressField;
-  auto to = byAddress_.find(command.to);
+  auto to = byAddress_.find(receiver);
   if (to == byAddress_.end()) return;
   const HollowMember& target = *members_[to->second];
   if (!hears(member, target)) return;
--- a/src/sim/hollow_fleet.h
+++ b/src/sim/hollow_fleet.h
@@ -124,6 +124,9 @@
   void deliver(std::size_t index, const Event& event, double& cost);
   void take(const Item& item);
   void send(std::size_t from, const Send& command);
+  void broadcast(std::size_t from, const Broadcast& command);
+  std::string encoded(std::size_t from, const Message& message);
+  void transmit(std::size_t from, const Address& receiver, std::size_t kind, std::string frame);
   void write(std::size_t index, const WriteFile& command);
   void drop(std::size_t index, const DropOlder& command);
   void callWeb(std::size_t index, const CallWeb& command);
--- a/src/sim/router_commands.cc
+++ b/src/sim/router_commands.cc
@@ -18,6 +18,7 @@
   RouterWorld& world;
   RouterProcess& process;
   void operator()(const Send& command) const { world.send(process, command); }
+  void operator()(const Broadcast& command) const { world.broadcast(process, command); }
   void operator()(const WriteFile& command) const { world.write(process, command); }
   void operator()(const DropOlder& command) const { world.dropOlder(process, command); }
   void operator()(const ListEngines& command) const { world.listEngines(process, command); }
--- a/src/sim/sim_cluster.cc
+++ b/src/sim/sim_cluster.cc
@@ -237,26 +237,42 @@
   SimProcess* receiver;
   std::uint64_t receiverLife;
   std::uint64_t connection;
-  std::string bytes;
+  std::shared_ptr<const std::string> bytes;
 };
 
-void SimCluster::send(SimProcess& from, const Send& command) {
+void SimCluster::sendToSelf(SimProcess& process, const Message& message) {
   ++messages_;
-  if (command.to == from.address) {
-    after(kToItself, [this, &from, life = from.life, message = command.message] {
-      if (from.life == life) deliver(from, Arrived{from.address, message});
-    });
-    return;
-  }
+  after(kToItself, [this, &process, life = process.life, message] {
+    if (process.life == life) deliver(process, Arrived{process.address, message});
+  });
+}
+
+void SimCluster::send(SimProcess& from, const Send& command) {
+  if (command.to == from.address) return sendToSelf(from, command.message);
   // Every message goes through its wire form, as between real processes.
-  auto frame = std::make_shared<Frame>();
-  frame->bytes = encodeFrame(kFleetMark, command.message);
-  countBytes(frame->bytes.size());
-  SimProcess* to = processAt(command.to);
+  transmit(from, command.to,
+           std::make_shared<const std::string>(encodeFrame(kFleetMark, command.message)));
+}
+
+void SimCluster::broadcast(SimProcess& from, const Broadcast& command) {
+  auto bytes = std::make_shared<const std::string>(encodeFrame(kFleetMark, *command.message));
+  for (const auto& to : command.to) {
+    if (to == from.address) sendToSelf(from, *command.message);
+    else transmit(from, to, bytes);
+  }
+}
+
+void SimCluster::transmit(SimProcess& from, const Address& receiver,
+                          const std::shared_ptr<const std::string>& bytes) {
+  ++messages_;
+  countBytes(bytes->size());
+  SimProcess* to = processAt(receiver);
   if (to == nullptr || !reachable(from.host, to->host)) return;
   if (network_.waitsToReconnect(from.host, to->host, now())) return;
   std::optional<Duration> delay = network_.transit();
   if (!delay) return;
+  auto frame = std::make_shared<Frame>();
+  frame->bytes = bytes;
   frame->from = from.host;
   frame->to = to->host;
   frame->sender = from.address;
@@ -275,7 +291,7 @@
     return;
   }
   if (!reachable(frame->from, frame->to)) return;
-  std::span<const char> bytes(frame->bytes);
+  std::span<const char> bytes(*frame->bytes);
   FrameHead head = readFrameHead(kFleetMark, bytes);
   std::span<const char> body = bytes.subspan(kFrameHeadSize);
   auto message = decodeBody(head.kind, body);
--- a/src/sim/sim_cluster.h
+++ b/src/sim/sim_cluster.h
@@ -105,6 +105,7 @@
   /// Prints what a process notes, where PEPPERGATE_SIM_LOG is set.
   void noteState(const SimProcess& process, const NoteState& command) const;
   void send(SimProcess& from, const Send& command);
+  void broadcast(SimProcess& from, const Broadcast& command);
   void write(SimProcess& process, const WriteFile& command) { process.diskTask->write(command); }
   void dropOlder(SimProcess& process, const DropOlder& command) {
     process.diskTask->dropOlder(command);
@@ -119,6 +120,9 @@
  private:
   struct Frame;
   DiskFound load(SimProcess& process, const Bootstrap& bootstrap);
+  void sendToSelf(SimProcess& process, const Message& message);
+  void transmit(SimProcess& from, const Address& receiver,
+                const std::shared_ptr<const std::string>& bytes);
   void arrive(const std::shared_ptr<Frame>& frame);
   void countBytes(std::size_t bytes);
   void handle(SimProcess& process, const Event& event);
--- a/src/sim/world_commands.cc
+++ b/src/sim/world_commands.cc
@@ -12,6 +12,7 @@
   World& world;
   SimProcess& process;
   void operator()(const Send& command) const { world.send(process, command); }
+  void operator()(const Broadcast& command) const { world.broadcast(process, command); }
   void operator()(const WriteFile& command) const { world.write(process, command); }
   void operator()(const DropOlder& command) const { world.dropOlder(process, command); }
   void operator()(const CallWeb& command) const { world.callWeb(process, command); }
--- a/tests/config_machines.h
+++ b/tests/config_machines.h
@@ -101,6 +101,11 @@
       for (int index = 0; index <= kFront; ++index)
         if (machineAddress(index) == send->to)
           queue_.push_back({index, Arrived{machineAddress(from), std::move(send->message)}});
+    } else if (auto* broadcast = std::get_if<Broadcast>(&command)) {
+      for (const auto& to : broadcast->to) {
+        Command one = Send{to, *broadcast->message};
+        carryOut(from, one);
+      }
     } else if (auto* write = std::get_if<WriteFile>(&command)) {
       FileWritten written{write->ticket, true};
       if (holding_.contains(from)) held_[from].push_back(written);
--- a/tests/engines_lister_test.cc
+++ b/tests/engines_lister_test.cc
@@ -125,6 +125,8 @@
         for (const auto& command : daemon.outbox.take()) {
           if (auto* list = std::get_if<ListEngines>(&command)) call(index, *list);
           if (auto* one = std::get_if<Send>(&command)) send(index, *one);
+          if (auto* all = std::get_if<Broadcast>(&command))
+            for (const auto& to : all->to) send(index, Send{to, *all->message});
         }
       }
       now = now + milliseconds(10);
--- a/tests/testing.h
+++ b/tests/testing.h
@@ -19,11 +19,22 @@
   return found;
 }
 
+/// All messages with their receivers, those of broadcasts one by one.
+inline std::vector<Send> sends(const std::vector<Command>& commands) {
+  std::vector<Send> found;
+  for (const auto& command : commands) {
+    if (auto* one = std::get_if<Send>(&command)) found.push_back(*one);
+    if (auto* all = std::get_if<Broadcast>(&command))
+      for (const auto& to : all->to) found.push_back({to, *all->message});
+  }
+  return found;
+}
+
 /// The messages of one kind among sends. Example: `messages<PrepareReply>(outbox.take())`.
 template <class T>
 std::vector<T> messages(const std::vector<Command>& commands) {
   std::vector<T> found;
-  for (const auto& send : taken<Send>(commands))
+  for (const auto& send : sends(commands))
     if (auto* one = std::get_if<T>(&send.message)) found.push_back(*one);
   return found;
 }
