--- a/src/core/core_node.cc
+++ b/src/core/core_node.cc
@@ -340,10 +340,8 @@
   if (news.now.keys > told_.keys) news.keys = state.keysText();
   if (news.now.weights > told_.weights) news.weights = state.weightsText();
   told_ = news.now;
-  std::vector<Address> fronts;
-  for (const auto& front : membership_->liveFronts())
-    if (!requesters_.contains(front.member)) fronts.push_back(front.address);
-  outbox_.broadcast(std::move(fronts), std::move(news));
+  auto quiet = [this](MemberId front) { return !requesters_.contains(front); };
+  outbox_.broadcast(membership_->otherFronts(quiet), std::move(news));
 }
 
 void CoreNode::grantEngines(const Address& from, const EngineLeaseRequest& ask, MonotonicTime now) {
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -155,10 +155,10 @@
   return records;
 }
 
-std::vector<Address> Membership::otherFronts() const {
+std::vector<Address> Membership::otherFronts(const std::function<bool(MemberId)>& wanted) const {
   std::vector<Address> addresses;
   for (const auto& [id, known] : known_)
-    if (isFront(known.record)) addresses.push_back(known.record.address);
+    if (isFront(known.record) && (!wanted || wanted(id))) addresses.push_back(known.record.address);
   return addresses;
 }
 
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -34,8 +34,9 @@
   std::vector<MemberRecord> liveFronts() const;
   /// The live core machines, self among them if one. Example: those that may keep a copy.
   std::vector<MemberRecord> liveCores() const;
-  /// Where the live fronts that stay are, without self. Example: for what every front is told.
-  std::vector<Address> otherFronts() const;
+  /// Where the live fronts that stay are, without self; all, or those that a test lets pass.
+  /// Example: for what every front is told.
+  std::vector<Address> otherFronts(const std::function<bool(MemberId)>& wanted = nullptr) const;
   /// Where all live members are, without self.
   std::vector<Address> otherMembers() const;
   /// How many live fronts there are that stay, self among them if a front.
--- a/src/io/daemon.cc
+++ b/src/io/daemon.cc
@@ -13,6 +13,8 @@
 constexpr std::size_t kSlowCaller = 256 << 10;
 constexpr std::size_t kCallerTookEnough = 64 << 10;
 constexpr std::size_t kLargestPage = 8 << 20;  // a whole configuration in one body
+constexpr Duration kLateLoop = milliseconds(100), kVeryLateLoop = milliseconds(500);
+constexpr Duration kLagNotedEvery = seconds(1);
 
 }  // namespace
 
@@ -244,6 +246,19 @@
   endpoints_->listener().limits(follower.setup().fleet.limits);
 }
 
+// What waits to be read by a loop that is behind can't be told apart from what came late. So the
+// log says so at once, and the counters say how often.
+void Daemon::noteLoopLag(MonotonicTime now) {
+  Duration late = loopLag_.tick(now);
+  if (late < kLateLoop) return;
+  node_->outbox().count("loop.late");
+  if (late < kVeryLateLoop) return;
+  node_->outbox().count("loop.veryLate");
+  if (lagNotedAt_ != kNever && now - lagNotedAt_ < kLagNotedEvery) return;
+  lagNotedAt_ = now;
+  LOG(WARNING) << "the loop is " << inMilliseconds(late) << " ms behind";
+}
+
 void Daemon::rehearse(std::shared_ptr<WebRequest> request) {
   Json body = Json::parse(request->body, nullptr, false);
   if (!setup_.rehearsal || !body.is_object()) {
@@ -288,7 +303,8 @@
 int Daemon::run(std::function<absl::StatusOr<Options>()> reread) {
   LOG(INFO) << (role_ == Role::kCore ? "core" : "front") << " at " << setup_.member.value
             << ", pages at " << setup_.pages.value;
-  loop_.every(milliseconds(50), [this] {
+  loop_.every(kTickEvery, [this] {
+    noteLoopLag(bootNow());
     step(Ticked{});
     noteConfig();
     watchSlowCallers();
--- a/src/io/daemon.h
+++ b/src/io/daemon.h
@@ -10,6 +10,7 @@
 #include "core/core_node.h"
 #include "io/dialect_endpoints.h"
 #include "io/disk_task.h"
+#include "io/loop_lag.h"
 #include "io/member_hub.h"
 #include "io/web_client.h"
 #include "io/web_server.h"
@@ -48,6 +49,7 @@
 
  private:
   friend struct DaemonRunner;
+  static constexpr Duration kTickEvery = milliseconds(50);
   struct Answering {
     std::shared_ptr<WebRequest> request;
     bool unary = false;
@@ -69,6 +71,7 @@
   void leaveWhenDone();
   bool answerReady(const std::shared_ptr<WebRequest>& request);
   void noteConfig();
+  void noteLoopLag(MonotonicTime now);
 
   Role role_;
   DaemonSetup setup_;
@@ -84,6 +87,8 @@
   std::map<StreamId, Answering> answering_;
   std::map<TicketId, std::shared_ptr<WebRequest>> operators_;
   std::uint64_t lastStream_ = 0, lastTicket_ = std::uint64_t{1} << 40;
+  LoopLag loopLag_{kTickEvery};
+  MonotonicTime lagNotedAt_ = kNever;
   bool stepping_ = false;
 };
 
--- a/tests/client_departure_test.cc
+++ b/tests/client_departure_test.cc
@@ -20,16 +20,21 @@
   kConnecting,     // its connection to an engine is coming up
   kAtEngine,       // sent, without an answer
   kDeclined,       // the engine's refusal and the FIN come in one turn of the loop
+  kBroken,         // its engine's reset and the FIN come in one turn of the loop
+  kStreaming,      // its client has the first events, and its engine says nothing for now
   kReadingPaused,  // sent; so much is pipelined behind it that the router reads no further
 };
 struct StageRow {
   Stage stage;
   std::string_view name;
 };
-constexpr std::array kStages{
-    StageRow{Stage::kUnread, "unread"}, StageRow{Stage::kConnecting, "connecting"},
-    StageRow{Stage::kAtEngine, "at the engine"}, StageRow{Stage::kDeclined, "declined"},
-    StageRow{Stage::kReadingPaused, "reading paused"}};
+constexpr std::array kStages{StageRow{Stage::kUnread, "unread"},
+                             StageRow{Stage::kConnecting, "connecting"},
+                             StageRow{Stage::kAtEngine, "at the engine"},
+                             StageRow{Stage::kDeclined, "declined"},
+                             StageRow{Stage::kBroken, "broken off"},
+                             StageRow{Stage::kStreaming, "under way"},
+                             StageRow{Stage::kReadingPaused, "reading paused"}};
 
 }  // namespace
 
@@ -77,11 +82,17 @@
       client->send(asked.text() + std::string(80U << 10, 'x'));
       path.loop.turn();
     }
+    if (stage == Stage::kStreaming) {
+      std::string answer = answerFor(asked, request.engine, Framing::kChunked);
+      request.peer->send(std::string_view(answer).substr(0, answer.size() - 10));
+      check(path.loop.until([&] { return client->has("200 OK"); }), "no first events");
+    }
     client->leave(false);
     if (stage == Stage::kDeclined) request.peer->send(declineFor(asked));
+    if (stage == Stage::kBroken) request.peer->leave(true);
     path.loop.turn();
     check(sentAnywhere(path, asked) == 1, "a request was sent on after its client had left");
-    if (stage == Stage::kDeclined) return;  // that engine has answered
+    if (stage == Stage::kDeclined || stage == Stage::kBroken) return;  // it works no more
     check(request.peer->ended || request.peer->failed, "an engine works on for a client that left");
   }
 };
--- /dev/null
+++ b/tests/loop_lag_test.cc
@@ -0,0 +1,36 @@
+#include "io/loop_lag.h"
+
+#include "core/fleet_pace.h"
+#include "tests/testing.h"
+
+using namespace peppergate;
+
+TEST_GROUP(LoopLags){};
+
+TEST(LoopLags, ATickThatComesInTimeIsNotLate) {
+  LoopLag lag(milliseconds(50));
+  LONGS_EQUAL(0, lag.tick(at(10)).microseconds);
+  LONGS_EQUAL(0, lag.tick(at(10.05)).microseconds);
+  LONGS_EQUAL(0, lag.tick(at(10.09)).microseconds);
+}
+
+TEST(LoopLags, ALateTickTellsByHowMuch) {
+  LoopLag lag(milliseconds(50));
+  lag.tick(at(10));
+  LONGS_EQUAL(1'200'000, lag.tick(at(11.25)).microseconds);
+  LONGS_EQUAL(0, lag.tick(at(11.3)).microseconds);
+}
+
+TEST_GROUP(FleetPaces){};
+
+TEST(FleetPaces, WhatOneMemberTakesInIsBoundedBetweenTheTwoEnds) {
+  constexpr FleetPace kPace{milliseconds(100), milliseconds(5), milliseconds(500)};
+  auto takenInASecond = [&](std::size_t members) {
+    return static_cast<double>(members) / inSeconds(kPace.between(members));
+  };
+  LONGS_EQUAL(100'000, kPace.between(9).microseconds);
+  LONGS_EQUAL(405'000, kPace.between(81).microseconds);
+  LONGS_EQUAL(500'000, kPace.between(340).microseconds);
+  DOUBLES_EQUAL(takenInASecond(20), takenInASecond(80), 1e-6);
+  CHECK(takenInASecond(9) < takenInASecond(20));
+}
