News between zones goes through one router of each other zone, which passes it on

Cause: each router told all 88 others of its use, of its moves and of kept parts by itself. Change: EngineUse, UsageNotification and PrefixBlockUpdate go to the routers of the own zone and to one router of each other zone, which passes them on within its zone. Zones with under four routers are told directly. Use and moves take another relay each round, numbered changes of parts one relay. EngineTrouble stays direct: whoever hears it counts by sender.

--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -329,7 +329,9 @@
   MemberId front;
   std::vector<LinkUsage> links;
   std::vector<StreamMix> mixes;
-  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(front) PEPPERGATE_FIELD(links) PEPPERGATE_FIELD(mixes))
+  bool relay = false;  // the receiver passes it on to its zone
+  PEPPERGATE_FIELDS(PEPPERGATE_FIELD(front) PEPPERGATE_FIELD(links) PEPPERGATE_FIELD(mixes)
+                        PEPPERGATE_FIELD(relay))
 };
 
 /// What changed in the kept parts of one engine, by its watcher's word; whole: all that it keeps.
@@ -341,9 +343,11 @@
   bool whole = false;
   std::vector<std::string> salts, parts;  // of the same length, as are all below
   std::vector<std::int64_t> tokens;       // kept now; 0: dropped
+  bool relay = false;                     // the receiver passes it on to its zone
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(engine) PEPPERGATE_FIELD(epoch) PEPPERGATE_FIELD(from)
                         PEPPERGATE_FIELD(next) PEPPERGATE_FIELD(whole) PEPPERGATE_FIELD(salts)
-                            PEPPERGATE_FIELD(parts) PEPPERGATE_FIELD(tokens))
+                            PEPPERGATE_FIELD(parts) PEPPERGATE_FIELD(tokens)
+                                PEPPERGATE_FIELD(relay))
 };
 
 /// The engine list as its lister has it, to every front; also as proof that it is still this one.
@@ -374,8 +378,9 @@
   MemberId front;
   std::vector<EngineId> engines;
   std::vector<std::int64_t> running, prefillTokens;
+  bool relay = false;  // the receiver passes it on to its zone
   PEPPERGATE_FIELDS(PEPPERGATE_FIELD(front) PEPPERGATE_FIELD(engines) PEPPERGATE_FIELD(running)
-                        PEPPERGATE_FIELD(prefillTokens))
+                        PEPPERGATE_FIELD(prefillTokens) PEPPERGATE_FIELD(relay))
 };
 
 /// A front that lacks changes asks another for all that it knows of an engine.
--- a/src/core/spread_broadcast.cc
+++ b/src/core/spread_broadcast.cc
@@ -7,6 +7,12 @@
 
 constexpr std::size_t kPortion = 8;  // receivers that may always be told at once
 
+void markForRelay(Message& message) {
+  if (auto* use = std::get_if<EngineUse>(&message)) use->relay = true;
+  else if (auto* usage = std::get_if<UsageNotification>(&message)) usage->relay = true;
+  else if (auto* news = std::get_if<PrefixBlockUpdate>(&message)) news->relay = true;
+}
+
 }  // namespace
 
 void SpreadBroadcast::begin(std::vector<Address> receivers, std::vector<Message> messages,
@@ -18,6 +24,14 @@
   rounds_.push_back(std::move(round));
 }
 
+void SpreadBroadcast::begin(RelayTargets targets, std::vector<Message> messages, Duration span,
+                            MonotonicTime now) {
+  std::vector<Message> marked = messages;
+  for (auto& message : marked) markForRelay(message);
+  begin(std::move(targets.relays), std::move(marked), span, now);
+  begin(std::move(targets.direct), std::move(messages), span, now);
+}
+
 std::size_t SpreadBroadcast::due(const Round& round, MonotonicTime now) {
   double share = round.span > Duration{} ? inSeconds(now - round.began) / inSeconds(round.span) : 1;
   auto receivers = static_cast<double>(round.receivers.size());
--- /dev/null
+++ b/src/core/zone_relay.cc
@@ -0,0 +1,39 @@
+#include "core/zone_relay.h"
+
+#include <map>
+
+#include "core/random.h"
+
+namespace peppergate {
+namespace {
+
+constexpr std::size_t kFewestForRelay = 4;  // routers of a zone; fewer are told directly
+
+}  // namespace
+
+RelayTargets relayTargets(std::span<const MemberRecord> routers, const MemberRecord& self,
+                          std::uint64_t turn) {
+  std::map<Zone, std::vector<const MemberRecord*>> zones;
+  for (const auto& router : routers)
+    if (router.member != self.member) zones[router.zone].push_back(&router);
+  RelayTargets targets;
+  for (const auto& [zone, members] : zones) {
+    if (zone != self.zone && members.size() >= kFewestForRelay) {
+      // Each sender begins at another place, so that a zone's routers share the forwarding.
+      std::size_t place = (Random(self.member.value).next() + turn) % members.size();
+      targets.relays.push_back(members[place]->address);
+      continue;
+    }
+    for (const MemberRecord* member : members) targets.direct.push_back(member->address);
+  }
+  return targets;
+}
+
+std::vector<Address> zonePeers(std::span<const MemberRecord> routers, const MemberRecord& self) {
+  std::vector<Address> peers;
+  for (const auto& router : routers)
+    if (router.zone == self.zone && router.member != self.member) peers.push_back(router.address);
+  return peers;
+}
+
+}  // namespace peppergate
--- a/src/prompts/part_watch.cc
+++ b/src/prompts/part_watch.cc
@@ -18,6 +18,8 @@
 constexpr Duration kAskGap = seconds(3);             // between two questions about one engine
 constexpr Duration kAnswerWait = milliseconds(400);  // for another front's picture, before a poll
 constexpr Duration kFirstWait = milliseconds(500), kLongestWait = seconds(2);
+// Changes are numbered, so all of them take the same way; a dead relay's zone asks for what it lacks.
+constexpr std::uint64_t kOneRelay = 0;
 constexpr int kStoreFailures = 2;  // then nothing is collected from the store any more
 
 }  // namespace
@@ -221,6 +223,7 @@
 
 void PartWatch::hear(const Address& from, const PrefixBlockUpdate& news, MonotonicTime now,
                      Outbox& outbox) {
+  if (news.relay) passOn(news, outbox);
   bool complete = index_.hear(news);
   auto found = watched_.find(news.engine);
   if (found != watched_.end()) {
@@ -246,6 +249,12 @@
   outbox.send(from, index_.whole(ask.engine));
 }
 
+void PartWatch::passOn(PrefixBlockUpdate news, Outbox& outbox) {
+  news.relay = false;
+  outbox.count("parts.relayed");
+  outbox.broadcast(zonePeers(membership_.liveFronts(), membership_.self()), std::move(news));
+}
+
 void PartWatch::tell(PrefixBlockUpdate news, MonotonicTime now) {
   auto [found, fresh] = pending_.try_emplace(news.engine, Pending{now, {}});
   Pending& pending = found->second;
@@ -273,7 +282,9 @@
   std::vector<Message> messages;
   for (auto& [engine, pending] : std::exchange(pending_, {}))
     messages.emplace_back(std::move(pending.news));
-  told_.begin(membership_.otherFronts(), std::move(messages), coalesce_ * kToldWithin, now);
+  auto routers = membership_.liveFronts();
+  told_.begin(relayTargets(routers, membership_.self(), kOneRelay), std::move(messages),
+              coalesce_ * kToldWithin, now);
   told_.tick(now, outbox);
 }
 
--- a/src/prompts/part_watch.h
+++ b/src/prompts/part_watch.h
@@ -56,6 +56,8 @@
   void ask(const Address& whom, const EngineId& engine, MonotonicTime now, Outbox& outbox);
   void tell(PrefixBlockUpdate news, MonotonicTime now);
   void flush(MonotonicTime now, Outbox& outbox);
+  /// Tells the routers of this zone what one of another zone told. Example: for a marked update.
+  void passOn(PrefixBlockUpdate news, Outbox& outbox);
   static PrefixBlockUpdate newsOf(const EngineId& engine, const std::vector<PartChange>& changes);
 
   Options options_;
--- a/src/requests/router_node.cc
+++ b/src/requests/router_node.cc
@@ -118,11 +118,24 @@
   if (auto use = book_->use(membership_->self().member)) messages.emplace_back(std::move(*use));
   UsageNotification note = placement_->note(membership_->self().member, now);
   if (!note.links.empty() || !note.mixes.empty()) messages.emplace_back(std::move(note));
-  for (auto& trouble : book_->troubles()) messages.emplace_back(std::move(trouble));
-  told_.begin(membership_->otherFronts(), std::move(messages), interval * kToldWithin, now);
+  auto routers = membership_->liveFronts();
+  told_.begin(relayTargets(routers, membership_->self(), ++relayTurn_), std::move(messages),
+              interval * kToldWithin, now);
+  // Whoever hears of trouble counts how many routers saw it, by where the word comes from.
+  std::vector<Message> troubles;
+  for (auto& trouble : book_->troubles()) troubles.emplace_back(std::move(trouble));
+  told_.begin(membership_->otherFronts(), std::move(troubles), interval * kToldWithin, now);
   told_.tick(now, outbox_);
 }
 
+/// Tells the routers of this zone what one of another zone told.
+template <class Note>
+void RouterNode::passOn(Note note) {
+  note.relay = false;
+  outbox_.count("notes.relayed");
+  outbox_.broadcast(zonePeers(membership_->liveFronts(), membership_->self()), std::move(note));
+}
+
 void RouterNode::arrived(const Arrived& event, MonotonicTime now) {
   const Address& from = event.from;
   const Message& message = event.message;
@@ -146,10 +159,12 @@
   } else if (auto* partAsk = std::get_if<PrefixBlockRequest>(&message)) {
     watch_->hear(from, *partAsk, now, outbox_);
   } else if (auto* use = std::get_if<EngineUse>(&message)) {
+    if (use->relay) passOn(*use);
     book_->hear(*use, now);
   } else if (auto* trouble = std::get_if<EngineTrouble>(&message)) {
     book_->hear(from, *trouble, now);
   } else if (auto* usage = std::get_if<UsageNotification>(&message)) {
+    if (usage->relay) passOn(*usage);
     placement_->hear(*usage, now);
   } else if (std::holds_alternative<ReadLeaderNotification>(message)) {
     follower_->noteReadOnlyLeader(from, now, outbox_);
--- a/src/requests/router_node.h
+++ b/src/requests/router_node.h
@@ -46,6 +46,8 @@
   void takeChanges(MonotonicTime now);
   void tellOthers(MonotonicTime now);
   void noteCoreTrouble(MonotonicTime now);
+  template <class Note>
+  void passOn(Note note);
   void operatorAsked(const OperatorRequest& asked, MonotonicTime now);
 
   Options options_;
@@ -67,6 +69,7 @@
   CoreLives coreLives_;
   ListVersion bookVersion_;
   MonotonicTime nextTell_{}, drainSince_ = kForever;
+  std::uint64_t relayTurn_ = 0;
   SpreadBroadcast told_;  // what all other routers are told of this one's use
 };
 
