--- a/src/engines/engine_book.cc
+++ b/src/engines/engine_book.cc
@@ -2,6 +2,7 @@
 #include "engines/engine_book.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace peppergate {
 namespace {
@@ -10,6 +11,7 @@
 constexpr Duration kNotedLasts = seconds(2);
 constexpr Duration kOtherSettles = seconds(1);  // a list this young may still hold the old engine
 constexpr double kSmoothing = 0.2;
+constexpr double kShortestDrainMs = 50;  // within which what others noted is taken to be read
 
 void smooth(double& mean, double value) {
   mean = mean == 0 ? value : mean + kSmoothing * (value - mean);
@@ -40,10 +42,10 @@
   byService_.clear();
   for (auto& [id, state] : engines_) byService_[state.listed.service].engines.push_back(&state);
   for (auto& [id, state] : engines_) {
-    state.othersRunning = state.othersPrefillTokens = 0;
+    state.noted.clear();
     state.lastResortUntil = kNever;
   }
-  for (const auto& [front, noted] : noted_) addNoted(noted.use, 1);
+  for (const auto& [front, noted] : noted_) addNoted(noted.use, noted.heard);
   loading(loading_, now);
 }
 
@@ -72,8 +74,12 @@
   return found == engines_.end() ? nullptr : &found->second;
 }
 
-double EngineBook::queueTokens(const EngineState& engine) const {
-  auto noted = static_cast<double>(engine.ownPrefillTokens + engine.othersPrefillTokens);
+double EngineBook::queueTokens(const EngineState& engine, MonotonicTime now) const {
+  auto noted = static_cast<double>(engine.ownPrefillTokens);
+  double drainMs = std::max(kShortestDrainMs, firstEventMean_);
+  for (const auto& [front, use] : engine.noted)
+    noted += static_cast<double>(use.prefillTokens) *
+             std::exp(-inSeconds(now - use.heard) * 1e3 / drainMs);
   if (!engine.told) return noted;
   // Its waiting requests are of a middling size as far as this front knows. It can't be less than
   // what this front itself sent there without a first event.
@@ -83,7 +89,8 @@
 }
 
 double EngineBook::running(const EngineState& engine, MonotonicTime now) const {
-  auto noted = static_cast<double>(engine.ownRunning + engine.othersRunning);
+  auto noted = static_cast<double>(engine.ownRunning);
+  for (const auto& [front, use] : engine.noted) noted += static_cast<double>(use.running);
   if (!engine.told) return noted;
   double weight = 1 - inSeconds(now - engine.toldAt) / inSeconds(kToldLasts);
   if (weight <= 0) return noted;
@@ -98,6 +105,7 @@
   lower(state->ownPrefillTokens, prefillTokens);
   lower(state->tokensSinceTold, prefillTokens);
   smooth(state->firstEventMs, inSeconds(took) * 1e3);
+  if (prefillTokens > 0) smooth(firstEventMean_, inSeconds(took) * 1e3);
   state->trial = false;  // strikes stay until a whole answer
 }
 
@@ -135,28 +143,30 @@
     state->closesInARow = leaving ? state->closesInARow + 1 : 0;
 }
 
-void EngineBook::addNoted(const EngineUse& use, std::int64_t sign) {
+void EngineBook::addNoted(const EngineUse& use, MonotonicTime heard) {
   std::size_t count = std::min({use.engines.size(), use.running.size(), use.prefillTokens.size()});
-  for (std::size_t index = 0; index < count; ++index) {
-    EngineState* state = find(use.engines[index]);
-    if (!state) continue;
-    lower(state->othersRunning, -sign * use.running[index]);
-    lower(state->othersPrefillTokens, -sign * use.prefillTokens[index]);
-  }
+  for (std::size_t index = 0; index < count; ++index)
+    if (EngineState* state = find(use.engines[index]))
+      state->noted[use.front] = {use.running[index], use.prefillTokens[index], heard};
+}
+
+void EngineBook::removeNoted(const EngineUse& use) {
+  for (const auto& engine : use.engines)
+    if (EngineState* state = find(engine)) state->noted.erase(use.front);
 }
 
 void EngineBook::hear(const EngineUse& use, MonotonicTime now) {
   auto [entry, added] = noted_.try_emplace(use.front);
-  if (!added) addNoted(entry->second.use, -1);
+  if (!added) removeNoted(entry->second.use);
   entry->second = {now, use};
-  addNoted(use, 1);
+  addNoted(use, now);
 }
 
 void EngineBook::tick(MonotonicTime now) {
   now_ = now;
   std::erase_if(noted_, [&](const auto& entry) {
     if (now - entry.second.heard <= kNotedLasts) return false;
-    addNoted(entry.second.use, -1);
+    removeNoted(entry.second.use);
     return true;
   });
 }
--- a/src/engines/engine_book.h
+++ b/src/engines/engine_book.h
@@ -13,14 +13,19 @@
 
 namespace peppergate {
 
+/// What another front noted of its own requests at one engine.
+struct NotedUse {
+  std::int64_t running = 0, prefillTokens = 0;
+  MonotonicTime heard;
+};
+
 /// One engine as this front sees it now.
 struct EngineState {
   Engine listed;
   MonotonicTime warmUntil = kNever;   // it is slow from its start until then
   std::int64_t ownRunning = 0;        // requests of this front under way there
   std::int64_t ownPrefillTokens = 0;  // of those without a first event, tokens to be read
-  std::int64_t othersRunning = 0;     // as other fronts noted
-  std::int64_t othersPrefillTokens = 0;
+  std::map<MemberId, NotedUse> noted;  // by other fronts
   std::optional<EngineLoad> told;  // by its newest answer
   MonotonicTime toldAt = kNever;
   std::int64_t sentSinceTold = 0, endedSinceTold = 0, tokensSinceTold = 0;
@@ -82,8 +87,9 @@
   void confirmed(MonotonicTime when);
   std::size_t size() const { return engines_.size(); }
 
-  /// Tokens that wait to be read there, as far as known. Example: `queueTokens(*engine) / speed`.
-  double queueTokens(const EngineState& engine) const;
+  /// Tokens that wait to be read there, as far as known. What others noted is taken to be read on
+  /// since then, as fast as first events come. Example: `queueTokens(*engine, now) / speed`.
+  double queueTokens(const EngineState& engine, MonotonicTime now) const;
   /// Requests there, running or waiting: what it told, aged by what went on since, weighed
   /// against what fronts noted. Example: `running(*engine, now) < engine->listed.slots`.
   double running(const EngineState& engine, MonotonicTime now) const;
@@ -123,7 +129,8 @@
   void rest(EngineState& engine, Duration& length, Duration first, MonotonicTime now);
   void chooseLastResort(Service& service, MonotonicTime now);
   void chooseLastResort(const EngineState& engine, MonotonicTime now);
-  void addNoted(const EngineUse& use, std::int64_t sign);
+  void addNoted(const EngineUse& use, MonotonicTime heard);
+  void removeNoted(const EngineUse& use);
 
   Options options_;
   ListVersion version_;
@@ -141,6 +148,7 @@
   bool repeatUse_ = false;
   MonotonicTime now_ = kNever;  // of the last tick
   double prefillMean_ = 1000;   // tokens of one attempt, smoothed
+  double firstEventMean_ = 0;   // milliseconds to the first event of an attempt, smoothed
 };
 
 }  // namespace peppergate
--- a/src/prompts/survey.cc
+++ b/src/prompts/survey.cc
@@ -119,7 +119,7 @@
     survey.forecastMs = std::min(survey.forecastMs, roomForecastMs(is.running, is.slots, waiting));
     return;
   }
-  is.queueTokens = book_.queueTokens(engine);
+  is.queueTokens = book_.queueTokens(engine, survey.now);
   is.speed = speed_.of(engine.listed.id, survey.ask.service);
   if (is.olderWeights) {  // it begins behind what waits to be read there
     Duration queue = seconds(is.queueTokens / is.speed / 1000);
--- a/src/requests/router_node.cc
+++ b/src/requests/router_node.cc
@@ -9,6 +9,8 @@
 // forgotten by those who hear it after two seconds (`EngineBook`), so twice the longest has to be
 // less.
 constexpr FleetPace kTell{seconds(0.5), milliseconds(10), seconds(0.95)};
+// Of where requests are: it is worth something for about as long as a prompt waits to be read.
+constexpr FleetPace kTellUse{seconds(0.2), milliseconds(3), seconds(0.5)};
 constexpr double kToldWithin = 0.9;          // of the time between two
 constexpr Duration kNoticed = seconds(3.2);  // from the word to leave until no client is sent here
 
@@ -111,11 +113,30 @@
 
 void RouterNode::tellOthers(MonotonicTime now) {
   told_.tick(now, outbox_);
-  if (now < nextTell_ || !follower_->installed()) return;
+  toldUse_.tick(now, outbox_);
+  if (!follower_->installed()) return;
+  if (now >= nextTellUse_) tellUse(now);
+  if (now >= nextTell_) tellLinks(now);
+}
+
+/// Where this router's requests are: the news that ages fastest.
+void RouterNode::tellUse(MonotonicTime now) {
+  Duration interval = kTellUse.between(membership_->frontCount());
+  nextTellUse_ = now + interval;
+  auto use = book_->use(membership_->self().member);
+  if (!use) return;
+  std::vector<Message> messages;
+  messages.emplace_back(std::move(*use));
+  auto routers = membership_->liveFronts();
+  toldUse_.begin(relayTargets(routers, membership_->self(), ++relayTurn_), std::move(messages),
+                 interval * kToldWithin, now);
+  toldUse_.tick(now, outbox_);
+}
+
+void RouterNode::tellLinks(MonotonicTime now) {
   Duration interval = kTell.between(membership_->frontCount());
   nextTell_ = now + interval;
   std::vector<Message> messages;
-  if (auto use = book_->use(membership_->self().member)) messages.emplace_back(std::move(*use));
   UsageNotification note = placement_->note(membership_->self().member, now);
   if (!note.links.empty() || !note.mixes.empty()) messages.emplace_back(std::move(note));
   auto routers = membership_->liveFronts();
--- a/src/requests/router_node.h
+++ b/src/requests/router_node.h
@@ -45,6 +45,8 @@
   void takeList(MonotonicTime now);
   void takeChanges(MonotonicTime now);
   void tellOthers(MonotonicTime now);
+  void tellUse(MonotonicTime now);
+  void tellLinks(MonotonicTime now);
   void noteCoreTrouble(MonotonicTime now);
   template <class Note>
   void passOn(Note note);
@@ -68,9 +70,9 @@
   LeaderSilence leaderSilence_;
   CoreLives coreLives_;
   ListVersion bookVersion_;
-  MonotonicTime nextTell_{}, drainSince_ = kForever;
+  MonotonicTime nextTell_{}, nextTellUse_{}, drainSince_ = kForever;
   std::uint64_t relayTurn_ = 0;
-  SpreadBroadcast told_;  // what all other routers are told of this one's use
+  SpreadBroadcast toldUse_, told_;  // what all other routers are told of this one's use
 };
 
 }  // namespace peppergate
