--- a/src/requests/request_state.h
+++ b/src/requests/request_state.h
@@ -6,6 +6,7 @@
 
 #include "engines/engine_book.h"
 #include "prompts/placement.h"
+#include "requests/answer_times.h"
 #include "requests/attempt_budget.h"
 #include "requests/request_rules.h"
 #include "requests/requests.h"
@@ -36,6 +37,7 @@
   ServiceName service;
   TenantId tenant;
   MonotonicTime deadline, due, heard;
+  AnswerTimes times;
   std::optional<LiveAttempt> attempt;
   std::vector<EngineId> tried;
   int sent = 0;               // attempts that are over and may have reached their engine
--- a/src/requests/request_turns.cc
+++ b/src/requests/request_turns.cc
@@ -65,7 +65,10 @@
   switch (judgeHead(turned, repeatable(*request.route))) {
     case HeadVerdict::kSuccess:
       request.heard = now;
-      if (!request.stream()) firstCame(request, now, outbox);
+      if (!request.stream()) {
+        request.times.event(*request.route, now);
+        firstCame(request, now, outbox);
+      }
       if (!repeatable(*request.route)) request.asked.wire.reset();  // nothing is sent again
       return arm(request);
     case HeadVerdict::kNotRun:
@@ -148,6 +151,7 @@
     Order found = order(request, turned);
     if (found == Order::kWrong) return garbled(request, now, outbox);
     firstCame(request, now, outbox);
+    if (found == Order::kNext) request.times.event(*request.route, now);
     if (turned.lastEvent) attempt.lastEvent = turned.lastEvent;
     if (found == Order::kKnown) return outbox.count("streams.known_events");
     if (turned.lastEvent) {
@@ -210,6 +214,8 @@
   if (!request.answering) outbox.push(AnswerHead{request.asked.request, attempt.head});
   outbox.push(AnswerDone{request.asked.request, true});
   outbox.count(attempt.failure ? "requests.failed" : "requests.passed");
+  if (!attempt.failure)
+    outbox.count(answerCounter(request.times.timing(), request.route->urgency));
   release(request, attempt.failure ? blameOf(attempt.head->status) : AttemptEnd::kGood, now);
   finish(request);
 }
--- a/src/requests/requests.cc
+++ b/src/requests/requests.cc
@@ -49,6 +49,7 @@
   outbox.count("requests.asked");
   LiveRequest request;
   request.asked = std::move(arrived);
+  request.times.arrived(now);
   if (leavingSince != kForever && now - leavingSince > kTakenWhileLeaving)
     return giveUp(request, {Hurdle::kLeaving}, now, outbox);
   auto planned = plan(request, now, outbox);
