Failures that several routers saw rest an engine for all of them

Change: a note of failures counts as one of connections that didn't come up: two routers within 2 s, or one and an own failure, rest the engine for 2 s and longer each time. Notes of trouble go out with those of use.

--- a/src/engines/engine_outliers.cc
+++ b/src/engines/engine_outliers.cc
@@ -8,6 +8,7 @@
 
 constexpr Duration kFirstUnreachableRest = seconds(0.3);
 constexpr Duration kFirstStrikeRest = seconds(0.5);
+constexpr Duration kSharedRest = seconds(2);  // the first one after failures that several saw
 constexpr Duration kLongestRest = seconds(5);
 constexpr Duration kStrikesInARow = seconds(5);
 constexpr Duration kOtherRest = seconds(5);   // unless a newer list comes sooner
@@ -117,12 +118,14 @@
 
 void EngineBook::hear(const Address& from, const EngineTrouble& trouble, MonotonicTime now) {
   EngineState* engine = find(trouble.engine);
-  if (!engine || !trouble.unreachable) return;
+  if (!engine || (!trouble.unreachable && trouble.failures == 0)) return;
   std::erase_if(engine->accusers, [&](const auto& entry) { return now - entry.second > kAccused; });
   engine->accusers[from] = now;
   bool own = engine->strikes > 0 && now - engine->struckAt <= kStrikesInARow;
   if (!own && engine->accusers.size() < 2) return;
   engine->failedAt = std::max(engine->failedAt, now);
+  // Several routers saw it: what each of them tries again on its own would add up.
+  if (!trouble.unreachable) engine->strikeRest = std::max(engine->strikeRest, kSharedRest * 0.5);
   strike(*engine, true, now);
   chooseLastResort(*engine, now);
 }
--- a/src/requests/router_node.cc
+++ b/src/requests/router_node.cc
@@ -123,10 +123,13 @@
 void RouterNode::tellUse(MonotonicTime now) {
   Duration interval = kTellUse.between(membership_->frontCount());
   nextTellUse_ = now + interval;
+  // Whoever hears of trouble counts how many routers saw it, by where the word comes from.
+  std::vector<Message> troubles;
+  for (auto& trouble : book_->troubles()) troubles.emplace_back(std::move(trouble));
+  toldUse_.begin(membership_->otherFronts(), std::move(troubles), interval * kToldWithin, now);
   auto use = book_->use(membership_->self().member);
-  if (!use) return;
   std::vector<Message> messages;
-  messages.emplace_back(std::move(*use));
+  if (use) messages.emplace_back(std::move(*use));
   auto routers = membership_->liveFronts();
   toldUse_.begin(relayTargets(routers, membership_->self(), ++relayTurn_), std::move(messages),
                  interval * kToldWithin, now);
@@ -142,10 +145,6 @@
   auto routers = membership_->liveFronts();
   told_.begin(relayTargets(routers, membership_->self(), ++relayTurn_), std::move(messages),
               interval * kToldWithin, now);
-  // Whoever hears of trouble counts how many routers saw it, by where the word comes from.
-  std::vector<Message> troubles;
-  for (auto& trouble : book_->troubles()) troubles.emplace_back(std::move(trouble));
-  told_.begin(membership_->otherFronts(), std::move(troubles), interval * kToldWithin, now);
   told_.tick(now, outbox_);
 }
 
