--- a/src/prompts/survey.cc
+++ b/src/prompts/survey.cc
@@ -164,7 +164,7 @@
     if (choice != survey.choices.end()) choice->near = true;
   }
   std::size_t found = survey.choices.size();
-  for (std::size_t tries = 0; tries < 16 && survey.choices.size() < found + 2; ++tries)
+  for (std::size_t tries = 0; tries < 32 && survey.choices.size() < found + 8; ++tries)
     consider(survey, random_.below(survey.engines.size()));
   for (; found < survey.choices.size(); ++found) survey.choices[found].near = false;
 }
