--- a/src/core/spread_broadcast.cc
+++ b/src/core/spread_broadcast.cc
@@ -24,8 +24,8 @@
   rounds_.push_back(std::move(round));
 }
 
-void SpreadBroadcast::begin(RelayTargets targets, std::vector<Message> messages, Duration span,
-                            MonotonicTime now) {
+void SpreadBroadcast::beginRelayed(RelayTargets targets, std::vector<Message> messages,
+                                   Duration span, MonotonicTime now) {
   std::vector<Message> marked = messages;
   for (auto& message : marked) markForRelay(message);
   begin(std::move(targets.relays), std::move(marked), span, now);
--- a/src/core/spread_broadcast.h
+++ b/src/core/spread_broadcast.h
@@ -17,7 +17,8 @@
   void begin(std::vector<Address> receivers, std::vector<Message> messages, Duration span,
              MonotonicTime now);
   /// The same to the receivers of one round: relays get copies marked for passing on, and first.
-  void begin(RelayTargets targets, std::vector<Message> messages, Duration span, MonotonicTime now);
+  void beginRelayed(RelayTargets targets, std::vector<Message> messages, Duration span,
+                    MonotonicTime now);
   /// Sends what is due. Call it with each tick, and after `begin`.
   void tick(MonotonicTime now, Outbox& outbox);
   bool idle() const { return rounds_.empty(); }
--- a/src/engines/engine_book.h
+++ b/src/engines/engine_book.h
@@ -22,11 +22,11 @@
 /// One engine as this front sees it now.
 struct EngineState {
   Engine listed;
-  MonotonicTime warmUntil = kNever;   // it is slow from its start until then
-  std::int64_t ownRunning = 0;        // requests of this front under way there
-  std::int64_t ownPrefillTokens = 0;  // of those without a first event, tokens to be read
+  MonotonicTime warmUntil = kNever;    // it is slow from its start until then
+  std::int64_t ownRunning = 0;         // requests of this front under way there
+  std::int64_t ownPrefillTokens = 0;   // of those without a first event, tokens to be read
   std::map<MemberId, NotedUse> noted;  // by other fronts
-  std::optional<EngineLoad> told;  // by its newest answer
+  std::optional<EngineLoad> told;      // by its newest answer
   MonotonicTime toldAt = kNever;
   std::int64_t sentSinceTold = 0, endedSinceTold = 0, tokensSinceTold = 0;
   MonotonicTime restUntil = kNever;  // it was seen to fail
--- a/src/prompts/part_watch.cc
+++ b/src/prompts/part_watch.cc
@@ -18,7 +18,8 @@
 constexpr Duration kAskGap = seconds(3);             // between two questions about one engine
 constexpr Duration kAnswerWait = milliseconds(400);  // for another front's picture, before a poll
 constexpr Duration kFirstWait = milliseconds(500), kLongestWait = seconds(2);
-// Changes are numbered, so all of them take the same way; a dead relay's zone asks for what it lacks.
+// Changes are numbered, so all of them take the same way; a dead relay's zone asks for what it
+// lacks.
 constexpr std::uint64_t kOneRelay = 0;
 constexpr int kStoreFailures = 2;  // then nothing is collected from the store any more
 
@@ -283,8 +284,8 @@
   for (auto& [engine, pending] : std::exchange(pending_, {}))
     messages.emplace_back(std::move(pending.news));
   auto routers = membership_.liveFronts();
-  told_.begin(relayTargets(routers, membership_.self(), kOneRelay), std::move(messages),
-              coalesce_ * kToldWithin, now);
+  told_.beginRelayed(relayTargets(routers, membership_.self(), kOneRelay), std::move(messages),
+                     coalesce_ * kToldWithin, now);
   told_.tick(now, outbox);
 }
 
--- a/src/requests/request_turns.cc
+++ b/src/requests/request_turns.cc
@@ -214,8 +214,7 @@
   if (!request.answering) outbox.push(AnswerHead{request.asked.request, attempt.head});
   outbox.push(AnswerDone{request.asked.request, true});
   outbox.count(attempt.failure ? "requests.failed" : "requests.passed");
-  if (!attempt.failure)
-    outbox.count(answerCounter(request.times.timing(), request.route->urgency));
+  if (!attempt.failure) outbox.count(answerCounter(request.times.timing(), request.route->urgency));
   release(request, attempt.failure ? blameOf(attempt.head->status) : AttemptEnd::kGood, now);
   finish(request);
 }
--- a/src/requests/router_node.cc
+++ b/src/requests/router_node.cc
@@ -131,8 +131,8 @@
   std::vector<Message> messages;
   if (use) messages.emplace_back(std::move(*use));
   auto routers = membership_->liveFronts();
-  toldUse_.begin(relayTargets(routers, membership_->self(), ++relayTurn_), std::move(messages),
-                 interval * kToldWithin, now);
+  toldUse_.beginRelayed(relayTargets(routers, membership_->self(), ++relayTurn_),
+                        std::move(messages), interval * kToldWithin, now);
   toldUse_.tick(now, outbox_);
 }
 
@@ -143,8 +143,8 @@
   UsageNotification note = placement_->note(membership_->self().member, now);
   if (!note.links.empty() || !note.mixes.empty()) messages.emplace_back(std::move(note));
   auto routers = membership_->liveFronts();
-  told_.begin(relayTargets(routers, membership_->self(), ++relayTurn_), std::move(messages),
-              interval * kToldWithin, now);
+  told_.beginRelayed(relayTargets(routers, membership_->self(), ++relayTurn_), std::move(messages),
+                     interval * kToldWithin, now);
   told_.tick(now, outbox_);
 }
 
--- /dev/null
+++ b/tests/answer_times_test.cc
@@ -0,0 +1,49 @@
+// Answers in time and late ones, by what made them late.
+#include "requests/answer_times.h"
+
+#include "tests/testing.h"
+
+using namespace peppergate;
+
+namespace {
+
+Route routeWith(Duration target, Duration gapTarget) {
+  Route route;
+  route.target = target;
+  route.gapTarget = gapTarget;
+  return route;
+}
+
+/// The timing of a request that arrives at 1 s and has events at these moments.
+AnswerTiming timingOf(const Route& route, const std::vector<double>& events) {
+  AnswerTimes times;
+  times.arrived(at(1));
+  for (double moment : events) times.event(route, at(moment));
+  return times.timing();
+}
+
+}  // namespace
+
+TEST_GROUP(AnswerTimings){};
+
+TEST(AnswerTimings, AFirstEventAfterTheTargetIsLate) {
+  Route route = routeWith(seconds(1), seconds(0.5));
+  CHECK(timingOf(route, {2}) == AnswerTiming::kInTime);
+  CHECK(timingOf(route, {2.01}) == AnswerTiming::kLateFirst);
+}
+
+TEST(AnswerTimings, ALongPauseIsLateAndALateFirstEventCountsBefore) {
+  Route route = routeWith(seconds(1), seconds(0.5));
+  CHECK(timingOf(route, {1.5, 2, 2.5}) == AnswerTiming::kInTime);
+  CHECK(timingOf(route, {1.5, 2.1, 2.2}) == AnswerTiming::kLatePause);
+  CHECK(timingOf(route, {2.5, 3.5}) == AnswerTiming::kLateFirst);
+}
+
+TEST(AnswerTimings, RoutesWithoutTargetsHaveNoLateAnswers) {
+  CHECK(timingOf(routeWith({}, {}), {9, 20}) == AnswerTiming::kInTime);
+}
+
+TEST(AnswerTimings, CountersNameUrgencyAndReason) {
+  STRCMP_EQUAL("answers.2.late_pause", answerCounter(AnswerTiming::kLatePause, 2).c_str());
+  STRCMP_EQUAL("answers.0.in_time", answerCounter(AnswerTiming::kInTime, 0).c_str());
+}
--- a/tests/engines_book_test.cc
+++ b/tests/engines_book_test.cc
@@ -2,6 +2,7 @@
 #include "engines/engine_book.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "tests/testing.h"
 
@@ -198,10 +199,12 @@
   own.end("e100", AttemptEnd::kBroken, 1);
   own.book.hear(first, note, at(1.2));
   CHECK(!own.up("e100", 1.3));
-  Scene reachable;  // failures of requests are no word on the engine
-  reachable.book.hear(first, {{"e100"}, 3, 0, false}, at(1));
-  reachable.book.hear(second, {{"e100"}, 3, 0, false}, at(1));
-  CHECK(reachable.up("e100", 1.1));
+  Scene reachable;  // failures of requests at an engine that is reached are judged alike
+  for (int turn = 0; turn < 5; ++turn)
+    reachable.book.hear(first, {{"e100"}, 3, 0, false}, at(1 + 0.1 * turn));
+  CHECK(reachable.up("e100", 1.6));
+  reachable.book.hear(second, {{"e100"}, 3, 0, false}, at(1.6));
+  CHECK(!reachable.up("e100", 1.7));
 }
 
 TEST(EnginesBook, TheListDecides) {
@@ -255,7 +258,12 @@
   scene.book.hear(EngineUse{{7}, {{"e100"}, {"e101"}}, {4, 1}, {2000, 0}}, at(1));
   scene.book.hear(EngineUse{{8}, {{"e100"}}, {1}, {300}}, at(1.5));
   DOUBLES_EQUAL(5, scene.book.running(engine, at(2)), 0.01);
-  DOUBLES_EQUAL(2300, scene.book.queueTokens(engine), 0.01);
+  // Noted at 1 s and at 1.5 s, and taken to be read on since then.
+  scene.book.sent({"e105"}, 100);
+  scene.book.firstEvent({"e105"}, 100, seconds(0.5));
+  DOUBLES_EQUAL(2000 * std::exp(-1.0) + 300, scene.book.queueTokens(engine, at(1.5)), 0.01);
+  DOUBLES_EQUAL(2000 * std::exp(-2.0) + 300 * std::exp(-1.0), scene.book.queueTokens(engine, at(2)),
+                0.01);
   scene.book.hear(EngineUse{{7}, {{"e100"}}, {2}, {0}}, at(2));
   DOUBLES_EQUAL(3, scene.book.running(engine, at(2)), 0.01);
   scene.book.take(some(6), {2}, at(2.1));
@@ -268,6 +276,42 @@
   DOUBLES_EQUAL(0, scene.book.running(engine, at(5)), 0.01);
 }
 
+TEST(EnginesBook, OwnRequestsWaitInFullUntilTheirFirstEvents) {
+  Scene scene;
+  const EngineState& engine = *scene.book.find({"e100"});
+  scene.book.sent({"e100"}, 700);
+  DOUBLES_EQUAL(700, scene.book.queueTokens(engine, at(5)), 0.01);
+  scene.book.firstEvent({"e100"}, 700, seconds(0.2));
+  DOUBLES_EQUAL(0, scene.book.queueTokens(engine, at(5)), 0.01);
+}
+
+TEST(EnginesBook, FailuresThatTwoRoutersSawRestAnEngine) {
+  Scene scene;
+  const EngineTrouble failed{{"e100"}, 1, 4, false};
+  scene.book.hear({"router1"}, failed, at(1));
+  CHECK(scene.up("e100", 1));
+  scene.book.hear({"router1"}, failed, at(1.5));  // the same router again
+  CHECK(scene.up("e100", 1.5));
+  scene.book.hear({"router2"}, failed, at(2));
+  CHECK(!scene.up("e100", 2) && !scene.up("e100", 3.9));
+  CHECK(scene.up("e100", 4.1));
+}
+
+TEST(EnginesBook, OneNoteOfFailuresCountsBesideAnOwnOne) {
+  Scene scene;
+  scene.end("e100", AttemptEnd::kBroken, 1);
+  CHECK(scene.up("e100", 1));
+  scene.book.hear({"router1"}, EngineTrouble{{"e100"}, 1, 4, false}, at(1.5));
+  CHECK(!scene.up("e100", 1.5));
+}
+
+TEST(EnginesBook, NotesOfAnswersAloneAccuseNobody) {
+  Scene scene;
+  for (const char* from : {"router1", "router2", "router3"})
+    scene.book.hear({from}, EngineTrouble{{"e100"}, 0, 9, false}, at(1));
+  CHECK(scene.up("e100", 1));
+}
+
 TEST(EnginesBook, NotesAreGivenOnChangeAndNowAndThen) {
   Scene scene;
   CHECK(!scene.book.use({1}));
--- /dev/null
+++ b/tests/zone_relay_test.cc
@@ -0,0 +1,104 @@
+// Who tells whom between zones, and what is marked for passing on.
+#include "core/zone_relay.h"
+
+#include <algorithm>
+#include <set>
+
+#include "core/spread_broadcast.h"
+#include "tests/testing.h"
+
+using namespace peppergate;
+
+namespace {
+
+MemberRecord router(std::uint64_t number, const char* zone) {
+  MemberRecord record;
+  record.member = {number};
+  record.address = {"10.0.0." + std::to_string(number) + ":1"};
+  record.zone = {zone};
+  return record;
+}
+
+/// Ten routers in the north, six in the south, two in the east.
+std::vector<MemberRecord> fleet() {
+  std::vector<MemberRecord> routers;
+  for (std::uint64_t number = 1; number <= 18; ++number)
+    routers.push_back(router(number, number <= 10 ? "north" : number <= 16 ? "south" : "east"));
+  return routers;
+}
+
+bool holds(const std::vector<Address>& addresses, const MemberRecord& record) {
+  return std::ranges::find(addresses, record.address) != addresses.end();
+}
+
+}  // namespace
+
+TEST_GROUP(ZoneRelays){};
+
+TEST(ZoneRelays, OwnZoneAndSmallZonesAreToldDirectly) {
+  auto routers = fleet();
+  RelayTargets targets = relayTargets(routers, routers[0], 0);
+  LONGS_EQUAL(9 + 2, targets.direct.size());
+  LONGS_EQUAL(1, targets.relays.size());
+  CHECK(!holds(targets.direct, routers[0]) && !holds(targets.relays, routers[0]));
+  for (std::size_t index : {1, 9, 16, 17}) CHECK(holds(targets.direct, routers[index]));
+}
+
+TEST(ZoneRelays, WithTheRelaysZoneEverybodyIsToldOnce) {
+  auto routers = fleet();
+  for (const auto& sender : routers) {
+    RelayTargets targets = relayTargets(routers, sender, 3);
+    std::vector<Address> told = targets.direct;
+    for (const auto& relay : targets.relays) {
+      auto by = std::ranges::find(routers, relay, &MemberRecord::address);
+      auto peers = zonePeers(routers, *by);
+      told.push_back(relay);
+      told.insert(told.end(), peers.begin(), peers.end());
+    }
+    LONGS_EQUAL(routers.size() - 1, told.size());
+    LONGS_EQUAL(routers.size() - 1, std::set<Address>(told.begin(), told.end()).size());
+    CHECK(!holds(told, sender));
+  }
+}
+
+TEST(ZoneRelays, EachTurnTakesAnotherRelayAndSendersBeginAtDifferentOnes) {
+  auto routers = fleet();
+  std::set<Address> byTurn, bySender;
+  for (std::uint64_t turn = 0; turn < 6; ++turn)
+    byTurn.insert(relayTargets(routers, routers[0], turn).relays.at(0));
+  LONGS_EQUAL(6, byTurn.size());
+  for (std::size_t index = 0; index < 10; ++index)
+    bySender.insert(relayTargets(routers, routers[index], 0).relays.at(0));
+  CHECK(bySender.size() > 2);
+}
+
+TEST(ZoneRelays, RoutersWithoutZonesAreAllToldDirectly) {
+  std::vector<MemberRecord> routers;
+  for (std::uint64_t number = 1; number <= 9; ++number) routers.push_back(router(number, ""));
+  RelayTargets targets = relayTargets(routers, routers[4], 0);
+  LONGS_EQUAL(8, targets.direct.size());
+  CHECK(targets.relays.empty());
+}
+
+TEST(ZoneRelays, OnlyCopiesForRelaysAreMarked) {
+  SpreadBroadcast spread;
+  Outbox outbox;
+  RelayTargets targets{{{"10.0.0.1:1"}}, {{"10.0.0.2:1"}}};
+  std::vector<Message> messages;
+  messages.emplace_back(EngineUse{{7}, {}, {}, {}});
+  messages.emplace_back(UsageNotification{{7}, {}, {}});
+  messages.emplace_back(PrefixBlockUpdate{});
+  spread.beginRelayed(targets, std::move(messages), seconds(0.1), at(1));
+  spread.tick(at(1), outbox);
+  int marked = 0, plain = 0;
+  for (const auto& told : taken<Broadcast>(outbox.take())) {
+    bool relay = false;
+    if (auto* use = std::get_if<EngineUse>(&*told.message)) relay = use->relay;
+    else if (auto* usage = std::get_if<UsageNotification>(&*told.message)) relay = usage->relay;
+    else relay = std::get<PrefixBlockUpdate>(*told.message).relay;
+    CHECK(told.to == (relay ? targets.relays : targets.direct));
+    ++(relay ? marked : plain);
+  }
+  LONGS_EQUAL(3, marked);
+  LONGS_EQUAL(3, plain);
+}
