--- a/src/engines/engine_outliers.cc
+++ b/src/engines/engine_outliers.cc
@@ -111,8 +111,12 @@
   }
   if (!failed) return;
   engine->failedAt = now;
-  ++engine->failuresToTell;
-  troubled_.insert(id);
+  // Silence is told to nobody: queues and slow links make engines silent too, and if all routers
+  // turned away from those, the others' queues would be longer still.
+  if (how != AttemptEnd::kSilent) {
+    ++engine->failuresToTell;
+    troubled_.insert(id);
+  }
   chooseLastResort(*engine, now);
 }
 
--- a/tests/engines_book_test.cc
+++ b/tests/engines_book_test.cc
@@ -305,6 +305,16 @@
   CHECK(!scene.up("e100", 1.5));
 }
 
+TEST(EnginesBook, SilenceIsToldToNobody) {
+  Scene scene;
+  scene.end("e100", AttemptEnd::kSilent, 1);
+  CHECK(scene.book.troubles().empty());
+  scene.end("e100", AttemptEnd::kBroken, 1.1);
+  auto troubles = scene.book.troubles();
+  LONGS_EQUAL(1, troubles.size());
+  LONGS_EQUAL(1, troubles[0].failures);
+}
+
 TEST(EnginesBook, NotesOfAnswersAloneAccuseNobody) {
   Scene scene;
   for (const char* from : {"router1", "router2", "router3"})
