--- a/src/prompts/cost.h
+++ b/src/prompts/cost.h
@@ -32,8 +32,8 @@
 struct CostWeights {
   double targetMs = 500;         // within which the first event earns its full worth
   double rereadToken = 0.15;     // of a shared part that somebody keeps
-  double firstReadToken = 0.02;  // of one that nobody keeps, away from its home
-  double copiedToken = 0.05;     // that is kept elsewhere already: it takes room from other parts
+  double firstReadToken = 0.06;  // of one that nobody keeps, away from its home
+  double copiedToken = 0.012;    // that is kept elsewhere already: it takes room from other parts
   double movedGigabyte = 90;     // once within a zone, up to three times farther away
   double otherZone = 5;          // the request's and answer's bytes
   double olderWeights = 30;
