--- a/src/core/spread_broadcast.cc
+++ b/src/core/spread_broadcast.cc
@@ -5,8 +5,6 @@
 namespace peppergate {
 namespace {
 
-constexpr std::size_t kPortion = 8;  // receivers that may always be told at once
-
 void markForRelay(Message& message) {
   if (auto* use = std::get_if<EngineUse>(&message)) use->relay = true;
   else if (auto* usage = std::get_if<UsageNotification>(&message)) usage->relay = true;
@@ -32,11 +30,11 @@
   begin(std::move(targets.direct), std::move(messages), span, now);
 }
 
-std::size_t SpreadBroadcast::due(const Round& round, MonotonicTime now) {
+std::size_t SpreadBroadcast::due(const Round& round, MonotonicTime now) const {
   double share = round.span > Duration{} ? inSeconds(now - round.began) / inSeconds(round.span) : 1;
   auto receivers = static_cast<double>(round.receivers.size());
   auto due = static_cast<std::size_t>(receivers * std::clamp(share, 0.0, 1.0));
-  return std::min(due + kPortion, round.receivers.size());
+  return std::min(due + portion_, round.receivers.size());
 }
 
 void SpreadBroadcast::tick(MonotonicTime now, Outbox& outbox) {
--- a/src/core/spread_broadcast.h
+++ b/src/core/spread_broadcast.h
@@ -13,6 +13,9 @@
 /// receiver gets the messages of one round together, and rounds in the order in which they began.
 class SpreadBroadcast {
  public:
+  static constexpr std::size_t kUsualPortion = 8;
+  /// `portion`: receivers that may always be told at once.
+  explicit SpreadBroadcast(std::size_t portion = kUsualPortion) : portion_(portion) {}
   /// Begins a round that reaches the last receiver within `span`.
   void begin(std::vector<Address> receivers, std::vector<Message> messages, Duration span,
              MonotonicTime now);
@@ -31,9 +34,14 @@
     Duration span;
     std::size_t sent = 0;  // receivers that have theirs
   };
-  static std::size_t due(const Round& round, MonotonicTime now);
+  std::size_t due(const Round& round, MonotonicTime now) const;
 
+  std::size_t portion_;
   std::deque<Round> rounds_;
 };
 
+/// How a relay passes on what it hears: many senders' news may reach it in one moment.
+inline constexpr std::size_t kRelayPortion = 2;
+inline constexpr Duration kRelaySpan = milliseconds(200);
+
 }  // namespace peppergate
--- a/src/prompts/part_watch.cc
+++ b/src/prompts/part_watch.cc
@@ -224,7 +224,7 @@
 
 void PartWatch::hear(const Address& from, const PrefixBlockUpdate& news, MonotonicTime now,
                      Outbox& outbox) {
-  if (news.relay) passOn(news, outbox);
+  if (news.relay) passOn(news, now, outbox);
   bool complete = index_.hear(news);
   auto found = watched_.find(news.engine);
   if (found != watched_.end()) {
@@ -250,10 +250,13 @@
   outbox.send(from, index_.whole(ask.engine));
 }
 
-void PartWatch::passOn(PrefixBlockUpdate news, Outbox& outbox) {
+void PartWatch::passOn(PrefixBlockUpdate news, MonotonicTime now, Outbox& outbox) {
   news.relay = false;
   outbox.count("parts.relayed");
-  outbox.broadcast(zonePeers(membership_.liveFronts(), membership_.self()), std::move(news));
+  std::vector<Message> messages;
+  messages.emplace_back(std::move(news));
+  relayed_.begin(zonePeers(membership_.liveFronts(), membership_.self()), std::move(messages),
+                 kRelaySpan, now);
 }
 
 void PartWatch::tell(PrefixBlockUpdate news, MonotonicTime now) {
@@ -275,6 +278,7 @@
 
 void PartWatch::flush(MonotonicTime now, Outbox& outbox) {
   told_.tick(now, outbox);
+  relayed_.tick(now, outbox);
   if (pending_.empty()) return;
   bool due = std::ranges::any_of(
       pending_, [&](const auto& entry) { return now - entry.second.since >= coalesce_; });
--- a/src/prompts/part_watch.h
+++ b/src/prompts/part_watch.h
@@ -57,7 +57,7 @@
   void tell(PrefixBlockUpdate news, MonotonicTime now);
   void flush(MonotonicTime now, Outbox& outbox);
   /// Tells the routers of this zone what one of another zone told. Example: for a marked update.
-  void passOn(PrefixBlockUpdate news, Outbox& outbox);
+  void passOn(PrefixBlockUpdate news, MonotonicTime now, Outbox& outbox);
   static PrefixBlockUpdate newsOf(const EngineId& engine, const std::vector<PartChange>& changes);
 
   Options options_;
@@ -70,6 +70,7 @@
   std::map<TicketId, EngineId> open_;
   std::map<EngineId, Pending> pending_;
   SpreadBroadcast told_;  // what others are told of engines that this front watches
+  SpreadBroadcast relayed_{kRelayPortion};   // what routers of other zones told
   std::map<EngineId, MonotonicTime> asked_;  // others, for what is missing here
 };
 
--- a/src/requests/router_node.cc
+++ b/src/requests/router_node.cc
@@ -10,7 +10,7 @@
 // less.
 constexpr FleetPace kTell{seconds(0.5), milliseconds(10), seconds(0.95)};
 // Of where requests are: it is worth something for about as long as a prompt waits to be read.
-constexpr FleetPace kTellUse{seconds(0.2), milliseconds(3), seconds(0.5)};
+constexpr FleetPace kTellUse{seconds(0.2), milliseconds(5), seconds(0.5)};
 constexpr double kToldWithin = 0.9;          // of the time between two
 constexpr Duration kNoticed = seconds(3.2);  // from the word to leave until no client is sent here
 
@@ -114,6 +114,7 @@
 void RouterNode::tellOthers(MonotonicTime now) {
   told_.tick(now, outbox_);
   toldUse_.tick(now, outbox_);
+  relayed_.tick(now, outbox_);
   if (!follower_->installed()) return;
   if (now >= nextTellUse_) tellUse(now);
   if (now >= nextTell_) tellLinks(now);
@@ -150,10 +151,13 @@
 
 /// Tells the routers of this zone what one of another zone told.
 template <class Note>
-void RouterNode::passOn(Note note) {
+void RouterNode::passOn(Note note, MonotonicTime now) {
   note.relay = false;
   outbox_.count("notes.relayed");
-  outbox_.broadcast(zonePeers(membership_->liveFronts(), membership_->self()), std::move(note));
+  std::vector<Message> messages;
+  messages.emplace_back(std::move(note));
+  relayed_.begin(zonePeers(membership_->liveFronts(), membership_->self()), std::move(messages),
+                 kRelaySpan, now);
 }
 
 void RouterNode::arrived(const Arrived& event, MonotonicTime now) {
@@ -179,12 +183,12 @@
   } else if (auto* partAsk = std::get_if<PrefixBlockRequest>(&message)) {
     watch_->hear(from, *partAsk, now, outbox_);
   } else if (auto* use = std::get_if<EngineUse>(&message)) {
-    if (use->relay) passOn(*use);
+    if (use->relay) passOn(*use, now);
     book_->hear(*use, now);
   } else if (auto* trouble = std::get_if<EngineTrouble>(&message)) {
     book_->hear(from, *trouble, now);
   } else if (auto* usage = std::get_if<UsageNotification>(&message)) {
-    if (usage->relay) passOn(*usage);
+    if (usage->relay) passOn(*usage, now);
     placement_->hear(*usage, now);
   } else if (std::holds_alternative<ReadLeaderNotification>(message)) {
     follower_->noteReadOnlyLeader(from, now, outbox_);
--- a/src/requests/router_node.h
+++ b/src/requests/router_node.h
@@ -49,7 +49,7 @@
   void tellLinks(MonotonicTime now);
   void noteCoreTrouble(MonotonicTime now);
   template <class Note>
-  void passOn(Note note);
+  void passOn(Note note, MonotonicTime now);
   void operatorAsked(const OperatorRequest& asked, MonotonicTime now);
 
   Options options_;
@@ -72,7 +72,8 @@
   ListVersion bookVersion_;
   MonotonicTime nextTell_{}, nextTellUse_{}, drainSince_ = kForever;
   std::uint64_t relayTurn_ = 0;
-  SpreadBroadcast toldUse_, told_;  // what all other routers are told of this one's use
+  SpreadBroadcast relayed_{kRelayPortion};  // what routers of other zones told
+  SpreadBroadcast toldUse_, told_;          // what all other routers are told of this one's use
 };
 
 }  // namespace peppergate
