Roll-out: a leader whose own view changes goes on under its lease

Cause: each change of view begins the roll-out anew, with a wait of orderLease (3 s) before the next order, although the holder is the same machine under the same lease. Views change more often where machines are replaced or leave.

Change: a new epoch within the lease under which this leader led last goes on with the steps under way; an engine's orders keep the fence of its first one, so that a late order is never below another one.

Ruled out: that another leader ordered in between: it waits for orderLease before its first order, which is longer than a lease (0.9 s).

--- a/src/engines/rollout.cc
+++ b/src/engines/rollout.cc
@@ -45,6 +45,10 @@
   }
 }
 
+bool Rollout::leadsOn(MonotonicTime now) const {
+  return epoch_.value != 0 && fencedAt_ != epoch_ && now < heldUntil_;
+}
+
 void Rollout::noteNamings(const Models& named, MonotonicTime now) {
   if (named == named_) return;
   named_ = named;
@@ -162,6 +166,7 @@
     step.address = engine->address;
     step.model = wanted.model;
     step.target = wanted.target;
+    step.fence = epoch_.value;
     step.deadline = wanted.deadline;
     step.since = step.announcedAt = step.nextReport = now;
     if (aside != aside_.end() && aside->second.unsettled) step.phase = Phase::kChecking;
@@ -180,7 +185,11 @@
   }
   leaseUntil_ = leaseUntil;
   holder_ = holder;
-  if (epoch != epoch_) begin(epoch, now);
+  if (epoch != epoch_) {
+    if (leadsOn(now)) epoch_ = epoch;
+    else begin(epoch, now);
+  }
+  heldUntil_ = leaseUntil;
   if (fencedAt_ == epoch_) {  // a newer primary exists; it says what loads
     lister_.loading({}, now, outbox);
     return;
--- a/src/engines/rollout.h
+++ b/src/engines/rollout.h
@@ -14,8 +14,9 @@
 
 namespace peppergate {
 
-/// Orders carry the view's epoch as their fence: it outlives a change of primary, and no two
-/// primaries share one. Example: `rollout.tick(leads, epoch, leaseUntil, weights, now, outbox);`
+/// Orders carry the view's epoch, as of an engine's first order, as their fence: it outlives a
+/// change of primary, and no two primaries share one. Example: `rollout.tick(leads, epoch,
+/// leaseUntil, weights, now, outbox);`
 class Rollout {
  public:
   Rollout(const Options& options, Lister& lister);
@@ -55,8 +56,9 @@
     MonotonicTime ticketSince = kNever;
     std::optional<std::uint64_t> expectedCalls;
     int unanswered = 0;
-    bool stuck = false;      // its running requests take long: it holds up no other
-    bool inherited = false;  // an earlier primary had announced it
+    std::uint64_t fence = 0;  // of all its orders, so that a late one is never below another
+    bool stuck = false;       // its running requests take long: it holds up no other
+    bool inherited = false;   // an earlier primary had announced it
   };
   struct Wanted {
     EngineId engine;
@@ -68,6 +70,10 @@
   using Models = std::map<ModelName, WeightsVersion>;
 
   void begin(Epoch epoch, MonotonicTime now);
+  /// Whether a new epoch is only a change of this leader's own view: the lease under which it led
+  /// last still runs. Another leader, where this one gave its lease back, waits for `orderLease`
+  /// before its first order, which is longer: nobody else can have given one in between.
+  bool leadsOn(MonotonicTime now) const;
   void noteNamings(const Models& named, MonotonicTime now);
   void findWanted();
   const Engine* listed(const EngineId& engine) const;
@@ -91,6 +97,7 @@
   Epoch epoch_;
   std::optional<Epoch> fencedAt_;
   MonotonicTime firstOrderAt_ = kForever, leaseUntil_ = kNever;
+  MonotonicTime heldUntil_ = kNever;  // the lease's end as of the last tick that led
   std::string holder_;
   Models named_;
   WeightNamings namings_;
--- a/src/engines/rollout_steps.cc
+++ b/src/engines/rollout_steps.cc
@@ -39,7 +39,7 @@
   bool lastResort = now >= step.deadline - kLastResort && now < step.deadline;
   command.mode = lastResort ? LoadMode::kCut : LoadMode::kWait;
   command.holder = holder_;
-  command.fence = epoch_.value;
+  command.fence = step.fence;
   command.expectedCalls = step.expectedCalls;
   command.writeBefore = writeBefore;
   enter(step, Phase::kOrdering, now);
--- a/tests/engines_rollout_test.cc
+++ b/tests/engines_rollout_test.cc
@@ -147,6 +147,38 @@
   CHECK(world.leastGap >= world.options.orderLease);
 }
 
+// A leader that changes its view, as machines come and go, is the same holder under its own lease:
+// the roll-out goes on, and its time doesn't begin anew.
+TEST(EnginesRollout, ALeaderWhoseViewChangesGoesOn) {
+  EnginesWorld world(18);
+  for (std::uint64_t view = 2; view <= 6; ++view) {
+    world.run(static_cast<double>(view) * 0.7);
+    world.leads = false;  // while the view is settled
+    world.run(static_cast<double>(view) * 0.7 + 0.2);
+    world.leads = true;
+    world.epoch = {view};
+  }
+  world.run(12);
+  CHECK(world.all(2));
+  CHECK(world.rollout.done());
+  CHECK(world.now < at(11));
+  LONGS_EQUAL(18, world.orders);  // none was given twice
+}
+
+TEST(EnginesRollout, ALeaderAfterItsLeaseRanOutWaitsALease) {
+  EnginesWorld world(18);
+  world.run(4);
+  int before = world.orders;
+  world.leads = false;
+  world.stopWhenDone = false;
+  world.run(5.2);  // its lease ran out 0.9 s after it led last
+  world.leads = true;
+  world.epoch = {2};
+  MonotonicTime began = world.now;
+  while (world.orders == before && world.now < at(20)) world.step(world.lister, world.rollout);
+  CHECK(world.now - began >= world.options.orderLease);
+}
+
 TEST(EnginesRollout, InheritedLoadsAreReleasedOnceThrough) {
   EnginesWorld world(6);
   FakeEngine& busy = world.engines.at({"e100"});
