Random schedules: fleets set for what is drawn; SIGTERM reaches a frozen process when it wakes

Change: a schedule says `prop backups` for what it draws; the simulator holds SIGTERM for a frozen process until it wakes, as systems do.

--- a/src/sim/mixed_day.cc
+++ b/src/sim/mixed_day.cc
@@ -33,7 +33,7 @@
        << "\n"
        << (routers ? "routers " : "fronts ") << size.fronts << "\ncores " << size.cores
        << "\nspares " << size.spares << "\nengines " << size.engines
-       << "\nstart-spread 0.3s\nsettles 0.85\n";
+       << "\nstart-spread 0.3s\nsettles 0.85\nprop backups " << size.tolerate << "\n";
   if (routers) text << "requests 8\nfenced " << seed % 2 << "\n";
   else text << "requests 6\nfounded by-seeds\nprofile hutline\n";
   return text.str();
--- a/src/sim/sim_cluster.cc
+++ b/src/sim/sim_cluster.cc
@@ -169,8 +169,8 @@
 }
 
 void SimCluster::stop(SimProcess& process) {
-  if (!process.alive || process.frozen) return;
-  process.stopping = true;
+  if (!process.alive) return;
+  process.stopping = true;  // a frozen one takes the signal when it wakes, if it does in time
   process.stoppedAt = now();
   deliver(process, DrainRequest{});
   if (process.role == Role::kCore) touch(process);
