--- a/src/model/model_world.cc
+++ b/src/model/model_world.cc
@@ -275,6 +275,7 @@
   if (!handedOver && lostMachines() >= options_.tolerate) {
     // No more machines are removed than may be lost: it is started again, as one that was killed.
     startMachine(index, false);
+    calmSince_ = now_;  // it was down, and counts as lost for the catch-up time
     return;
   }
   machine.removed = true;
