--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -265,6 +266,8 @@
         address, [this](Connection& c, const Message& m) { return handle(c, m); });
   }
   std::string id, address;
+  std::atomic<bool> listed{true};  // on the platform's list
+  std::atomic<bool> down{false};   // crashed: answers nothing and closes its connections
   /// Writes the answer of a run; replaced by a case that answers in another way.
   Answer answer = [](Connection& c, const Message& m, const Run& run) {
     return c.send(response(200, "X-Attempt-Id: " + m.header("X-Attempt-Id") + "\r\nX-Postmark: run-" +
@@ -276,6 +279,7 @@
 
  private:
   bool handle(Connection& connection, const Message& request) {
+    if (down) return false;
     std::string path = request.target().substr(0, request.target().find('?'));
     if (path == "/health") return connection.send(response(200, "X-Delivered-By: " + id + "\r\n", ""));
     if (path == "/peppergate/report")
@@ -446,7 +450,8 @@
   std::string engineList() const {
     std::string list;
     for (const auto& engine : engines)
-      list += std::string(list.empty() ? "" : ",") + R"({"line":")" + kService + R"(","address":")" +
+      if (engine->listed)
+        list += std::string(list.empty() ? "" : ",") + R"({"line":")" + kService + R"(","address":")" +
               engine->address +
               R"(","zone":"hall-a","edition":"v1","berths":128,"state":"accepting","warmup_left_ms":0,)"
               R"("stage":"whole_route","models":[{"name":")" + kModel +
@@ -523,6 +528,7 @@
     std::fclose(settings);
     pid_t pid = fork();
     if (pid == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);  // ends with this stand-in, however that ends
       setenv("PEPPERGATE_NODE_FILE", file.c_str(), 1);
       int log = ::open((folder_ + "/" + name + ".log").c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
       dup2(log, 1);
