--- a/review/standins/removed_service.cc
+++ b/review/standins/removed_service.cc
@@ -106,7 +106,7 @@
       return 2;
     }
   }
-  sleepFor(3);
+  sleepFor(2.5);
   if (trouble) {  // the engine that has the most streams of both tenants
     auto sharedBy = [&](const std::string& id) { return std::min(runsAt[id]["alfa"], runsAt[id]["bravo"]); };
     std::lock_guard lock(mutex);
