--- a/src/prompts/candidate_search.cc
+++ b/src/prompts/candidate_search.cc
@@ -87,9 +87,16 @@
   return prompt;
 }
 
+WeightsVersion Placement::weightsOf(const CandidateSearch& search, const EngineState& engine) {
+  auto listed = engine.models.find(search.placementRequest.model);
+  if (listed != engine.models.end()) return listed->second;
+  return search.shape ? WeightsVersion{1} : kUnknownWeights;
+}
+
 bool Placement::mayServe(const CandidateSearch& search, WeightsVersion version,
                          Duration startsWithin) const {
-  if (version >= search.targetVersion || !options_.isGuardEnabled(SafetyGuard::kOldWeights))
+  if (version == kUnknownWeights || version >= search.targetVersion ||
+      !options_.isGuardEnabled(SafetyGuard::kOldWeights))
     return true;
   MonotonicTime since = targetHistory_.outdatedSince(search.placementRequest.model, version);
   if (since == kForever) return false;  // there is a newer target, set at an unknown time
@@ -105,13 +112,12 @@
           search.candidates.end())
     return;
   Candidate candidate;
-  if (search.shape) {
-    auto model = engine.models.find(search.placementRequest.model);
-    auto version = model == engine.models.end() ? WeightsVersion{1} : model->second;
+  if (search.mayBeCached) {
+    WeightsVersion version = weightsOf(search, engine);
     if (!mayServe(search, version, kStartDelay)) return;
     candidate.promptIndex =
         static_cast<std::size_t>(&promptFor(search, version) - search.prompts.data());
-    candidate.inputs.olderWeights = version < search.targetVersion;
+    candidate.inputs.olderWeights = version != kUnknownWeights && version < search.targetVersion;
   }
   ++search.usableCount;
   CandidateInputs& inputs = candidate.inputs;
--- a/src/prompts/candidate_search.h
+++ b/src/prompts/candidate_search.h
@@ -11,9 +11,12 @@
 
 namespace peppergate {
 
+/// Stands for the version of an engine of which none is known. Models' versions begin at 1.
+constexpr WeightsVersion kUnknownWeights{0};
+
 /// The cached prefixes of a prompt under one weights version.
 struct Placement::VersionedPrompt {
-  WeightsVersion version;
+  WeightsVersion version;  // `kUnknownWeights` at engines of which no version is known
   std::string salt;
   std::vector<CachedPrefix> cachedPrefixes;
   std::int64_t longestPrefix = 0;  // longest prefix cached by a usable source
@@ -35,9 +38,10 @@
   const PlacementRequest& placementRequest;
   const FleetConfig& config;
   MonotonicTime now;
-  const EngineConfig* shape = nullptr;  // null: its engines cache no blocks
+  const EngineConfig* shape = nullptr;  // null: the configuration has no engines for its model
   const std::vector<EngineState*>& engines;
   const ServiceHashes& service;
+  bool mayBeCached = false;  // engines may cache the prompt, so that each attempt needs a salt
   WeightsVersion targetVersion{1};
   CacheDomain cacheDomain{};
   std::int64_t promptTokens = 0,
--- a/src/prompts/placement.cc
+++ b/src/prompts/placement.cc
@@ -88,6 +88,10 @@
   if (found != config.services.end() && found->second.engine &&
       !placementRequest.model.value.empty())
     search.shape = &*found->second.engine;
+  // Engines cache prompts whether or not the configuration still has their service: a stream of a
+  // removed service may be resumed.
+  search.mayBeCached =
+      !placementRequest.model.value.empty() || !placementRequest.promptBlocks.empty();
   if (auto name = weights.models.find(placementRequest.model); name != weights.models.end())
     search.targetVersion = std::max(search.targetVersion, name->second);
   search.cacheDomain = cacheDomainOf(
@@ -171,10 +175,13 @@
                            candidate.cost.prefillTokens / candidate.inputs.prefillSpeed,
                            candidate.cost.prefillTokens + candidate.inputs.queuedTokens,
                            decision.collectFrom.has_value()};
-  if (search.shape) {
+  if (search.mayBeCached) {
     const VersionedPrompt& prompt = search.prompts[candidate.promptIndex];
-    decision.version = prompt.version;
+    if (prompt.version != kUnknownWeights) decision.version = prompt.version;
     decision.salt = prompt.salt;
+  }
+  if (search.shape) {
+    const VersionedPrompt& prompt = search.prompts[candidate.promptIndex];
     double prefixTokens = candidate.inputs.cachedTokens + candidate.cost.fetchedTokens;
     // Newly computed blocks are deposited in the store, so that they are computed only once.
     if (prefixTokens < candidate.inputs.sharedTokens) {
--- a/src/prompts/placement.h
+++ b/src/prompts/placement.h
@@ -40,7 +40,7 @@
   EngineId engine;
   Address address;
   std::optional<WeightsVersion> version;
-  std::string salt;
+  std::string salt;  // empty only if the request has no prompt that an engine could cache
   std::optional<Address> collectFrom, depositAt;
   std::int64_t prefillTokens = 0;  // prompt tokens that need prefill
   Duration expectedFirstEvent;     // expected time until the first event
@@ -133,6 +133,9 @@
                  Outbox& outbox);
   PlacementDecision finishPlacement(CandidateSearch& search, const Candidate& candidate,
                                     PlacementDecision decision, Outbox& outbox);
+  /// The version of the request's model at an engine. One that doesn't list a configured model has
+  /// version 1; without a configuration nothing is known.
+  static WeightsVersion weightsOf(const CandidateSearch& search, const EngineState& engine);
   /// Whether a request that starts within this time may run on an engine with this version.
   bool mayServe(const CandidateSearch& search, WeightsVersion version, Duration startsWithin) const;
   PlacementRejection rejection(const CandidateSearch& search, Outbox& outbox);
