Requests: events of a removed service aren't taken for a gap

Without the service the step was 1, so that good events of a service whose events hold several tokens were taken for a gap and the stream was cut.

Change: the step is noted when an attempt is sent, and kept if the service is removed after that.

Test, failed before: EventIdsOfARemovedServiceMayRiseByItsStride.

--- a/src/requests/attempt_events.cc
+++ b/src/requests/attempt_events.cc
@@ -22,15 +22,6 @@
   return expected && reported != event.versions.end() && reported->second != *expected;
 }
 
-/// The largest step between event ids: ids rise by one for each event, or for each token of an
-/// event.
-std::uint64_t eventIdStride(const FleetConfig& config, const ServiceName& service) {
-  auto found = config.services.find(service);
-  if (found == config.services.end() || !found->second.engine) return 1;
-  return static_cast<std::uint64_t>(
-      std::max<std::int64_t>(1, found->second.engine->maxTokensPerEvent));
-}
-
 }  // namespace
 
 void RequestRouter::State::handleAttemptEvent(AttemptEvent event, MonotonicTime now,
@@ -207,8 +198,7 @@
                           (!attempt.lastEventId || *attempt.lastEventId <= *clientHas) &&
                           request.lastForwardedEventId;
   if (!continuesAttempt) return EventOrder::kNext;
-  std::uint64_t largestStep = std::max(request.largestEventIdStep,
-                                       eventIdStride(dependencies.fleet.config(), request.service));
+  std::uint64_t largestStep = std::max(request.largestEventIdStep, request.configuredEventIdStep);
   return firstId - *clientHas > largestStep ? EventOrder::kInvalid : EventOrder::kNext;
 }
 
--- a/src/requests/request_router.cc
+++ b/src/requests/request_router.cc
@@ -175,6 +175,7 @@
   attempt.chargedToBudget = plan.chargedToBudget;
   attempt.resumesResponse = request.responseStarted;
   request.service = std::move(plan.service);
+  noteEventIdStep(request);
   request.tenant = std::move(plan.tenant);
   request.route = std::move(plan.route);
   request.lastActivity = now;
@@ -214,6 +215,16 @@
   scheduleCheck(request);
 }
 
+/// Notes the largest step between event ids: ids rise by one for each event, or for each token of
+/// an event. A service that was removed meanwhile keeps the step that it had.
+void RequestRouter::State::noteEventIdStep(ActiveRequest& request) {
+  const auto& services = dependencies.fleet.config().services;
+  auto found = services.find(request.service);
+  if (found == services.end()) return;
+  std::int64_t step = found->second.engine ? found->second.engine->maxTokensPerEvent : 1;
+  request.configuredEventIdStep = static_cast<std::uint64_t>(std::max<std::int64_t>(1, step));
+}
+
 /// Ends a request that has no current attempt. A response in progress is truncated; otherwise the
 /// request is rejected, but never with a status that says "not run" if it may have run.
 void RequestRouter::State::failRequest(ActiveRequest& request, PlanFailure failure,
--- a/src/requests/request_state.h
+++ b/src/requests/request_state.h
@@ -51,6 +51,7 @@
   bool clientSlow = false;
   std::optional<std::uint64_t> lastForwardedEventId;  // forwarded to the client
   std::uint64_t largestEventIdStep = 0;               // largest step seen between event ids
+  std::uint64_t configuredEventIdStep = 1;            // largest one that its service may take
   std::optional<Duration> retryAfter;                 // as last given by an engine
   MonotonicTime retryAt = kForever;                   // while suspended: the time of the next retry
 
@@ -80,6 +81,7 @@
   std::variant<AttemptPlan, PlanFailure> planAttempt(ActiveRequest& request, MonotonicTime now,
                                                      Outbox& outbox);
   void sendAttempt(ActiveRequest& request, AttemptPlan plan, MonotonicTime now, Outbox& outbox);
+  void noteEventIdStep(ActiveRequest& request);
   void failRequest(ActiveRequest& request, PlanFailure failure, MonotonicTime now, Outbox& outbox);
   void truncateResponse(ActiveRequest& request, Outbox& outbox);
   const Route* currentRoute(const ActiveRequest& request) const;
--- a/tests/requests_resume_test.cc
+++ b/tests/requests_resume_test.cc
@@ -188,6 +188,22 @@
   completeStream(router, open);
 }
 
+// Guards against taking the events of a removed service for a gap: its ids rise as before.
+TEST(StreamResumption, EventIdsOfARemovedServiceMayRiseByItsStride) {
+  FakeRouter router;
+  ServiceConfig service;
+  service.engine = EngineConfig{};
+  service.engine->maxTokensPerEvent = 5;
+  router.fleet.fleetConfig.services[{"model"}] = service;
+  AttemptId id = startStream(router);
+  router.fleet.routeByHost.erase("resumed");
+  router.fleet.fleetConfig.services.clear();
+  ++router.fleet.installs;
+  id = only<OpenAttempt>(router.sendEvent(id, AttemptEventKind::kBroken)).attempt;
+  router.sendHead(id, 200);
+  CHECK_EQUAL(1U, commandsOf<ForwardResponseBody>(router.sendBody(id, "e", 8)).size());
+}
+
 TEST(StreamResumption, AStreamWhoseServiceIsRemovedIsSuspendedUntilItsDeadline) {
   FakeRouter router;
   AttemptId id = startStream(router);
