--- a/src/config/fleet_config.h
+++ b/src/config/fleet_config.h
@@ -20,6 +20,9 @@
 using ConfigVersion =
     Tagged<struct ConfigVersionTag, std::uint64_t>;  // increases, in steps of any size
 
+/// Counts how often the shared cache domain was replaced by an empty one.
+using CacheGeneration = Tagged<struct CacheGenerationTag, std::uint64_t>;
+
 /// Which requests may be retried: safe ones always, unsafe ones never, and streams only if the
 /// route allows them to be resumed.
 enum class RouteKind : std::uint8_t { kSafe = 0, kUnsafe, kStream };
@@ -116,6 +119,9 @@
   RequestLimits limits;
   StringMap<HostRoutes> routesByHost;  // keys are results of `normalizeHost`
   std::optional<ServiceName> storeName;
+  /// The generation of the shared cache domain. It isn't part of the operator's document; it comes
+  /// with it from the control state.
+  CacheGeneration cacheGeneration;
 
   /// The route with the longest prefix of the path, or nullptr if none matches. Hosts are compared
   /// in lower case and without their port.
--- a/src/core/control_state.cc
+++ b/src/core/control_state.cc
@@ -69,9 +69,11 @@
   setupText_ = setupWithoutFleetText_;
   if (!fleetConfig_) return;
   std::string joined;
-  joined.reserve(setupWithoutFleetText_->size() + fleetConfigText_->size() + 16);
+  joined.reserve(setupWithoutFleetText_->size() + fleetConfigText_->size() + 64);
   joined.append(*setupWithoutFleetText_, 0, setupWithoutFleetText_->size() - 1);
   if (joined.size() > 1) joined += ',';
+  if (sharedCache_.generation().value > 0)
+    joined += "\"cacheGeneration\":" + std::to_string(sharedCache_.generation().value) + ',';
   joined += "\"fleet\":";
   joined += *fleetConfigText_;
   joined += '}';
@@ -122,6 +124,9 @@
       state.fleetConfig_ = std::make_shared<const Json>(std::move(*fleet));
       setup.erase(fleet);
     }
+    state.sharedCache_ = SharedCacheHistory::parse(setup.value("cacheGeneration", std::uint64_t{0}),
+                                                   body.value("formerSharers", Json::array()));
+    setup.erase("cacheGeneration");
     state.sectionsJson_ =
         std::make_shared<const Json>(Json{{"setup", std::move(setup)},
                                           {"keys", std::move(body.at("keys"))},
@@ -142,7 +147,8 @@
         "{\"setup\":" + *earlier.text + ",\"version\":\"" + versionText(earlier.version) + "\"}";
   }
   text.reserve(text.size() + serializedSize() + 512);
-  text += "],\"keys\":";
+  text += "],\"formerSharers\":" + sharedCache_.formerSharersText();
+  text += ",\"keys\":";
   text += *keysText_;
   text += ",\"setup\":";
   text += *setupText_;
@@ -224,6 +230,7 @@
   ConfigVersion version{newConfig["version"].get<std::uint64_t>()};
   if (version <= fleetConfigVersion_)
     return invalidReply("[version]", "must be above " + std::to_string(fleetConfigVersion_.value));
+  sharedCache_.advance(fleetConfig_ ? *fleetConfig_ : Json::object(), newConfig);
   fleetConfig_ = std::make_shared<const Json>(std::move(newConfig));
   fleetConfigVersion_ = version;
   fleetConfigText_ = serializeSection(*fleetConfig_);
--- a/src/core/control_state.h
+++ b/src/core/control_state.h
@@ -14,6 +14,7 @@
 #include "core/messages.h"
 #include "core/options.h"
 #include "core/remembered_changes.h"
+#include "core/shared_cache_history.h"
 #include "wire/json_fields.h"
 
 namespace peppergate {
@@ -146,6 +147,7 @@
   std::shared_ptr<const Json>
       fleetConfig_;  // the configuration as the operator sent it; null if none
   ConfigVersion fleetConfigVersion_;
+  SharedCacheHistory sharedCache_;  // follows from all configurations so far
   Text setupWithoutFleetText_, fleetConfigText_, setupText_, keysText_, weightsText_;
   std::vector<EarlierSetup> earlierSetups_;
   std::shared_ptr<RememberedChanges> rememberedChanges_;
--- a/src/core/section_parsers.cc
+++ b/src/core/section_parsers.cc
@@ -33,6 +33,7 @@
       auto config = readFleetConfig(*fleet);
       if (!config.ok()) return config.status();
       setup.fleetConfig = std::move(*config);
+      setup.fleetConfig.cacheGeneration = {document.value("cacheGeneration", std::uint64_t{0})};
     }
   } catch (const Json::exception& error) {
     return absl::DataLossError(error.what());
--- a/src/prompts/candidate_search.cc
+++ b/src/prompts/candidate_search.cc
@@ -76,7 +76,7 @@
   if (found != search.prompts.end()) return *found;
   VersionedPrompt& prompt = search.prompts.emplace_back();
   prompt.version = version;
-  prompt.salt = cacheSalt(search.cacheDomain, search.placementRequest.model, version);
+  prompt.salt = cacheSalt(search.cacheScope, search.placementRequest.model, version);
   prompt.cachedPrefixes = index_.cachedPrefixes(prompt.salt, search.placementRequest.promptBlocks);
   for (const auto& prefix : prompt.cachedPrefixes) {
     if (prefix.tokens < prompt.longestPrefix || !sourceUsable(prefix.engine, search.now)) continue;
@@ -192,7 +192,7 @@
   // stays the same across versions.
   if (!search.shape || search.placementRequest.promptBlocks.size() < 2) return 0;
   std::string salt =
-      cacheSalt(search.cacheDomain, search.placementRequest.model, search.targetVersion);
+      cacheSalt(search.cacheScope, search.placementRequest.model, search.targetVersion);
   const PromptBlock* chosen = nullptr;
   for (const auto& part : search.placementRequest.promptBlocks.first(
            search.placementRequest.promptBlocks.size() - 1)) {
@@ -201,8 +201,10 @@
     chosen = &part;
   }
   if (!chosen) return 0;
-  return hashOf(chosen->id,
-                hashOf(search.cacheDomain.value, hashOf(search.placementRequest.model.value, 0))) |
+  // Nor does it contain the generation of the shared cache.
+  const auto& isolatedTenant = search.cacheScope.isolatedTenant;
+  return hashOf(chosen->id, hashOf(isolatedTenant ? isolatedTenant->value : std::string(),
+                                   hashOf(search.placementRequest.model.value, 0))) |
          1;
 }
 
--- a/src/prompts/candidate_search.h
+++ b/src/prompts/candidate_search.h
@@ -43,7 +43,7 @@
   const ServiceHashes& service;
   bool mayBeCached = false;  // engines may cache the prompt, so that each attempt needs a salt
   WeightsVersion targetVersion{1};
-  CacheDomain cacheDomain{};
+  CacheScope cacheScope{};
   std::int64_t promptTokens = 0,
                sharedTokens = 0;           // tokens of the prompt, and of its shared blocks
   std::vector<VersionedPrompt> prompts{};  // one per weights version that engines run
--- a/src/prompts/placement.cc
+++ b/src/prompts/placement.cc
@@ -94,9 +94,10 @@
       !placementRequest.model.value.empty() || !placementRequest.promptBlocks.empty();
   if (auto name = weights.models.find(placementRequest.model); name != weights.models.end())
     search.targetVersion = std::max(search.targetVersion, name->second);
-  search.cacheDomain = cacheDomainOf(
-      placementRequest.tenant,
-      placementRequest.isolated && options_.isGuardEnabled(SafetyGuard::kCacheDomain));
+  search.cacheScope =
+      cacheScopeOf(placementRequest.tenant,
+                   placementRequest.isolated && options_.isGuardEnabled(SafetyGuard::kCacheDomain),
+                   config.cacheGeneration);
   search.promptTokens = prefillTokens(placementRequest, 0);
   for (std::size_t index = 0; index + 1 < placementRequest.promptBlocks.size(); ++index)
     search.sharedTokens += placementRequest.promptBlocks[index].tokens;
--- a/tests/cache_isolation_test.cc
+++ b/tests/cache_isolation_test.cc
@@ -128,3 +128,119 @@
   CHECK_FALSE(salt("other").empty());
   CHECK_FALSE(place("desk").version.has_value());
 }
+
+// Guards against memory that a tenant made before it became isolated: others must not find it.
+TEST(CacheIsolation, ATenantThatBecomesIsolatedLeavesNoSharedMemory) {
+  replace({tenantOf("desk", false), tenantOf("other", false)});
+  std::string before = salt("other");
+  STRCMP_EQUAL(before.c_str(), salt("desk").c_str());
+  upsert("desk", true);
+  CHECK(salt("desk") != before);
+  CHECK(salt("other") != before);
+  CHECK(salt("other") != salt("desk"));
+  STRCMP_EQUAL(salt("other").c_str(), salt("").c_str());  // anonymous requests share it, too
+}
+
+// Guards against the same when the tenant is removed in between, or replaced as a whole.
+TEST(CacheIsolation, AnIsolatedTenantMayHaveSharedBeforeItWasRemoved) {
+  replace({tenantOf("desk", false), tenantOf("other", false)});
+  std::string before = salt("other");
+  remove("desk");
+  STRCMP_EQUAL(before.c_str(), salt("other").c_str());
+  upsert("third", false);
+  upsert("desk", true);
+  std::string after = salt("other");
+  CHECK(after != before);
+  replace({tenantOf("desk", true), tenantOf("other", true), tenantOf("third", false)});
+  CHECK(salt("third") != after);
+  CHECK(salt("third") != before);
+}
+
+TEST(CacheIsolation, EachIsolationBeginsANewSharedCache) {
+  replace({tenantOf("desk", false), tenantOf("other", false)});
+  std::set<std::string> salts{salt("other")};
+  for (std::size_t turn = 1; turn <= 4; ++turn) {
+    upsert("desk", true);
+    salts.insert(salt("other"));
+    LONGS_EQUAL(1 + turn, salts.size());
+    upsert("desk", false);
+    STRCMP_EQUAL(salt("desk").c_str(), salt("other").c_str());
+    salts.insert(salt("other"));
+    LONGS_EQUAL(1 + turn, salts.size());
+  }
+}
+
+TEST(CacheIsolation, OtherChangesKeepTheSharedCache) {
+  replace({tenantOf("desk", true), tenantOf("other", false)});
+  std::string before = salt("other");
+  upsert("newcomer", true);  // never shared anything
+  upsert("newcomer", true);
+  upsert("third", false);
+  remove("third");
+  upsert("third", false);
+  remove("newcomer");
+  upsert("newcomer", true);
+  upsert("desk", true);
+  replace({tenantOf("desk", true), tenantOf("other", false)});
+  amend({{"remove", {{"routes", {"ask"}}}}});
+  STRCMP_EQUAL(before.c_str(), salt("other").c_str());
+}
+
+// Guards against a state that forgets who shared: it is read from a disk or from another replica.
+TEST(CacheIsolation, TheSharedCachesHistoryIsStored) {
+  replace({tenantOf("desk", false), tenantOf("trail", false), tenantOf("other", false)});
+  upsert("desk", true);
+  remove("trail");
+  std::string before = salt("other");
+  state = *ControlState::parse(state.serialize());
+  STRCMP_EQUAL(before.c_str(), salt("other").c_str());
+  upsert("trail", true);
+  CHECK(salt("other") != before);
+  std::string text = state.serialize();
+  STRCMP_EQUAL(text.c_str(), ControlState::parse(text)->serialize().c_str());
+}
+
+TEST(CacheIsolation, TheConfigurationIsReadBackAsSent) {
+  replace({tenantOf("desk", false)});
+  upsert("desk", true);
+  Json expected = configOf(2, {tenantOf("desk", true)});
+  CHECK(Json::parse(state.setupText()).at("fleet") == expected);
+}
+
+TEST(CacheIsolation, ChangesOfTheSetupKeepTheSharedCache) {
+  replace({tenantOf("desk", false), tenantOf("other", false)});
+  upsert("desk", true);
+  std::string before = salt("other");
+  Json setup = Json::parse(state.setupText());
+  Json change{{"kind", "apply"},
+              {"basedOn", versionText(state.sections().setup)},
+              {"setup",
+               {{"rungs", Json::array({{{"name", "half"}, {"rate", 4.0}}})},
+                {"classes", setup["classes"]},
+                {"templates", setup["templates"]}}}};
+  CHECK(state.apply(change.dump(), "setup", {2}, options).outcome == ChangeOutcome::kDone);
+  STRCMP_EQUAL(before.c_str(), salt("other").c_str());
+}
+
+// Guards against a list that grows without limit: a new shared cache begins before it is emptied.
+TEST(CacheIsolation, RemovedTenantsAreRememberedInABoundedList) {
+  replace({tenantOf("other", false)});
+  const std::string first = salt("other");
+  for (int round = 0; round < 3; ++round) {
+    Json tenants = Json::array(), names = Json::array();
+    for (int number = 0; number < 600; ++number) {
+      std::string name = "tenant-" + std::to_string(round) + "-" + std::to_string(number);
+      tenants.push_back({{"name", name}});
+      names.push_back(name);
+    }
+    amend({{"upsert", {{"tenants", tenants}}}});
+    amend({{"remove", {{"tenants", names}}}});
+    CHECK(state.serialize().size() < 30000);
+  }
+  std::string before = salt("other");
+  CHECK(before != first);
+  upsert("tenant-0-0", true);  // only shared a generation that has ended
+  STRCMP_EQUAL(before.c_str(), salt("other").c_str());
+  upsert("tenant-2-599", true);
+  CHECK(salt("other") != before);
+}
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -83,7 +83,8 @@
   }
   void expectBlocks(const EngineId& engine, std::span<const PromptBlock> parts,
                     std::uint64_t version = 1, const char* domain = "") {
-    index.recordExpected(engine, cacheSalt({domain}, kModel, {version}), parts);
+    CacheScope scope = cacheScopeOf({domain}, *domain != '\0', {});
+    index.recordExpected(engine, cacheSalt(scope, kModel, {version}), parts);
   }
   std::variant<PlacementDecision, PlacementRejection> tryPlace(std::span<const PromptBlock> parts,
                                                                double time = 1,
@@ -333,8 +334,18 @@
   LONGS_EQUAL(10000, trail.prefillTokens);  // the blocks of other tenants are not usable
   CHECK_FALSE(trail.collectFrom.has_value());
   // Different domains and models never yield the same salt.
-  CHECK(cacheSalt({"a"}, {"m"}, {1}) != cacheSalt({""}, {"a/m"}, {1}));
-  CHECK(cacheSalt({"a"}, {"b/m"}, {1}) != cacheSalt({"a/b"}, {"m"}, {1}));
+  auto isolatedSalt = [](const char* tenant, const char* model) {
+    return cacheSalt(cacheScopeOf({tenant}, true, {}), {model}, {1});
+  };
+  auto sharedSalt = [](std::uint64_t generation, const char* model) {
+    return cacheSalt(cacheScopeOf({"any"}, false, {generation}), {model}, {1});
+  };
+  CHECK(isolatedSalt("a", "m") != sharedSalt(0, "a/m"));
+  CHECK(isolatedSalt("a", "b/m") != isolatedSalt("a/b", "m"));
+  CHECK(isolatedSalt("a", "m") != sharedSalt(1, ":a/m"));
+  CHECK(isolatedSalt("", "m") != sharedSalt(0, "m"));
+  CHECK(sharedSalt(1, "m") != sharedSalt(0, "m"));
+  CHECK(sharedSalt(1, "1/m") != sharedSalt(11, "m"));
 }
 
 TEST(Placement, NewWeightsChangeTheSalt) {
