--- a/src/config/fleet_config.h
+++ b/src/config/fleet_config.h
@@ -116,6 +116,8 @@
   std::map<ServiceName, ServiceConfig> services;
   std::map<TenantId, TenantConfig> tenants;
   StringMap<TenantId> tenantByKey;  // tenant by key
+  /// Whether requests need a key: the configuration lists its tenants, even if none is left.
+  bool requiresKeys = false;
   RequestLimits limits;
   StringMap<HostRoutes> routesByHost;  // keys are results of `normalizeHost`
   std::optional<ServiceName> storeName;
--- a/src/config/fleet_config_reader.cc
+++ b/src/config/fleet_config_reader.cc
@@ -142,6 +142,7 @@
     readVersion(fields);
     fields.forEachObject("services", [this](const ObjectReader& service) { readService(service); });
     fields.forEachObject("routes", [this](const ObjectReader& route) { readRoute(route); });
+    config_.requiresKeys = fields.find("tenants") != nullptr;
     fields.forEachObject("tenants", [this](const ObjectReader& tenant) { readTenant(tenant); });
     if (auto limits = fields.nestedObject("limits")) readLimits(*limits);
     for (auto& [host, routes] : config_.routesByHost)
--- a/src/requests/request_router.cc
+++ b/src/requests/request_router.cc
@@ -79,9 +79,11 @@
   const Route* route = currentRoute(request);
   if (!route) return PlanFailure{RequestFailure::kNoRoute};
   const TenantConfig* tenant = nullptr;
-  if (!route->allowsAnonymous && !config.tenants.empty()) {
-    if (!request.arrival.key.empty()) tenant = dependencies.fleet.tenantOfKey(request.arrival.key);
-    if (!tenant) return PlanFailure{RequestFailure::kUnknownKey};
+  if (!route->allowsAnonymous) {
+    // A key that was sent has to be known, whether or not the configuration has any tenant.
+    bool hasKey = !request.arrival.key.empty();
+    if (hasKey) tenant = dependencies.fleet.tenantOfKey(request.arrival.key);
+    if (!tenant && (hasKey || config.requiresKeys)) return PlanFailure{RequestFailure::kUnknownKey};
   }
   AttemptPlan plan;
   if (tenant) plan.tenant = tenant->name;
--- a/tests/config_fleet_test.cc
+++ b/tests/config_fleet_test.cc
@@ -86,6 +86,18 @@
   CHECK(config.tenantOfKey("") == nullptr);
 }
 
+// Guards against a configuration that opens all routes once its last tenant is removed.
+TEST(FleetConfigs, AListOfTenantsRequiresKeysEvenIfItIsEmpty) {
+  CHECK(readFleetConfig(completeConfig())->requiresKeys);
+  Json amendment = Json::parse(R"({"version": 9, "remove": {"tenants": ["red", "blue"]}})");
+  FleetConfig emptied = *readFleetConfig(amendFleetConfig(completeConfig(), amendment));
+  CHECK(emptied.tenants.empty());
+  CHECK(emptied.requiresKeys);
+  Json withoutList = completeConfig();
+  withoutList.erase("tenants");
+  CHECK_FALSE(readFleetConfig(withoutList)->requiresKeys);
+}
+
 TEST(FleetConfigs, LongestPrefixOfTheHostWins) {
   FleetConfig config = *readFleetConfig(completeConfig());
   struct Row {
--- a/tests/requests_admission_test.cc
+++ b/tests/requests_admission_test.cc
@@ -117,11 +117,42 @@
   router.fleet.routeByHost["safe"].allowsAnonymous = true;
   CHECK(only<OpenAttempt>(router.sendRequest("safe", 1)).tenant.value.empty());
   router.fleet.fleetConfig.tenants.clear();
+  router.fleet.fleetConfig.requiresKeys = false;  // the configuration has no list of tenants
   auto request = FakeRouter::makeRequest("unsafe", 2);
   request.key.clear();
   CHECK(only<OpenAttempt>(router.sendRequest(std::move(request))).tenant.value.empty());
 }
 
+// Guards against keys that work again: once no tenant is left, no key is known and none is needed
+// only if the configuration has no list of tenants at all.
+TEST(RequestAdmission, UnknownKeysAreRejectedWithoutAnyTenant) {
+  for (bool requiresKeys : {true, false})
+    for (const char* key : {"key", "made-up", ""}) {
+      FakeRouter router;
+      router.fleet.fleetConfig.tenants.clear();
+      router.fleet.tenantByKey.clear();
+      router.fleet.fleetConfig.requiresKeys = requiresKeys;
+      auto request = FakeRouter::makeRequest("unsafe", 1);
+      request.key = key;
+      auto commands = router.sendRequest(std::move(request));
+      bool isAdmitted = !requiresKeys && *key == '\0';
+      CHECK_EQUAL(isAdmitted ? 1U : 0U, commandsOf<OpenAttempt>(commands).size());
+      if (!isAdmitted) CHECK_EQUAL(401, only<RejectRequest>(commands).status);
+    }
+}
+
+// Guards against a run between attempts: the last tenant is removed while its request is retried.
+TEST(RequestAdmission, TheRemovalOfTheLastTenantEndsRetries) {
+  FakeRouter router;
+  AttemptId id = only<OpenAttempt>(router.sendRequest("safe", 1)).attempt;
+  router.fleet.fleetConfig.tenants.clear();
+  router.fleet.tenantByKey.clear();
+  ++router.fleet.installs;
+  auto commands = router.sendHead(id, 503, true);
+  CHECK_EQUAL(0U, commandsOf<OpenAttempt>(commands).size());
+  CHECK_EQUAL(401, only<RejectRequest>(commands).status);
+}
+
 TEST(RequestAdmission, ServicesAreChosenByWeightAndEachClientIdKeepsItsService) {
   Route route = routeOf(RouteKind::kSafe);
   route.services = {{ServiceName{"a"}, 90}, {ServiceName{"none"}, 0}, {ServiceName{"b"}, 10}};
--- a/tests/requests_fakes.h
+++ b/tests/requests_fakes.h
@@ -137,6 +137,7 @@
     fleet.routeByHost["resumed"] = routeOf(RouteKind::kStream, true);
     fleet.fleetConfig.version = {1};
     fleet.fleetConfig.tenants[{"red"}] = TenantConfig{{"red"}, 1, false};
+    fleet.fleetConfig.requiresKeys = true;
     for (const auto& [host, route] : fleet.routeByHost) fleet.fleetConfig.routes.push_back(route);
     fleet.tenantByKey["key"] = fleet.fleetConfig.tenants[{"red"}];
     options.budgetShare = 10;  // large enough for all tests that don't test the budget
